--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,883 @@
+//! All decisions of millpost. The interface (settings, events, actions) is in `src/api.rs`.
+//!
+//! One mechanism decides the ordinary path: retries follow a doubling schedule from `T1`, and each goes
+//! only with probability p, which falls from 1 to 0 as the destination's averaged delay rises between 0.2
+//! T1 and T1. Everything else is a guard that a send passes, or an extension whose comment says what it
+//! answers.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::api::*;
+
+/// Weight of a new sample in the averages (the paper's w_q).
+const WEIGHT: f64 = 0.2;
+/// Room kept under the budget of a destination that is, or may be, cold.
+const COLD_ROOM: f64 = 0.8;
+const SECOND: f64 = 1e9;
+const NEVER: Nanos = Nanos::MAX;
+
+/// The retry probability for an averaged delay above the floor (equation 21, thresholds over the service
+/// rate).
+pub fn retry_probability(delay: f64, t1: Nanos) -> f64 {
+    let (min, max) = (0.2 * t1 as f64, t1 as f64);
+    if max <= min {
+        return if delay > max { 0.0 } else { 1.0 };
+    }
+    ((max - delay) / (max - min)).clamp(0.0, 1.0)
+}
+
+/// When the k-th try of a message falls due: T1, then doubled gaps, after the first.
+pub fn doubled_time(first: Nanos, t1: Nanos, k: u32) -> Nanos {
+    first.saturating_add(t1.saturating_mul((1u64 << k.min(40)) - 1))
+}
+
+/// A destination, or a route of one whose endpoints are routes apart.
+type LaneId = (DestId, Option<EndpointId>);
+
+/// A token bucket: the pace and the cold budget are each one.
+#[derive(Clone, Copy, Default)]
+struct Bucket {
+    tokens: f64,
+    at: Nanos,
+}
+
+impl Bucket {
+    /// Refills at `rate` a second, up to `most`, and says when a whole token is there.
+    fn ready_at(&mut self, now: Nanos, rate: f64, most: f64) -> Nanos {
+        let gained = now.saturating_sub(self.at) as f64 / SECOND * rate;
+        (self.tokens, self.at) = ((self.tokens + gained).min(most), now.max(self.at));
+        let missing = (1.0 - self.tokens) / rate * SECOND;
+        if self.tokens < 1.0 { now.saturating_add(1).saturating_add(missing as Nanos) } else { now }
+    }
+}
+
+#[derive(Default)]
+struct Lane {
+    /// Lowest latency of the running and of the previous span.
+    floors: [Option<Nanos>; 2],
+    floor_from: Nanos,
+    /// Averaged delay above the floor: decides p.
+    delay: f64,
+    delay_at: Nanos,
+    /// Usual latency and its mean deviation; 0 until known.
+    usual: f64,
+    spread: f64,
+    wait_until: Nanos,
+    /// Calls out, when one last went, and since when nothing was heard of them.
+    calls: usize,
+    sent_at: Nanos,
+    quiet_since: Nanos,
+    /// Last success and last failure, share of failures of late, failed tries to get through.
+    ok_at: Nanos,
+    fail_at: Option<Nanos>,
+    bad_since: Option<Nanos>,
+    /// When the present or the last trouble began, whether its last failure was a silence or a broken
+    /// connection, and the failed calls since the last success.
+    out_from: Nanos,
+    silent: bool,
+    shut: bool,
+    bad_calls: usize,
+    failing: f64,
+    knocks: u32,
+    /// First success after an outage.
+    back_at: Option<Nanos>,
+    cold_budget: Bucket,
+    /// Calls a second that the limit seems to leave to this dispatcher; 0 until known.
+    pace: f64,
+    sending: f64,
+    paced: Bucket,
+    eased_at: Nanos,
+    /// Limit last reported, allowance left then, listed weight; own messages and since when.
+    limit: f64,
+    share_left: f64,
+    left_of_late: f64,
+    weight: f64,
+    taken: u32,
+    taken_from: Nanos,
+    turn: u64,
+    kind: usize,
+}
+
+struct Endpoint {
+    lane: LaneId,
+    zone: usize,
+    kind: usize,
+    ready: bool,
+    calls: usize,
+    fails: u32,
+    fail_at: Nanos,
+    ok_at: Nanos,
+}
+
+/// An attempt that is out.
+#[derive(Clone, Copy)]
+struct Out {
+    endpoint: EndpointId,
+    call: u64,
+    sent: Nanos,
+}
+
+struct Msg {
+    class: usize,
+    key: Option<u64>,
+    dest: DestId,
+    aim_at: Nanos,
+    deadline: Nanos,
+    attempts: u32,
+    step: u32,
+    first_sent: Nanos,
+    /// Earliest time of the next attempt.
+    due: Nanos,
+    out: Option<Out>,
+    /// Sending time and zone of the earliest attempt that may have run.
+    maybe: Option<(Nanos, usize)>,
+    /// The final answer is given; only the outcome is awaited.
+    ended: bool,
+}
+
+#[derive(Default)]
+struct KeyLine {
+    line: VecDeque<MsgId>,
+    rest_until: Nanos,
+}
+
+/// The decisions of one dispatcher.
+pub struct Control {
+    set: Settings,
+    rng: Pcg64Mcg,
+    t1: Nanos,
+    msgs: BTreeMap<MsgId, Msg>,
+    keys: BTreeMap<u64, KeyLine>,
+    lanes: BTreeMap<LaneId, Lane>,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// The endpoints of each destination.
+    by_dest: BTreeSet<(DestId, EndpointId)>,
+    /// Messages still without outcome in each call that is out.
+    calls: BTreeMap<u64, usize>,
+    next_call: u64,
+    subscribe_at: Nanos,
+    subscribe_fails: u32,
+    wake_at: Nanos,
+}
+
+impl Msg {
+    /// The next attempt falls due at the first doubled time left to it from `from` on.
+    fn wait_for_doubled_time(&mut self, from: Nanos, t1: Nanos) {
+        while doubled_time(self.first_sent, t1, self.step) < from && self.step < 40 {
+            self.step += 1;
+        }
+        self.due = doubled_time(self.first_sent, t1, self.step);
+    }
+}
+
+impl Lane {
+    fn floor(&self) -> Nanos {
+        self.floors.iter().flatten().min().copied().unwrap_or(0)
+    }
+    /// A wide margin over the usual latency; `unknown` until there is one.
+    fn margin(&self, unknown: Nanos, least: Nanos) -> Nanos {
+        if self.usual == 0.0 { unknown } else { ((self.usual + 4.0 * self.spread) as Nanos).max(least) }
+    }
+    fn failed_last(&self) -> bool {
+        self.fail_at.is_some_and(|at| at >= self.ok_at)
+    }
+    /// Failing for a while, with nothing getting through: it may be out, and may come back cold at any
+    /// moment.
+    fn in_trouble(&self, now: Nanos, rules: &Rules) -> bool {
+        let lasting = self.bad_since.is_some_and(|since| now.saturating_sub(since) > rules.fall / 2);
+        (lasting || self.shut) && (self.failed_last() && self.evident(self.calls) || self.was_out(rules))
+    }
+    /// One or two calls without an answer may be lost answers of a partner that works: no outage, and no
+    /// slow return. Refusals and errors are its own word.
+    fn evident(&self, out: usize) -> bool {
+        !self.silent || self.bad_calls + out > 2
+    }
+    /// Failures alone, over a time that no passing excess over a limit explains, were an outage. One refusal
+    /// before a pause in the traffic is none: it costs the next call a careful try, not a whole slow return.
+    fn was_out(&self, rules: &Rules) -> bool {
+        let span = self.fail_at.unwrap_or(0).saturating_sub(self.bad_since.unwrap_or(NEVER));
+        span > rules.fall / 2 && (self.failing > 0.5 || self.failed_last()) && self.evident(0)
+    }
+    fn cold(&self, now: Nanos, rules: &Rules) -> bool {
+        self.back_at.is_some_and(|at| now.saturating_sub(at) < rules.cold)
+    }
+    /// Calls a second that the destination takes from all dispatchers together; 0 if unknown.
+    fn capacity(&self, set: &Settings) -> f64 {
+        let sure = if set.weights == Weights::Rough { 1.5 } else { 1.0 };
+        if self.limit > 0.0 { self.limit } else { self.weight / sure }
+    }
+    /// Calls a second that this dispatcher alone may send to a destination that is, or may be, cold: its
+    /// part of the capacity, even, or as its own messages are of all, or (but where it is shut, and all are
+    /// refused at once) as one call is of all since the trouble began. Even parts alone would starve the
+    /// busy ones, and the few that hold messages for a small destination.
+    fn cold_rate(&self, now: Nanos, set: &Settings) -> f64 {
+        let rules = &set.rules;
+        let own = f64::from(self.taken) * SECOND
+            / now.saturating_sub(self.taken_from).max(rules.cold).max(1) as f64;
+        let few = if self.shut { 0.0 } else { SECOND }
+            / now.saturating_sub(self.out_from).max(rules.fall / 2).max(1) as f64;
+        let all = self.capacity(set);
+        let capacity =
+            (all / set.dispatchers.max(1) as f64).max(own).max(if all > 0.0 { few.min(all) } else { few });
+        let warm = match self.back_at {
+            Some(at) if !self.in_trouble(now, rules) => {
+                now.saturating_sub(at) as f64 / rules.cold.max(1) as f64
+            }
+            _ => 0.0,
+        };
+        let share = rules.cold_from + (1.0 - rules.cold_from) * warm.min(1.0);
+        rules.fall_multiple * share * capacity * COLD_ROOM
+    }
+    /// Every send, and every probe, to this destination passes here. `None` if it may go, else when to ask
+    /// again.
+    fn closed_until(&mut self, now: Nanos, set: &Settings, t1: Nanos) -> Option<Nanos> {
+        if self.wait_until > now {
+            return Some(self.wait_until);
+        }
+        if self.pace > 0.0 {
+            let burst = (self.pace * t1 as f64 / SECOND).max(1.0);
+            let ready = self.paced.ready_at(now, self.pace, burst);
+            if ready > now {
+                return Some(ready);
+            }
+        }
+        let trouble = self.in_trouble(now, &set.rules);
+        if !trouble && !self.cold(now, &set.rules) {
+            return None;
+        }
+        if trouble {
+            let fail_at = self.fail_at.unwrap_or(0);
+            if self.calls > 0 && self.sent_at > fail_at {
+                return Some(NEVER);
+            }
+            let gap = t1.saturating_mul(1 << self.knocks.min(20)).min(set.rules.fall);
+            if self.knocks > 0 && fail_at + gap > now {
+                return Some(fail_at + gap);
+            }
+        }
+        let rate = self.cold_rate(now, set);
+        Some(self.cold_budget.ready_at(now, rate, 1.0)).filter(|ready| *ready > now)
+    }
+    /// The averaged delay by now: with nothing heard, a queue drains as fast as time passes. Guards against
+    /// an average gone stale at a destination with rare samples, whose retries would wait for successes
+    /// that never come.
+    fn delay_now(&self, now: Nanos) -> f64 {
+        (self.delay - now.saturating_sub(self.delay_at) as f64).max(0.0)
+    }
+    fn sample_delay(&mut self, now: Nanos, sample: f64) {
+        let delay = self.delay_now(now);
+        (self.delay, self.delay_at) = (delay + WEIGHT * (sample - delay), now);
+    }
+    /// First sends are paced under the destination's limit and held rather than dropped. The pace is the
+    /// limit until a refusal as full eases it, from the own rate of calls at most (no further than half an
+    /// even part), and creeps back with each success. Without a reported limit there is none: taken from a
+    /// fresh dispatcher's few successes it never grew back, and a full there counts as delay.
+    fn ease_pace(&mut self, now: Nanos, set: &Settings, t1: Nanos) {
+        if self.limit <= 0.0 || now.saturating_sub(self.eased_at) < t1 / 2 {
+            return;
+        }
+        self.eased_at = now;
+        let start = self.pace.min(self.sending.max(SECOND / t1.max(1) as f64));
+        let part = self.limit / set.dispatchers.max(1) as f64;
+        self.pace = (start * 0.7).max(part / 2.0).max(SECOND / set.rules.fall.max(1) as f64 / 2.0);
+        self.paced.tokens = self.paced.tokens.min(0.0);
+    }
+    /// The destination is back, or said when it will be, and is cold from then on. All that know of one
+    /// moment would send at once: each begins with a token of another size.
+    fn comes_back(&mut self, at: Nanos, luck: f64) {
+        (self.back_at, self.bad_since, self.knocks) = (Some(at), None, 0);
+        self.cold_budget = Bucket { tokens: luck, at };
+    }
+    fn succeeded(&mut self, now: Nanos, took: Nanos, rules: &Rules) {
+        if self.was_out(rules) {
+            self.comes_back(now, 0.0);
+        }
+        (self.ok_at, self.bad_calls, self.shut) = (now, 0, false);
+        self.failing *= 1.0 - WEIGHT;
+        if self.failing <= 0.5 {
+            self.bad_since = None;
+        }
+        self.knocks = 0;
+        if now.saturating_sub(self.floor_from) > rules.cold {
+            self.floors = [None, self.floors[0]];
+            self.floor_from = now;
+        }
+        self.floors[0] = Some(self.floors[0].map_or(took, |f| f.min(took)));
+        self.sample_delay(now, (took - self.floor().min(took)) as f64);
+        if self.usual == 0.0 {
+            (self.usual, self.spread) = (took as f64, took as f64 / 2.0);
+        } else {
+            self.spread += WEIGHT * ((took as f64 - self.usual).abs() - self.spread);
+            self.usual += WEIGHT * (took as f64 - self.usual);
+        }
+    }
+    fn failed(&mut self, now: Nanos, sample: Nanos, rules: &Rules) {
+        self.fail_at = Some(now);
+        if self.bad_since.is_none() {
+            self.bad_since = Some(now);
+            // The first careful call is free; while the destination is cold its budget goes on instead.
+            if !self.cold(now, rules) {
+                (self.out_from, self.cold_budget) = (now, Bucket { tokens: 1.0, at: now });
+            }
+        }
+        self.failing += WEIGHT * (1.0 - self.failing);
+        self.sample_delay(now, sample as f64);
+        if self.in_trouble(now, rules) {
+            self.knocks += 1;
+        }
+    }
+}
+
+impl Control {
+    /// A dispatcher that knows its settings and nothing else.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND as Nanos);
+        Control {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            t1: (aim / 4).max(1),
+            msgs: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            by_dest: BTreeSet::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            subscribe_at: if settings.subscribe { 0 } else { NEVER },
+            subscribe_fails: 0,
+            wake_at: NEVER,
+            set: settings,
+        }
+    }
+
+    /// Takes note of what happened.
+    pub fn on_event(&mut self, now: Nanos, event: Event) {
+        match event {
+            Event::Message { id, class, key, dest, time_left, .. } => {
+                self.take(now, id, class, key, dest, time_left)
+            }
+            Event::Outcome { id, endpoint, outcome, took, closed, report, .. } => {
+                self.heard(endpoint, report);
+                self.attempt_over(now, id, outcome, took, closed);
+            }
+            Event::Withdrawn { id } => self.end(id),
+            Event::Probed { endpoint, outcome, took, report } => {
+                self.heard(endpoint, report);
+                self.judge(now, endpoint, outcome, took, took);
+            }
+            Event::Listed { whole, entries } => self.listed(now, whole, &entries),
+            Event::ListFailed => {
+                if self.set.subscribe {
+                    self.subscribe_fails += 1;
+                    self.subscribe_at = doubled_time(now, self.t1, self.subscribe_fails.min(4));
+                }
+            }
+            // A clock coarser than a nanosecond may wake a little early; that request is spent all the same.
+            Event::Wake if self.wake_at <= now.saturating_add(self.set.tick) => self.wake_at = NEVER,
+            // No answer is streamed here.
+            Event::Note { .. } | Event::Wake | Event::Started { .. } => {}
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Nanos,
+        id: MsgId,
+        class: usize,
+        key: Option<u64>,
+        dest: DestId,
+        time_left: Nanos,
+    ) {
+        let Some(c) = self.set.classes.get(class) else { return };
+        let deadline = now.saturating_add(time_left);
+        let aim_at = deadline.saturating_sub(c.deadline.saturating_sub(c.aim));
+        let key = key.filter(|_| c.in_order);
+        if let Some(key) = key {
+            self.keys.entry(key).or_default().line.push_back(id);
+        }
+        let msg = Msg {
+            class,
+            key,
+            dest,
+            aim_at,
+            deadline,
+            attempts: 0,
+            step: 0,
+            first_sent: 0,
+            due: now,
+            out: None,
+            maybe: None,
+            ended: false,
+        };
+        self.msgs.insert(id, msg);
+        let lanes = self.lanes.range_mut((dest, None)..=(dest, Some(EndpointId::MAX)));
+        lanes.for_each(|(_, lane)| lane.taken += 1);
+    }
+
+    fn attempt_over(&mut self, now: Nanos, id: MsgId, outcome: Outcome, took: Nanos, closed: bool) {
+        let Some(m) = self.msgs.get_mut(&id) else { return };
+        let Some(out) = m.out.take() else { return };
+        m.ended |= closed;
+        if !outcome.never_ran() {
+            let zone = self.endpoints.get(&out.endpoint).map_or(0, |e| e.zone);
+            m.maybe = m.maybe.or(Some((out.sent, zone)));
+        }
+        m.step = m.step.max(m.attempts);
+        m.wait_for_doubled_time(now, self.t1);
+        if let Some(line) = m.key.filter(|_| outcome.may_still_run()).and_then(|k| self.keys.get_mut(&k)) {
+            line.rest_until = now + self.set.rules.key_rest;
+        }
+        let ended = m.ended;
+        // The slot is free once the last message of the call has its outcome.
+        let left = self.calls.get_mut(&out.call).map(|left| {
+            *left -= 1;
+            *left
+        });
+        if left == Some(0) {
+            self.calls.remove(&out.call);
+            if let Some(e) = self.endpoints.get_mut(&out.endpoint) {
+                e.calls -= 1;
+                if let Some(lane) = self.lanes.get_mut(&e.lane) {
+                    lane.calls -= 1;
+                }
+            }
+        }
+        if ended {
+            self.end(id);
+        }
+        let full_time_out = self.endpoints.get(&out.endpoint).and_then(|e| self.lanes.get(&e.lane));
+        let full_time_out = full_time_out.map_or(took, |lane| 2 * lane.margin(self.t1, self.t1));
+        self.judge(now, out.endpoint, outcome, took, full_time_out);
+    }
+
+    /// What an outcome says about its destination.
+    fn judge(&mut self, now: Nanos, endpoint: EndpointId, outcome: Outcome, took: Nanos, full: Nanos) {
+        let Some(e) = self.endpoints.get_mut(&endpoint) else { return };
+        let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
+        lane.quiet_since = now;
+        match outcome {
+            Outcome::Served => {
+                (e.fails, e.ok_at) = (0, now);
+                lane.succeeded(now, took, &self.set.rules);
+                // Above the reported limit only while the pace binds: a report may be late, wrong or
+                // missing.
+                if lane.pace < lane.limit || lane.paced.tokens < 1.0 {
+                    lane.pace *= 1.0 + (0.05 * lane.share_left).clamp(0.02, 0.05);
+                }
+            }
+            Outcome::NotSent => {}
+            Outcome::Full(wait) => {
+                // The destination's own word: nothing goes there, for any message, until the wait is over.
+                let told = now.saturating_add(wait.unwrap_or(0));
+                lane.wait_until = lane.wait_until.max(told);
+                // By default it counts as a full time-out. Where a limit is reported and calls get through,
+                // it is an excess over the limit, which the pace answers; p would only starve messages that
+                // never ran.
+                // With most of the allowance left, of late too, a refusal is no excess but a destination
+                // that is shut, or whose queue is full for a moment: the second on end is a trouble at once,
+                // in which no call is free.
+                let known = lane.in_trouble(now, &self.set.rules);
+                let odd = lane.limit > 0.0 && lane.share_left > 0.8 && lane.left_of_late > 0.5;
+                lane.bad_calls += usize::from(odd);
+                lane.shut = odd && lane.bad_calls > 1;
+                lane.silent = false;
+                let paced = lane.limit > 0.0 && !lane.shut && !known;
+                lane.failed(now, if paced { took } else { full }, &self.set.rules);
+                if !odd {
+                    lane.ease_pace(now, &self.set, self.t1);
+                }
+                if lane.shut && !known {
+                    lane.cold_budget.tokens = 0.0;
+                }
+                // No passing excess over a limit needs so long: it is shut, and opens cold when it said.
+                if told.saturating_sub(now) > self.set.rules.fall {
+                    lane.comes_back(told, f64::from(self.rng.next_u32()) / 4_294_967_296.0);
+                }
+            }
+            _ => {
+                (e.fails, e.fail_at) = (e.fails + 1, now);
+                lane.silent = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
+                lane.bad_calls += 1;
+                lane.failed(now, took, &self.set.rules);
+            }
+        }
+    }
+
+    fn heard(&mut self, endpoint: EndpointId, report: Option<Report>) {
+        let lane = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane));
+        if let (Some(lane), Some(report)) = (lane, report) {
+            if lane.limit == 0.0 {
+                lane.left_of_late = report.share_left;
+            }
+            (lane.limit, lane.share_left) = (report.limit.max(0.0), report.share_left);
+            lane.left_of_late += WEIGHT * (report.share_left - lane.left_of_late);
+            if lane.pace == 0.0 {
+                lane.pace = lane.limit;
+            }
+        }
+    }
+
+    fn listed(&mut self, now: Nanos, whole: bool, entries: &[Entry]) {
+        self.subscribe_fails = 0;
+        if whole {
+            self.endpoints.values_mut().for_each(|e| e.ready = false);
+        }
+        for entry in entries {
+            let apart = self.set.kinds.get(entry.kind).is_some_and(|k| k.apart);
+            let lane = (entry.dest, apart.then_some(entry.endpoint));
+            let fresh = || Lane { taken_from: now, ..Lane::default() };
+            let l = self.lanes.entry(lane).or_insert_with(fresh);
+            (l.weight, l.kind) = (entry.weight.max(0.0), entry.kind);
+            let e = self.endpoints.entry(entry.endpoint).or_insert(Endpoint {
+                lane,
+                zone: entry.zone,
+                kind: entry.kind,
+                ready: false,
+                calls: 0,
+                fails: 0,
+                fail_at: 0,
+                ok_at: 0,
+            });
+            e.ready = entry.state == State::Ready;
+            self.by_dest.insert((entry.dest, entry.endpoint));
+        }
+        // What is gone and idle is forgotten; a call that is still out keeps it until its outcome.
+        self.endpoints.retain(|_, e| e.ready || e.calls > 0);
+        self.by_dest.retain(|(_, id)| self.endpoints.contains_key(id));
+    }
+
+    /// Marks a message as answered; it stays known until its attempt has an outcome.
+    fn end(&mut self, id: MsgId) {
+        let Some(m) = self.msgs.get_mut(&id) else { return };
+        m.ended = true;
+        if m.out.is_some() {
+            return;
+        }
+        if let Some(line) = m.key.and_then(|key| self.keys.get_mut(&key)) {
+            line.line.retain(|other| *other != id);
+        }
+        self.msgs.remove(&id);
+    }
+
+    /// Does everything that is due, then asks for one wake-up.
+    pub fn decide(&mut self, now: Nanos, actions: &mut Vec<Action>) {
+        if self.subscribe_at <= now {
+            self.subscribe_at = NEVER;
+            actions.push(Action::Subscribe);
+        }
+        self.strike_silent(now);
+        self.answer_hopeless(now, actions);
+        self.fill_slots(now, actions);
+        self.make_room(now, actions);
+        self.keys.retain(|_, k| !k.line.is_empty() || k.rest_until > now);
+        let next = self.next_wake(now);
+        if next < self.wake_at || self.wake_at <= now {
+            self.wake_at = next;
+            if next != NEVER {
+                actions.push(Action::Wake { at: next });
+            }
+        }
+    }
+
+    /// A destination that has calls out and says nothing for a wide margin over its usual latency counts as
+    /// failing at once, and again after each further margin. Guards against silent and hung destinations
+    /// filling the slots, and against an average that stays low because nothing comes back. It may misread
+    /// a long stall; the next success mends that.
+    fn strike_silent(&mut self, now: Nanos) {
+        let unknown = 4 * self.t1;
+        for lane in self.lanes.values_mut().filter(|l| l.calls > 0) {
+            let margin = lane.margin(unknown, self.t1);
+            if now.saturating_sub(lane.quiet_since) >= margin {
+                (lane.quiet_since, lane.silent) = (now, true);
+                lane.failed(now, margin, &self.set.rules);
+            }
+        }
+    }
+
+    /// The latest moment at which another attempt of this message makes sense and is allowed.
+    fn last_chance(&self, m: &Msg) -> Nanos {
+        let class = &self.set.classes[m.class];
+        let floor = self.lanes.get(&(m.dest, None)).map_or(0, Lane::floor);
+        let in_time = m.deadline.saturating_sub(floor.max(2 * self.set.tick));
+        match (class.effect, m.maybe) {
+            _ if m.attempts >= self.set.try_limit => 0,
+            (Effect::Unsafe, Some(_)) => 0,
+            (Effect::Keyed { window, .. }, Some((sent, _))) => {
+                in_time.min(sent.saturating_add(window).saturating_sub(self.set.tick))
+            }
+            _ => in_time,
+        }
+    }
+
+    /// Gives the final answer: a refusal where trying again is provably harmless, else a failure.
+    fn answer(&mut self, id: MsgId, actions: &mut Vec<Action>) {
+        let Some(m) = self.msgs.get(&id).filter(|m| !m.ended) else { return };
+        let repeatable = match self.set.classes[m.class].effect {
+            Effect::Safe => true,
+            Effect::Keyed { zone_only, .. } => !zone_only,
+            Effect::Unsafe => false,
+        };
+        let harmless = repeatable || (m.maybe.is_none() && m.out.is_none());
+        actions.push(if harmless { Action::Refuse { id, wait: 0 } } else { Action::Fail { id } });
+        self.end(id);
+    }
+
+    /// Every message gets its final answer: when no attempt is left to it, or when its time is up.
+    fn answer_hopeless(&mut self, now: Nanos, actions: &mut Vec<Action>) {
+        let hopeless = |m: &Msg| match m.out {
+            _ if m.ended => false,
+            Some(_) => m.deadline <= now,
+            None => self.last_chance(m) <= m.due.max(now),
+        };
+        let ids: Vec<MsgId> = self.msgs.iter().filter(|(_, m)| hopeless(m)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.answer(id, actions);
+        }
+    }
+
+    /// Share of its worth that a message of this class still earns at `at`.
+    fn worth_at(&self, m: &Msg, at: Nanos) -> f64 {
+        let class = &self.set.classes[m.class];
+        if at >= m.deadline {
+            return 0.0;
+        }
+        let late = at.saturating_sub(m.aim_at) as f64;
+        let span = class.deadline.saturating_sub(class.aim).max(1) as f64;
+        match self.set.late {
+            Late::Even => 1.0 - (1.0 - class.late_worth) * (late / span).min(1.0),
+            Late::Halves => 0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth),
+        }
+    }
+
+    /// Order of waiting messages: by the worth that waiting would lose.
+    fn rank(&self, now: Nanos, m: &Msg) -> (f64, Nanos) {
+        let loss = self.worth_at(m, now) - self.worth_at(m, now.saturating_add(4 * self.t1));
+        (-loss * self.set.classes[m.class].worth, m.aim_at)
+    }
+
+    /// Sorts messages by rank, best first; each rank is worked out once.
+    fn sort(&self, now: Nanos, ids: &mut [MsgId]) {
+        let mut ranked: Vec<_> = ids.iter().map(|id| (self.rank(now, &self.msgs[id]), *id)).collect();
+        ranked.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
+        ids.iter_mut().zip(ranked).for_each(|(id, (_, ranked))| *id = ranked);
+    }
+
+    /// Order, key rest, one attempt at a time: what a message itself must pass, besides the time of its next
+    /// try.
+    fn may_go(&self, now: Nanos, id: MsgId, m: &Msg) -> bool {
+        if m.ended || m.out.is_some() || self.last_chance(m) <= now {
+            return false;
+        }
+        m.key
+            .and_then(|key| self.keys.get(&key))
+            .is_none_or(|k| k.line.front() == Some(&id) && (m.attempts > 0 || k.rest_until <= now))
+    }
+
+    /// Endpoint for a message: listed as ready, its route open, inside its key's group; not one that failed
+    /// of late if there is another; then the one with the fewest calls out.
+    fn pick_endpoint(&mut self, now: Nanos, m_dest: DestId, zone: Option<usize>) -> Option<EndpointId> {
+        let (set, t1, lanes) = (&self.set, self.t1, &mut self.lanes);
+        let of_dest = self.by_dest.range((m_dest, 0)..=(m_dest, EndpointId::MAX));
+        let of_dest = of_dest.filter_map(|(_, id)| Some((id, self.endpoints.get(id)?)));
+        let fits = of_dest.filter(|(_, e)| {
+            e.ready
+                && zone.is_none_or(|z| z == e.zone)
+                && lanes.get_mut(&e.lane).is_some_and(|l| l.closed_until(now, set, t1).is_none())
+        });
+        fits.min_by_key(|(_, e)| {
+            let shunned = e.fails > 0 && now < doubled_time(e.fail_at, t1, e.fails.min(6));
+            (if shunned { e.fails } else { 0 }, e.calls, NEVER - e.ok_at)
+        })
+        .map(|(id, _)| *id)
+    }
+
+    fn bundle(&self, kind: usize) -> usize {
+        self.set.kinds.get(kind).map_or(1, |k| k.bundle.max(1))
+    }
+
+    /// Free slots go to waiting destinations, fewest calls out first, then those where a message takes least
+    /// of a slot (by powers of two of the averaged time over the bundle), in turns among these. With slots
+    /// short, turns alone let slow or failing destinations take most of the time. It may starve a slow one.
+    fn fill_slots(&mut self, now: Nanos, actions: &mut Vec<Action>) {
+        let mut waiting: BTreeMap<DestId, Vec<MsgId>> = BTreeMap::new();
+        let mut riders = waiting.clone();
+        for (id, m) in &self.msgs {
+            if self.may_go(now, *id, m) {
+                let due = m.due <= now;
+                if due || m.attempts < self.set.try_limit / 2 {
+                    let queue = if due { &mut waiting } else { &mut riders };
+                    queue.entry(m.dest).or_default().push(*id);
+                }
+            }
+        }
+        for ids in waiting.values_mut() {
+            ids.reverse();
+            self.sort(now, ids);
+            ids.reverse();
+        }
+        while self.calls.len() < self.set.slots {
+            let turn = |(dest, ids): &(&DestId, &Vec<MsgId>)| {
+                let lanes = self.lanes.range((**dest, None)..=(**dest, Some(EndpointId::MAX)));
+                lanes.fold((0, 0, 0), |(calls, time, turn), (_, l)| {
+                    let carried = ids.len().clamp(1, self.bundle(l.kind)) as f64;
+                    let each = (l.floor() as f64 + l.delay_now(now)) / carried;
+                    (
+                        calls + l.calls,
+                        time.max((each as Nanos).checked_ilog2().unwrap_or(0)),
+                        turn.max(l.turn),
+                    )
+                })
+            };
+            let Some(dest) = waiting.iter().min_by_key(turn).map(|(dest, _)| *dest) else { return };
+            let Some(id) = waiting.get_mut(&dest).and_then(Vec::pop) else {
+                waiting.remove(&dest);
+                continue;
+            };
+            let zone = self.zone_of(id);
+            let Some(endpoint) = self.pick_endpoint(now, dest, zone) else {
+                if zone.is_none() {
+                    waiting.remove(&dest);
+                }
+                continue;
+            };
+            if self.skip_retry(now, id, endpoint) {
+                if self.last_chance(&self.msgs[&id]) <= self.msgs[&id].due {
+                    self.answer(id, actions);
+                }
+                continue;
+            }
+            self.next_call += 1;
+            self.send(now, id, endpoint, actions);
+            // One call carries as many waiting messages as the kind allows: it counts once against the
+            // limit and the slots. A retry rides along without a draw, and before it is due while it has
+            // more than half its tries, since the call goes anyway. All share one fate.
+            for _ in 1..self.bundle(self.endpoints[&endpoint].kind) {
+                let next = waiting.get_mut(&dest).and_then(Vec::pop);
+                let Some(next) = next.or_else(|| riders.get_mut(&dest)?.pop()) else { break };
+                if self.zone_of(next).is_none_or(|z| self.endpoints[&endpoint].zone == z) {
+                    self.send(now, next, endpoint, actions);
+                }
+            }
+        }
+    }
+
+    /// The zone that a keyed message must stay in, once it may have run.
+    fn zone_of(&self, id: MsgId) -> Option<usize> {
+        let m = &self.msgs[&id];
+        let bound = matches!(self.set.classes[m.class].effect, Effect::Keyed { zone_only: true, .. });
+        m.maybe.filter(|_| bound).map(|(_, zone)| zone)
+    }
+
+    /// The mechanism: a retry that is due goes with probability p, else waits for the next doubled time.
+    fn skip_retry(&mut self, now: Nanos, id: MsgId, endpoint: EndpointId) -> bool {
+        let Some(m) = self.msgs.get_mut(&id).filter(|m| m.attempts > 0) else { return false };
+        let lane = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get(&e.lane));
+        let p = retry_probability(lane.map_or(0.0, |l| l.delay_now(now)), self.t1);
+        if f64::from(self.rng.next_u32()) < p * 4_294_967_296.0 {
+            return false;
+        }
+        m.wait_for_doubled_time(now + 1, self.t1);
+        true
+    }
+
+    /// Sends one message as part of the newest call, which the first one of a bundle opens.
+    fn send(&mut self, now: Nanos, id: MsgId, endpoint: EndpointId, actions: &mut Vec<Action>) {
+        let (Some(m), Some(e)) = (self.msgs.get_mut(&id), self.endpoints.get_mut(&endpoint)) else { return };
+        let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
+        let call = self.next_call;
+        let in_call = self.calls.entry(call).or_default();
+        if *in_call == 0 {
+            if lane.calls == 0 {
+                lane.quiet_since = now;
+            }
+            e.calls += 1;
+            lane.calls += 1;
+            // Own calls a second, averaged over the rule's window.
+            let window = self.set.rules.fall.max(1) as f64;
+            let passed = now.saturating_sub(lane.sent_at) as f64 / window;
+            lane.sending = lane.sending * (-passed).exp() + SECOND / window;
+            lane.sent_at = now;
+            lane.cold_budget.tokens = (lane.cold_budget.tokens - 1.0).max(0.0);
+            lane.paced.tokens -= 1.0;
+            lane.turn = call;
+        }
+        *in_call += 1;
+        if m.attempts == 0 {
+            m.first_sent = now;
+        }
+        m.attempts += 1;
+        m.out = Some(Out { endpoint, call, sent: now });
+        // A wide margin over the usual latency, wider where no other attempt is allowed. Without one, a
+        // silent destination would keep the slots of its unsafe messages to their deadline, for an answer
+        // that won't come.
+        let left = m.deadline.saturating_sub(now);
+        let early = (2 * lane.margin(4 * self.t1, self.t1)).max(2 * self.t1);
+        let again = self.set.classes[m.class].effect != Effect::Unsafe && m.attempts < self.set.try_limit;
+        let timeout = left.min(if again { early } else { 2 * early });
+        actions.push(Action::Send { id, endpoint, timeout });
+    }
+
+    /// A full hold turns new messages away unseen. Before it comes to that, the destination with the
+    /// longest queue gives up the messages that rank last there. Guards against dead or slow destinations
+    /// filling the hold at the cost of healthy ones. It answers early some that a short outage would have
+    /// let through late.
+    fn make_room(&mut self, now: Nanos, actions: &mut Vec<Action>) {
+        let held = self.msgs.values().filter(|m| !m.ended).count();
+        let room = self.set.hold / 16 + 1;
+        let mut over = (held + room).saturating_sub(self.set.hold);
+        if over == 0 {
+            return;
+        }
+        let mut queues: BTreeMap<DestId, Vec<MsgId>> = BTreeMap::new();
+        for (id, m) in self.msgs.iter().filter(|(_, m)| !m.ended && m.out.is_none()) {
+            let doubt = m.maybe.is_some() && self.set.classes[m.class].effect != Effect::Safe;
+            if !doubt {
+                queues.entry(m.dest).or_default().push(*id);
+            }
+        }
+        for ids in queues.values_mut() {
+            self.sort(now, ids);
+        }
+        while over > 0 {
+            let Some(longest) = queues.values_mut().max_by_key(|ids| ids.len()) else { return };
+            let Some(id) = longest.pop() else { return };
+            self.answer(id, actions);
+            over -= 1;
+        }
+    }
+
+    /// The next moment at which something falls due without an event.
+    fn next_wake(&mut self, now: Nanos) -> Nanos {
+        let mut next = self.subscribe_at;
+        let mut at = |t: Nanos| {
+            if t > now {
+                next = next.min(t)
+            }
+        };
+        let mut waiting = BTreeSet::new();
+        for m in self.msgs.values().filter(|m| !m.ended) {
+            if m.out.is_some() {
+                at(m.deadline);
+                continue;
+            }
+            at(m.due);
+            at(self.last_chance(m));
+            if m.due <= now {
+                waiting.insert(m.dest);
+            }
+        }
+        self.keys.values().for_each(|k| at(k.rest_until));
+        let (set, t1) = (&self.set, self.t1);
+        for ((dest, _), lane) in &mut self.lanes {
+            if lane.calls > 0 {
+                at(lane.quiet_since + lane.margin(4 * t1, t1));
+            }
+            if waiting.contains(dest) {
+                at(lane.closed_until(now, set, t1).unwrap_or(0));
+            }
+        }
+        next
+    }
+}
