--- /dev/null
+++ b/dispatcher/src/calls.rs
@@ -0,0 +1,257 @@
+//! Calls and probes to endpoints, and the connections that carry them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
+use millpost::api::{EndpointId, Nanos, Outcome, Report};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::driver::Input;
+use crate::link::{Error, Link};
+
+/// An answer's body means nothing; it is read so that the connection can be used again, within these bounds.
+const LONGEST_BODY: usize = 64 * 1024;
+const BODY_WITHIN: Duration = Duration::from_millis(250);
+
+/// How a call ended.
+pub struct Ended {
+    pub outcome: Outcome,
+    /// The message is over: delivered, or the endpoint says so.
+    pub over: bool,
+    pub report: Option<Report>,
+    /// The connection, if it can be used again.
+    pub link: Option<Link>,
+}
+
+struct Idle {
+    link: Link,
+    address: SocketAddr,
+    since: Instant,
+}
+
+/// Starts calls and keeps idle connections.
+pub struct Calls {
+    idle: HashMap<EndpointId, Vec<Idle>>,
+    count: usize,
+    most: usize,
+    reuse_within: Duration,
+    connect_within: Duration,
+    told: mpsc::Sender<Input>,
+}
+
+impl Calls {
+    /// Keeps `most` idle connections at most; endpoints close theirs after `keepalive`.
+    pub fn new(most: usize, keepalive: Nanos, connect: Nanos, told: mpsc::Sender<Input>) -> Self {
+        // An idle connection that the endpoint may be closing is not reused: a request that crosses the end
+        // counts as a reset, which an unsafe message does not survive.
+        let reuse_within = Duration::from_nanos(keepalive - keepalive / 8).saturating_sub(SAFETY);
+        let connect_within = Duration::from_nanos(connect);
+        Calls { idle: HashMap::new(), count: 0, most, reuse_within, connect_within, told }
+    }
+
+    /// The idle connection that was used last.
+    pub fn idle(&mut self, endpoint: EndpointId, address: SocketAddr) -> Option<Link> {
+        let idle = self.idle.get_mut(&endpoint)?;
+        while let Some(kept) = idle.pop() {
+            self.count -= 1;
+            if kept.address == address && kept.since.elapsed() < self.reuse_within && kept.link.usable() {
+                return Some(kept.link);
+            }
+        }
+        None
+    }
+
+    pub fn keep(&mut self, endpoint: EndpointId, address: SocketAddr, link: Link) {
+        if self.count >= self.most {
+            self.sweep();
+        }
+        if self.count < self.most {
+            self.count += 1;
+            self.idle.entry(endpoint).or_default().push(Idle { link, address, since: Instant::now() });
+        }
+    }
+
+    /// Closes the connections that are too old to be used again.
+    pub fn sweep(&mut self) {
+        for idle in self.idle.values_mut() {
+            idle.retain(|kept| kept.since.elapsed() < self.reuse_within && kept.link.usable());
+        }
+        self.idle.retain(|_, idle| !idle.is_empty());
+        self.count = self.idle.values().map(Vec::len).sum();
+    }
+
+    /// Opens a connection for a call; the driver hears of it before anything is sent.
+    pub fn connect(&self, call: u64, address: SocketAddr, within: Duration) {
+        let (told, within) = (self.told.clone(), within.min(self.connect_within));
+        tokio::spawn(async move {
+            let link = timeout(within, Link::open(address)).await.ok().and_then(Result::ok);
+            let _ = told.send(Input::Connected { call, link }).await;
+        });
+    }
+
+    /// Sends a call and waits for its end. Dropping the sender of `called_off` does nothing; using it ends
+    /// the call.
+    pub fn send(
+        &self,
+        call: u64,
+        mut link: Link,
+        request: Request<Full<Bytes>>,
+        until: Instant,
+        called_off: oneshot::Receiver<()>,
+    ) {
+        let told = self.told.clone();
+        tokio::spawn(async move {
+            let called_off = async {
+                if called_off.await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            };
+            let answer = tokio::select! {
+                answer = timeout_at(until, link.send(request)) => answer.map_err(|_| Outcome::TimedOut),
+                () = called_off => Err(Outcome::Cancelled),
+            };
+            let ended = match answer {
+                Ok(Ok(answer)) => finish(link, answer).await,
+                Ok(Err(Error::NotSent)) => {
+                    let _ = told.send(Input::Unsent { call }).await;
+                    return;
+                }
+                Ok(Err(_)) => broken(link, Outcome::Reset).await,
+                Err(outcome) => broken(link, outcome).await,
+            };
+            let _ = told.send(Input::Ended { call, ended }).await;
+        });
+    }
+
+    /// Probes an endpoint, on a connection of its own if none is idle.
+    pub fn probe(&mut self, endpoint: EndpointId, address: SocketAddr) {
+        let (told, within, idle) = (self.told.clone(), self.connect_within, self.idle(endpoint, address));
+        tokio::spawn(async move {
+            let began = Instant::now();
+            let exchange = async {
+                let mut link = match idle {
+                    Some(link) => link,
+                    None => Link::open(address).await.map_err(|_| Outcome::ConnectFailed)?,
+                };
+                let request = Request::get("/load").header("Host", address.to_string());
+                let request = request.body(Full::default()).map_err(|_| Outcome::NotSent)?;
+                let answer = link.send(request).await.map_err(|_| Outcome::Reset)?;
+                Ok(finish(link, answer).await)
+            };
+            let ended = match timeout(within, exchange).await {
+                Ok(Ok(ended)) => ended,
+                Ok(Err(outcome)) => Ended { outcome, over: false, report: None, link: None },
+                Err(_) => Ended { outcome: Outcome::TimedOut, over: false, report: None, link: None },
+            };
+            let _ = told.send(Input::Probed { endpoint, took: began.elapsed(), ended }).await;
+        });
+    }
+}
+
+/// Time for the two sides' clocks and the way between them.
+const SAFETY: Duration = Duration::from_millis(100);
+
+/// The connection is closed before the outcome is told: no other attempt may go while it is open.
+async fn broken(link: Link, outcome: Outcome) -> Ended {
+    link.close().await;
+    Ended { outcome, over: false, report: None, link: None }
+}
+
+/// Reads the rest of an answer. What the call came to is settled by its head alone.
+async fn finish(mut link: Link, answer: Response<hyper::body::Incoming>) -> Ended {
+    let (head, body) = answer.into_parts();
+    let (outcome, over) = outcome(head.status, &head.headers);
+    let report = head.headers.get("Srv-Load").and_then(|v| v.to_str().ok()).and_then(report);
+    let rest = async { Limited::new(body, LONGEST_BODY).collect().await.is_ok() && link.rested().await };
+    let whole = timeout(BODY_WITHIN, rest).await.unwrap_or(false);
+    let link = if whole {
+        Some(link)
+    } else {
+        link.close().await;
+        None
+    };
+    Ended { outcome, over, report, link }
+}
+
+/// What an answer means, and whether the message is over with it.
+fn outcome(status: StatusCode, headers: &HeaderMap) -> (Outcome, bool) {
+    match status {
+        StatusCode::OK => (Outcome::Served, true),
+        StatusCode::TOO_MANY_REQUESTS => (Outcome::Full(wait(headers)), false),
+        StatusCode::SERVICE_UNAVAILABLE if headers.get("X-Over-Slots").is_some_and(|v| v == "1") => {
+            (Outcome::NotSent, false)
+        }
+        StatusCode::SERVICE_UNAVAILABLE => (Outcome::Full(wait(headers)), false),
+        StatusCode::GATEWAY_TIMEOUT => (Outcome::Exhausted, false),
+        StatusCode::GONE => (Outcome::NotSent, true),
+        // An answer that the protocol does not know proves nothing: it may have run.
+        _ => (Outcome::Error, false),
+    }
+}
+
+/// How long to stay away, in seconds with decimals.
+fn wait(headers: &HeaderMap) -> Option<Nanos> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    (seconds.is_finite() && seconds > 0.0).then(|| (seconds.min(86_400.0) * 1e9).ceil() as Nanos)
+}
+
+/// A report: `TEXT x0=0.4, x1=25`.
+fn report(text: &str) -> Option<Report> {
+    let mut report = Report { share_left: 0.0, limit: 0.0 };
+    let mut seen = false;
+    for pair in text.trim().strip_prefix("TEXT").unwrap_or(text).split(',') {
+        let (name, value) = pair.split_once('=')?;
+        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite())?;
+        match name.trim() {
+            "x0" => report.share_left = value,
+            "x1" => report.limit = value,
+            _ => continue,
+        }
+        seen = true;
+    }
+    seen.then_some(report)
+}
+
+/// The request of one call.
+pub fn request(
+    address: SocketAddr,
+    reference: &str,
+    key: Option<&Bytes>,
+    body: Bytes,
+    within: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let request = Request::post("/hook")
+        .header("Host", address.to_string())
+        .header("Req-Id", reference)
+        .header("Req-Deadline", format!("{:.3}", within.as_secs_f64()));
+    let request = match key {
+        Some(key) => request.header("Idempotency-Key", HeaderValue::from_bytes(key).ok()?),
+        None => request,
+    };
+    request.body(Full::new(body)).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reports_and_waits_are_read_and_nonsense_is_none() {
+        assert_eq!(report("TEXT x0=0.4, x1=25"), Some(Report { share_left: 0.4, limit: 25.0 }));
+        for bad in ["", "TEXT", "TEXT x0", "TEXT x0=NaN", "TEXT y=1", "x0=,"] {
+            assert_eq!(report(bad), None, "{bad}");
+        }
+        let headers =
+            |text: &'static str| HeaderMap::from_iter([(RETRY_AFTER, HeaderValue::from_static(text))]);
+        assert_eq!(wait(&headers("0.25")), Some(250_000_000));
+        for bad in ["", "-1", "NaN", "inf", "soon"] {
+            assert_eq!(wait(&headers(bad)), None, "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/dispatcher/src/main.rs
@@ -0,0 +1,111 @@
+//! The millpost dispatcher: takes messages from clients, and delivers them to partners' endpoints.
+
+mod calls;
+mod config;
+mod discovery;
+mod driver;
+mod intake;
+mod journal;
+mod link;
+mod notices;
+mod peers;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+
+use driver::{Driver, Input, Parts};
+use intake::Phase;
+
+/// After SIGTERM new connections still come for a while; so long, kept ones are answered as usual.
+const LEAVE: Duration = Duration::from_millis(700);
+/// When the driver stops after SIGTERM, before a SIGKILL can come.
+const STOP: Duration = Duration::from_millis(3_300);
+const LAST: Duration = Duration::from_millis(200);
+
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Config(#[from] config::Error),
+    #[error(transparent)]
+    Journal(#[from] journal::Error),
+    #[error("the driver has ended")]
+    Driver,
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("millpost-dispatcher: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve())
+}
+
+async fn serve() -> Result<(), Error> {
+    let config = config::read()?;
+    let mut term = signal(SignalKind::terminate())?;
+    let (journal, found) = journal::Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)?;
+    let settings = config.settings.clone();
+
+    // Half of the descriptors are for clients; the rest for calls, and a few for all else.
+    let clients = (config.limits.sockets / 2).max(1);
+    let idle = (config.limits.sockets - clients).saturating_sub(2 * settings.slots + 32).max(8);
+
+    let (told, inputs) = mpsc::channel(1024);
+    let (notices, due) = mpsc::channel(256);
+    let peers = match (settings.allow.notes, config.peer_listen, config.peers_all) {
+        (true, Some(listen), Some(all)) => {
+            Some(peers::Peers::open(listen, config.peers, all, told.clone()).await?)
+        }
+        _ => None,
+    };
+    let index = config.known.index;
+    let driver = Driver::new(Parts {
+        calls: calls::Calls::new(idle, settings.keepalive, settings.connect_timeout, told.clone()),
+        settings: settings.clone(),
+        shape: config.shape.clone(),
+        seed: config.seed,
+        journal,
+        found,
+        known: config.known,
+        peers,
+        notices,
+    });
+    let listener = TcpListener::bind(config.listen).await?;
+    let mut driver = tokio::spawn(driver.run(inputs));
+    tokio::spawn(discovery::watch(config.discovery, index, told.clone()));
+    tokio::spawn(notices::send(config.discovery, due, told.clone()));
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let (shape, told_by_clients) = (config.shape, told.clone());
+    let intake = tokio::spawn(async move {
+        intake::serve(listener, clients, &settings, &shape, told_by_clients, phases).await;
+    });
+
+    tokio::select! {
+        _ = term.recv() => {}
+        // Never without being told to: better a restart than a process that answers and does nothing.
+        _ = &mut driver => return Err(Error::Driver),
+    }
+    let _ = told.send(Input::Stop { after: STOP }).await;
+    let _ = phase.send(Phase::Leaving);
+    sleep(LEAVE).await;
+    let _ = phase.send(Phase::Closing);
+    let _ = timeout(STOP, &mut driver).await;
+    // Whoever is still being read from is told to go elsewhere; then the connections end.
+    let _ = phase.send(Phase::Closed);
+    let _ = timeout(LAST, intake).await;
+    Ok(())
+}
--- /dev/null
+++ b/dispatcher/src/peers.rs
@@ -0,0 +1,50 @@
+//! Notes between dispatchers: datagrams of at most 256 bytes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::driver::Input;
+
+const LONGEST: usize = 256;
+
+/// Sends notes to all other dispatchers.
+pub struct Peers {
+    socket: Arc<UdpSocket>,
+    all: SocketAddr,
+}
+
+impl Peers {
+    /// Listens, and hands on each note with the number of its sender.
+    pub async fn open(
+        listen: SocketAddr,
+        peers: Vec<SocketAddr>,
+        all: SocketAddr,
+        told: mpsc::Sender<Input>,
+    ) -> std::io::Result<Self> {
+        let socket = Arc::new(UdpSocket::bind(listen).await?);
+        let receiver = socket.clone();
+        tokio::spawn(async move {
+            let mut buffer = [0; LONGEST + 1];
+            loop {
+                let Ok((length, sender)) = receiver.recv_from(&mut buffer).await else { continue };
+                let Some(from) = peers.iter().position(|p| *p == sender) else { continue };
+                if length <= LONGEST {
+                    let note = Input::Note { from, bytes: buffer[..length].to_vec() };
+                    // A note may be lost: a full queue loses it too.
+                    let _ = told.try_send(note);
+                }
+            }
+        });
+        Ok(Peers { socket, all })
+    }
+
+    pub fn tell(&self, bytes: &[u8]) {
+        if bytes.len() <= LONGEST {
+            // A note may be lost.
+            let _ = self.socket.try_send_to(bytes, self.all);
+        }
+    }
+}
--- a/simhost/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,4 +1,5 @@
-//! Reads the settings object of the wire. Keys that are not needed are passed over.
+//! Reads the settings object that a simulator's first message and a dispatcher's configuration both carry.
+//! Keys that are not needed are passed over.
 
 use millpost::api;
 use serde::Deserialize;
@@ -30,6 +31,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Profile {
+    #[serde(default)]
+    name: String,
     objective_ns: u64,
     deadline_ns: u64,
     effect: String,
@@ -109,16 +112,34 @@
     1
 }
 
-/// What the codec itself needs to know besides the module's settings.
+/// What a host of the module needs to know besides the module's settings.
+#[derive(Clone, Debug)]
 pub struct Shape {
     /// How many zones there are.
     pub zones: usize,
+    /// Names of the zones; endpoints on sockets name theirs.
+    pub zone_names: Vec<String>,
+    /// Names of the kinds of destination.
+    pub kind_names: Vec<String>,
+    /// Names of the classes, by position.
+    pub class_names: Vec<String>,
 }
 
 /// The settings in `text`, in the module's terms.
 pub fn read(text: &str) -> Result<(api::Settings, Shape), String> {
-    let bad = |why: &dyn std::fmt::Display| format!("field `conf`: {why}").replace('\n', " ");
-    let conf: Conf = serde_json::from_str(text).map_err(|e| bad(&e))?;
+    build(serde_json::from_str(text).map_err(|e| bad(&e))?)
+}
+
+/// The settings in a JSON value that is already parsed.
+pub fn from_value(value: serde_json::Value) -> Result<(api::Settings, Shape), String> {
+    build(serde_json::from_value(value).map_err(|e| bad(&e))?)
+}
+
+fn bad(why: &dyn std::fmt::Display) -> String {
+    format!("field `conf`: {why}").replace('\n', " ")
+}
+
+fn build(conf: Conf) -> Result<(api::Settings, Shape), String> {
     let mut classes = Vec::new();
     for p in &conf.profiles {
         classes.push(api::Class {
@@ -179,5 +200,11 @@
         },
         subscribe: conf.membership_mode == "subscribe",
     };
-    Ok((settings, Shape { zones: conf.areas.len().max(1) }))
+    let shape = Shape {
+        zones: conf.areas.len().max(1),
+        class_names: conf.profiles.into_iter().map(|p| p.name).collect(),
+        zone_names: conf.areas,
+        kind_names: conf.kinds,
+    };
+    Ok((settings, shape))
 }
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -1,6 +1,5 @@
 //! Plays millpost on a simulator's line protocol: standard input to standard output, one `Control` per instance.
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -9,7 +9,7 @@
 use millpost::Control;
 use millpost::api::{Action, Entry, Event, Nanos, Outcome, Report, State, Weights};
 
-use crate::settings;
+use millpost_settings as settings;
 
 /// The label of every timer: the module knows one kind of wake-up only.
 const LABEL: &str = "0";
--- a/src/api.rs
+++ b/src/api.rs
@@ -174,12 +174,14 @@
     Cancelled,
     /// It was not sent; never ran, but counts as an attempt.
     NotSent,
+    /// It was not sent, since the message has had all its attempts; never ran, and none is left.
+    Exhausted,
 }
 
 impl Outcome {
     /// The outcome proves that the attempt had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::NotSent)
+        matches!(self, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Exhausted)
     }
     /// The attempt may still be running at the destination.
     pub fn may_still_run(self) -> bool {
@@ -242,6 +244,31 @@
         /// Time until it is given up.
         time_left: Nanos,
     },
+    /// A message that this dispatcher had taken before it was restarted, as its journal tells.
+    Restored {
+        /// Its id.
+        id: MsgId,
+        /// Its class.
+        class: usize,
+        /// What it is about, for classes that keep an order.
+        key: Option<u64>,
+        /// Its destination.
+        dest: DestId,
+        /// When it is given up; may have passed.
+        deadline: Nanos,
+        /// Attempts so far.
+        attempts: u32,
+        /// When the first of them went; meaningless without any.
+        first_sent: Nanos,
+        /// When the earliest attempt went that may have run, and the zone that it went to. An attempt that
+        /// was out when the process ended is one.
+        may_have_run: Option<(Nanos, usize)>,
+    },
+    /// The process ends at this time: what is not answered by then is taken up after the restart.
+    Stopping {
+        /// When.
+        at: Nanos,
+    },
     /// A streamed answer began: the attempt now belongs to the client.
     Started {
         /// The message.
--- a/src/control.rs
+++ b/src/control.rs
@@ -161,6 +161,8 @@
     subscribe_at: Nanos,
     subscribe_fails: u32,
     wake_at: Nanos,
+    /// When the process ends.
+    stops_at: Nanos,
 }
 
 impl Msg {
@@ -348,6 +350,7 @@
             subscribe_at: if settings.subscribe { 0 } else { NEVER },
             subscribe_fails: 0,
             wake_at: NEVER,
+            stops_at: NEVER,
             set: settings,
         }
     }
@@ -358,6 +361,13 @@
             Event::Message { id, class, key, dest, time_left, .. } => {
                 self.take(now, id, class, key, dest, time_left)
             }
+            Event::Restored { id, class, key, dest, deadline, attempts, first_sent, may_have_run } => {
+                self.take(now, id, class, key, dest, deadline.saturating_sub(now));
+                let Some(m) = self.msgs.get_mut(&id).filter(|_| attempts > 0) else { return };
+                (m.attempts, m.step, m.first_sent, m.maybe) = (attempts, attempts, first_sent, may_have_run);
+                m.wait_for_doubled_time(now, self.t1);
+            }
+            Event::Stopping { at } => self.stops_at = at,
             Event::Outcome { id, endpoint, outcome, took, closed, report, .. } => {
                 self.heard(endpoint, report);
                 self.attempt_over(now, id, outcome, took, closed);
@@ -424,6 +434,9 @@
             let zone = self.endpoints.get(&out.endpoint).map_or(0, |e| e.zone);
             m.maybe = m.maybe.or(Some((out.sent, zone)));
         }
+        if outcome == Outcome::Exhausted {
+            m.attempts = m.attempts.max(self.set.try_limit);
+        }
         m.step = m.step.max(m.attempts);
         m.wait_for_doubled_time(now, self.t1);
         if let Some(line) = m.key.filter(|_| outcome.may_still_run()).and_then(|k| self.keys.get_mut(&k)) {
@@ -467,7 +480,7 @@
                     lane.pace *= 1.0 + (0.05 * lane.share_left).clamp(0.02, 0.05);
                 }
             }
-            Outcome::NotSent => {}
+            Outcome::NotSent | Outcome::Exhausted => {}
             Outcome::Full(wait) => {
                 // The destination's own word: nothing goes there, for any message, until the wait is over.
                 let told = now.saturating_add(wait.unwrap_or(0));
@@ -664,6 +677,21 @@
         ids.iter_mut().zip(ranked).for_each(|(id, (_, ranked))| *id = ranked);
     }
 
+    /// Whether a send that was decided may still be written: asked again once there is a connection, since
+    /// that takes time. Its endpoint may have been drained meanwhile, a wait told, or the time run out.
+    pub fn may_still_send(&self, now: Nanos, id: MsgId) -> bool {
+        let Some(m) = self.msgs.get(&id).filter(|m| !m.ended) else { return false };
+        let Some(e) = m.out.and_then(|out| self.endpoints.get(&out.endpoint)) else { return false };
+        let window = match (self.set.classes[m.class].effect, m.maybe) {
+            (Effect::Keyed { window, .. }, Some((sent, _))) => {
+                sent.saturating_add(window).saturating_sub(self.set.tick)
+            }
+            _ => NEVER,
+        };
+        let waits = self.lanes.get(&e.lane).is_none_or(|l| l.wait_until > now);
+        e.ready && !waits && now < m.deadline.min(window)
+    }
+
     /// Order, key rest, one attempt at a time: what a message itself must pass, besides the time of its next
     /// try.
     fn may_go(&self, now: Nanos, id: MsgId, m: &Msg) -> bool {
@@ -678,13 +706,18 @@
     /// Endpoint for a message: listed as ready, its route open, inside its key's group; not one that failed
     /// of late if there is another; then the one with the fewest calls out.
     fn pick_endpoint(&mut self, now: Nanos, m_dest: DestId, zone: Option<usize>) -> Option<EndpointId> {
-        let (set, t1, lanes) = (&self.set, self.t1, &mut self.lanes);
+        let (set, t1, stops_at, lanes) = (&self.set, self.t1, self.stops_at, &mut self.lanes);
         let of_dest = self.by_dest.range((m_dest, 0)..=(m_dest, EndpointId::MAX));
         let of_dest = of_dest.filter_map(|(_, id)| Some((id, self.endpoints.get(id)?)));
         let fits = of_dest.filter(|(_, e)| {
             e.ready
                 && zone.is_none_or(|z| z == e.zone)
-                && lanes.get_mut(&e.lane).is_some_and(|l| l.closed_until(now, set, t1).is_none())
+                && lanes.get_mut(&e.lane).is_some_and(|l| {
+                    // Nothing new goes out that would be cut off by the end of the process: an attempt
+                    // without an outcome costs an unsafe message its life.
+                    now.saturating_add(l.margin(2 * t1, t1)) < stops_at
+                        && l.closed_until(now, set, t1).is_none()
+                })
         });
         fits.min_by_key(|(_, e)| {
             let shunned = e.fails > 0 && now < doubled_time(e.fail_at, t1, e.fails.min(6));
