--- /dev/null
+++ b/dispatcher/tests/serving.rs
@@ -0,0 +1,263 @@
+//! The dispatcher while it runs: clients, endpoints, discovery and notices, over loopback sockets.
+
+mod common;
+
+use std::io::Write;
+use std::time::Duration;
+
+use common::*;
+
+#[test]
+fn a_message_goes_on_unchanged_and_connections_are_kept() {
+    let (discovery, partner) = (Discovery::start(), endpoint("200 OK"));
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    for n in 0..4 {
+        assert_eq!(node.hand_in("keyed", &format!("r{n}"), 7, 20.0), 202);
+        let call = partner.message(n);
+        assert_eq!(call.line, "POST /hook HTTP/1.1");
+        assert_eq!(call.header("Req-Id"), Some(format!("r{n}").as_str()));
+        assert_eq!(call.header("Idempotency-Key"), Some(format!("key-r{n}").as_str()));
+        assert_eq!(call.body, b"\x00body\xff");
+        let within: f64 = call.header("Req-Deadline").and_then(|d| d.parse().ok()).expect("a number");
+        assert!(within > 0.0 && within <= 20.0);
+        // The next one comes when the answer to this one has been read.
+        node.settled(ENDED);
+    }
+    assert!((0..4).all(|n| partner.message(n).connection == 0), "a connection was not used again");
+    assert!(discovery.notices.lock().expect("lock").is_empty());
+}
+
+#[test]
+fn malformed_requests_are_answered_and_harm_nothing() {
+    let (discovery, partner) = (Discovery::start(), endpoint("200 OK"));
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    let good = String::from_utf8_lossy(&request("keyed", "r", 7, 2.0, b"x")).into_owned();
+    let status = |text: &str| node.ask(text).map_or(0, |a| a.status());
+    assert_eq!(status("nonsense\r\n\r\n"), 400);
+    assert_eq!(status("\x16\x03\x01\r\n\r\n"), 400);
+    assert_eq!(status(&good.replace("Req-Id: r\r\n", "")), 400);
+    assert_eq!(status(&good.replace("Req-Id: r", "Req-Id: \u{e9}")), 400);
+    assert_eq!(status(&good.replace("Req-Deadline: 2", "Req-Deadline: soon")), 400);
+    assert_eq!(status(&good.replace("Req-Deadline: 2", "Req-Deadline: NaN")), 400);
+    assert_eq!(status(&good.replace("Req-Deadline: 2", "Req-Deadline: -1")), 400);
+    assert_eq!(status(&good.replace("dest=7", "dest=-7")), 400);
+    assert_eq!(status(&good.replace("X-Addressing: dest=7\r\n", "")), 400);
+    assert_eq!(status(&good.replace("Idempotency-Key: key-r\r\n", "")), 400);
+    assert_eq!(status(&good.replace("Content-Length: 1", "Content-Length: x")), 400);
+    assert_eq!(status(&good.replace("/keyed", "/unheard-of")), 404);
+    assert_eq!(status(&good.replace("POST", "PUT")), 405);
+    assert_eq!(status("POST /healthz HTTP/1.1\r\nHost: x\r\n\r\n"), 405);
+    let long = node.ask(request("keyed", "long", 7, 2.0, &vec![7; 64 * 1024 + 1]));
+    assert_eq!(long.map(|a| a.status()), Some(413));
+    let longest = node.ask(request("keyed", "longest", 7, 20.0, &vec![7; 64 * 1024]));
+    assert_eq!(longest.map(|a| a.status()), Some(202));
+    assert_eq!(partner.message(0).header("Req-Id"), Some("longest"));
+    assert_eq!(partner.message(0).body.len(), 64 * 1024);
+    assert_eq!(partner.count(), 1);
+}
+
+#[test]
+fn an_unsafe_message_is_failed_when_its_attempt_may_have_run() {
+    type Answer = (&'static str, fn() -> Reply);
+    let answers: [Answer; 4] = [
+        ("garbage", || Reply::Raw(b"what?\r\n\r\n")),
+        ("cut", || Reply::Raw(b"")),
+        ("error", || answer("500 Oops")),
+        ("odd", || answer("302 Elsewhere")),
+    ];
+    for (name, reply) in answers {
+        let discovery = Discovery::start();
+        let partner = Server::start(move |_, _| reply());
+        let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+        assert_eq!(node.hand_in("unsafe", name, 7, 20.0), 202);
+        assert_eq!(discovery.notice(name)["result"], "dead", "{name}");
+        assert_eq!(partner.count(), 1, "{name}");
+    }
+}
+
+#[test]
+fn an_unsafe_message_goes_again_when_it_never_ran() {
+    let discovery = Discovery::start();
+    let partner = Server::start(|number, _| {
+        answer(
+            ["503 Full", "503 Full\r\nX-Over-Slots: 1", "429 Wait\r\nRetry-After: 0.01", "200 OK"]
+                [number.min(3)],
+        )
+    });
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    assert_eq!(node.hand_in("unsafe", "r", 7, 50.0), 202);
+    partner.message(1);
+    // It may be given up by now, since retries are thinned; if so, it is as a refusal.
+    until("its end", || {
+        let notices = discovery.notices.lock().expect("lock");
+        assert!(notices.iter().all(|n| n["result"] == "bounced"));
+        (partner.count() > 3 || !notices.is_empty()).then_some(())
+    });
+}
+
+#[test]
+fn a_message_that_is_over_or_spent_is_not_sent_again() {
+    let discovery = Discovery::start();
+    let (gone, spent) = (endpoint("410 Gone"), endpoint("504 Spent"));
+    let list = [entry("a", &gone, 7, "in_service"), entry("b", &spent, 8, "in_service")];
+    let node = Node::start(&discovery, &list, Options::default());
+    assert_eq!(node.hand_in("safe", "over", 7, 20.0), 202);
+    gone.message(0);
+    assert_eq!(node.hand_in("safe", "spent", 8, 20.0), 202);
+    assert_eq!(discovery.notice("spent")["result"], "bounced");
+    assert_eq!((gone.count(), spent.count()), (1, 1));
+    assert_eq!(discovery.notices.lock().expect("lock").len(), 1);
+}
+
+#[test]
+fn a_time_out_closes_its_connection_before_the_next_attempt() {
+    let discovery = Discovery::start();
+    let partner = Server::start(|number, _| if number == 0 { Reply::Silent } else { answer("200 OK") });
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    assert_eq!(node.hand_in("safe", "r", 7, 50.0), 202);
+    let second = partner.message(1);
+    assert_ne!(second.connection, 0);
+    until("the first connection is closed", || {
+        partner.closed.lock().expect("lock").contains(&0).then_some(())
+    });
+    assert_eq!(partner.count(), 2);
+}
+
+#[test]
+fn a_silent_endpoint_costs_no_message_its_end() {
+    let discovery = Discovery::start();
+    let partner = Server::start(|_, _| Reply::Silent);
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    // More than there are slots, some for a destination that has no endpoint.
+    for n in 0..40 {
+        assert_eq!(node.hand_in(["safe", "unsafe"][n % 2], &format!("r{n}"), 7 + n as u64 / 30, 0.5), 202);
+    }
+    for n in 0..40 {
+        discovery.notice(&format!("r{n}"));
+    }
+}
+
+#[test]
+fn a_wait_is_heeded_for_every_message() {
+    let discovery = Discovery::start();
+    let partner = Server::start(|number, _| {
+        answer(if number == 0 { "429 Wait\r\nRetry-After: 1.5" } else { "200 OK" })
+    });
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    assert_eq!(node.hand_in("safe", "first", 7, 50.0), 202);
+    let told = partner.message(0).at.expect("a time");
+    node.settled(NEVER_RAN);
+    for n in 0..5 {
+        assert_eq!(node.hand_in("safe", &format!("r{n}"), 7, 50.0), 202);
+    }
+    let next = partner.message(1).at.expect("a time");
+    assert!(next - told >= Duration::from_millis(1_500), "{:?}", next - told);
+}
+
+#[test]
+fn a_drained_endpoint_gets_nothing_new() {
+    let (discovery, old, new) = (Discovery::start(), endpoint("200 OK"), endpoint("200 OK"));
+    let node = Node::start(&discovery, &[entry("a", &old, 7, "in_service")], Options::default());
+    assert_eq!(node.hand_in("safe", "before", 7, 50.0), 202);
+    old.message(0);
+    discovery.tell(&[entry("a", &old, 7, "terminating"), entry("b", &new, 7, "in_service")]);
+    for n in 0..5 {
+        assert_eq!(node.hand_in("safe", &format!("r{n}"), 7, 50.0), 202);
+        new.message(n);
+    }
+    assert_eq!(old.count(), 1);
+}
+
+#[test]
+fn a_malformed_or_silent_discovery_stops_nothing() {
+    for reply in [|| Reply::Raw(b"what?\r\n\r\n"), || answer("200 OK"), || Reply::Silent] {
+        let mut discovery = Discovery::start();
+        discovery.server = Server::start(move |_, _| reply());
+        let partner = endpoint("200 OK");
+        let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+        discovery.server.message(0);
+        assert_eq!(node.hand_in("safe", "r", 7, 50.0), 202);
+        partner.message(0);
+        discovery.server.message(1);
+    }
+}
+
+#[test]
+fn notices_are_sent_until_they_are_taken() {
+    let discovery = Discovery::start();
+    *discovery.deaf.lock().expect("lock") = 3;
+    let node = Node::start(&discovery, &[], Options::default());
+    assert_eq!(node.hand_in("safe", "r", 7, 0.1), 202);
+    assert_eq!(discovery.notice("r")["result"], "bounced");
+}
+
+#[test]
+fn what_has_no_room_is_refused() {
+    let discovery = Discovery::start();
+    // The hold: the first messages wait for an endpoint that is not there. The module makes room in time,
+    // so that what is turned away, it or an older one, is always told.
+    let options = Options { hold: 4, ..Options::default() };
+    let node = Node::start(&discovery, &[], options);
+    let taken = (0..10).map(|n| node.hand_in("safe", &format!("h{n}"), 7, 50.0));
+    let taken: Vec<u16> = taken.collect();
+    assert!(taken.iter().all(|s| [202, 503].contains(s)) && taken[0] == 202, "{taken:?}");
+    let refused = taken.iter().filter(|s| **s == 503).count();
+    until("the rest is given up", || {
+        (refused + discovery.notices.lock().expect("lock").len() >= 6).then_some(())
+    });
+    // The disk.
+    let options = Options { disk_mb: 0.2, ..Options::default() };
+    let node = Node::start(&discovery, &[], options);
+    let mut statuses = Vec::new();
+    for n in 0..20 {
+        let answer = node.ask(request("safe", &format!("d{n}"), 7, 50.0, &[7; 20_000]));
+        statuses.push(answer.map_or(0, |a| a.status()));
+        assert!(node.disk() <= 200_000);
+    }
+    assert_eq!((statuses[0], statuses[19]), (202, 503), "{statuses:?}");
+}
+
+#[test]
+fn a_request_handed_in_twice_is_taken_once() {
+    let (discovery, partner) = (Discovery::start(), endpoint("200 OK"));
+    let node = Node::start(&discovery, &[], Options::default());
+    assert_eq!(node.hand_in("unsafe", "r", 7, 50.0), 202);
+    assert_eq!(node.hand_in("unsafe", "r", 7, 50.0), 202);
+    discovery.tell(&[entry("a", &partner, 7, "in_service")]);
+    partner.message(0);
+    assert_eq!(node.hand_in("safe", "after", 7, 50.0), 202);
+    let count = |reference: &str| {
+        let heard = partner.heard.lock().expect("lock");
+        heard.iter().filter(|m| m.header("Req-Id") == Some(reference)).count()
+    };
+    until("the later one is there", || (count("after") == 1).then_some(()));
+    assert_eq!(count("r"), 1);
+}
+
+#[test]
+fn an_idle_connection_that_the_endpoint_closed_is_not_used_again() {
+    let discovery = Discovery::start();
+    let partner = Server::start(|number, _| match number {
+        0 => Reply::Raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        _ => answer("200 OK"),
+    });
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    assert_eq!(node.hand_in("unsafe", "first", 7, 50.0), 202);
+    until("it is closed", || partner.closed.lock().expect("lock").contains(&0).then_some(()));
+    assert_eq!(node.hand_in("unsafe", "second", 7, 50.0), 202);
+    assert_eq!(partner.message(1).connection, 1);
+    node.settled(ENDED);
+    assert!(discovery.notices.lock().expect("lock").is_empty());
+}
+
+#[test]
+fn a_client_that_stalls_holds_nobody_up() {
+    let (discovery, partner) = (Discovery::start(), endpoint("200 OK"));
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    let whole = request("safe", "slow", 7, 50.0, b"body");
+    let mut slow = node.connect();
+    slow.get_mut().write_all(&whole[..whole.len() - 2]).expect("sent");
+    assert_eq!(node.hand_in("safe", "quick", 7, 50.0), 202);
+    slow.get_mut().write_all(&whole[whole.len() - 2..]).expect("sent");
+    assert_eq!(read(&mut slow).map(|a| a.status()), Some(202));
+}
