Close idle connections to an endpoint that went silent; give refusals a time to come back

A machine that is cut off leaves its connections open: a call on a kept one times out and may have run, which an unsafe message does not survive; a new one that never comes up proves that it has not.

--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -17,7 +17,8 @@
 
 /// An answer's body means nothing; it is read so that the connection can be used again, within these bounds.
 const LONGEST_BODY: usize = 64 * 1024;
-const BODY_WITHIN: Duration = Duration::from_millis(250);
+/// A wait that is told counts from the head of its answer, so that little time may pass.
+const BODY_WITHIN: Duration = Duration::from_millis(50);
 
 /// How a call ended.
 pub struct Ended {
@@ -77,6 +78,13 @@
         }
     }
 
+    /// Closes the idle connections to an endpoint that did not answer. A machine that is cut off leaves its
+    /// connections open and silent, and a call on one may have run for all that is known; a new connection
+    /// that does not come up proves that it has not, and an unsafe message lives on.
+    pub fn forget(&mut self, endpoint: EndpointId) {
+        self.count -= self.idle.remove(&endpoint).map_or(0, |idle| idle.len());
+    }
+
     /// Closes the connections that are too old to be used again.
     pub fn sweep(&mut self) {
         for idle in self.idle.values_mut() {
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -180,8 +180,11 @@
         let Found { id, taken, history } = found;
         let Taken { reference, class, dest, deadline, key, body } = taken;
         self.by_reference.insert(reference.clone(), id);
-        let answered = history.answer.is_some();
-        if let Some(answer) = history.answer {
+        // A class that the settings don't know any more can't be judged: the message is given up.
+        let unknown = (class as usize >= self.settings.classes.len()).then_some(Answer::Failed);
+        let answer = history.answer.or(unknown);
+        let answered = answer.is_some();
+        if let Some(answer) = answer {
             self.unsent.push_back(Notice { id, reference: reference.clone(), answer });
         } else {
             self.open += 1;
@@ -295,7 +298,8 @@
             let _ = reply.send(refused);
             return;
         }
-        let Handed { reference, class, dest, time_left, key, body } = handed;
+        let Handed { reference, class, dest, time_left, came, key, body } = handed;
+        let time_left = time_left.saturating_sub(came.elapsed().as_nanos() as Nanos);
         let deadline = self.clock.to_wall(now + time_left);
         let taken = Taken { reference, class: class as u32, dest, deadline, key, body };
         let id = match self.journal.take(wall_now(), &taken) {
@@ -433,6 +437,9 @@
         if let Some(link) = link {
             self.calls.keep(out.endpoint, out.address, link);
         }
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::ConnectFailed) {
+            self.calls.forget(out.endpoint);
+        }
         let Call { id, attempt, endpoint, sent, begun, .. } = out;
         let answered = self.held.get(&id).is_none_or(|held| held.answered);
         if over {
--- a/dispatcher/src/intake.rs
+++ b/dispatcher/src/intake.rs
@@ -16,7 +16,7 @@
 use millpost_settings::Shape;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::driver::Input;
 
@@ -24,6 +24,9 @@
 const BODY_WITHIN: Duration = Duration::from_secs(10);
 /// A connection that stands idle for so long is closed.
 const IDLE: Duration = Duration::from_secs(60);
+const LONGEST_KEY: usize = 4096;
+/// Headers of one request; guards the memory, with as many connections as there may be.
+const LONGEST_HEAD: usize = 32 * 1024;
 /// Deadlines are cut to this.
 const LONGEST_DEADLINE: f64 = 86_400.0;
 
@@ -33,7 +36,9 @@
     pub reference: String,
     pub class: usize,
     pub dest: u64,
+    /// Counted from `came`: the deadline runs from the client's send, also while the body is on its way.
     pub time_left: Nanos,
+    pub came: Instant,
     pub key: Option<Bytes>,
     pub body: Bytes,
 }
@@ -124,7 +129,7 @@
         async move { Ok::<_, Infallible>(intake.answer(request).await) }
     });
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(IDLE);
+    http.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(LONGEST_HEAD);
     let served = http.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     tokio::select! {
@@ -167,7 +172,7 @@
 
     /// Hands a message to the driver. An error is a status of its own.
     async fn take(&self, request: Request<Incoming>) -> Result<Verdict, StatusCode> {
-        let (head, body) = request.into_parts();
+        let (came, (head, body)) = (Instant::now(), request.into_parts());
         let path = head.uri.path();
         if path == "/healthz" {
             let ok = head.method == Method::GET || head.method == Method::HEAD;
@@ -187,11 +192,12 @@
             if e.is::<LengthLimitError>() { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST }
         })?;
         let Fields { reference, dest, time_left, key } = fields;
-        let handed = Handed { reference, class, dest, time_left, key, body: body.to_bytes() };
+        let handed = Handed { reference, class, dest, time_left, came, key, body: body.to_bytes() };
         let (reply, verdict) = oneshot::channel();
-        let unavailable = |_| StatusCode::SERVICE_UNAVAILABLE;
-        self.told.send(Input::Handed(handed, reply)).await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-        verdict.await.map_err(unavailable)
+        // No driver any more: the process is about to end, and has not taken the message.
+        let gone = StatusCode::SERVICE_UNAVAILABLE;
+        self.told.send(Input::Handed(handed, reply)).await.map_err(|_| gone)?;
+        verdict.await.map_err(|_| gone)
     }
 }
 
@@ -214,6 +220,9 @@
         let mut parts = text("X-Addressing")?.split([',', ';', ' ']);
         let dest = parts.find_map(|p| p.trim().strip_prefix("dest="))?.parse().ok()?;
         let key = headers.get("Idempotency-Key").map(|k| Bytes::copy_from_slice(k.as_bytes()));
-        Some(Fields { reference, dest, time_left, key: key.filter(|k| k.len() <= 1024) })
+        if key.as_ref().is_some_and(|k| k.is_empty() || k.len() > LONGEST_KEY) {
+            return None;
+        }
+        Some(Fields { reference, dest, time_left, key })
     }
 }
--- a/dispatcher/src/journal.rs
+++ b/dispatcher/src/journal.rs
@@ -245,11 +245,13 @@
             }
         }
         if good < data.len() as u64 {
-            journal.file.set_len(good)?;
-            journal.size = good;
+            // The tail must go before anything is appended to it; making the file anew does that too.
+            journal.torn = journal.file.set_len(good).is_err();
+            journal.size = if journal.torn { journal.size } else { good };
         }
         if damaged || journal.size > journal.snapshot_size() + SLACK {
-            journal.compact()?;
+            // What was read is good without it; the next write tries again where it must.
+            let _ = journal.compact();
         }
         let found = |(id, kept): (&u64, &Kept)| {
             let (taken, _) = read_taken(Reader(kept.record.slice(HEAD as usize + 9..)))?;
@@ -334,8 +336,11 @@
             self.compact()?;
         }
         if !self.has_room(record.len() as u64) {
-            // Guards the limit of the folder, old and new file together.
-            self.compact()?;
+            // Guards the limit of the folder, old and new file together. With nothing to drop, a full
+            // journal is not written anew for each message that it refuses.
+            if self.size > self.snapshot_size() {
+                self.compact()?;
+            }
             if !self.has_room(record.len() as u64) {
                 return Err(Error::Full);
             }
--- a/dispatcher/src/link.rs
+++ b/dispatcher/src/link.rs
@@ -34,6 +34,9 @@
     TimedOut,
 }
 
+/// Guards the memory against an answer without end.
+const LONGEST_HEAD: usize = 64 * 1024;
+
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
@@ -43,7 +46,9 @@
     pub async fn open(address: SocketAddr) -> Result<Self, Error> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(Error::Broken)?;
+        let mut http = http1::Builder::new();
+        http.max_buf_size(LONGEST_HEAD);
+        let (sender, connection) = http.handshake(TokioIo::new(stream)).await.map_err(Error::Broken)?;
         let task = tokio::spawn(async move {
             // How it ends is told to whoever waits for an answer on it.
             let _ = connection.await;
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -68,7 +68,9 @@
     let (notices, due) = mpsc::channel(256);
     let peers = match (settings.allow.notes, config.peer_listen, config.peers_all) {
         (true, Some(listen), Some(all)) => {
-            Some(peers::Peers::open(listen, config.peers, all, told.clone()).await?)
+            // Notes are a help, no need: without them the dispatcher serves all the same.
+            let opened = peers::Peers::open(listen, config.peers, all, told.clone()).await;
+            opened.inspect_err(|e| eprintln!("peers: {e}")).ok()
         }
         _ => None,
     };
--- a/dispatcher/tests/serving.rs
+++ b/dispatcher/tests/serving.rs
@@ -261,3 +261,40 @@
     slow.get_mut().write_all(&whole[whole.len() - 2..]).expect("sent");
     assert_eq!(read(&mut slow).map(|a| a.status()), Some(202));
 }
+
+#[test]
+fn after_a_time_out_no_idle_connection_to_that_endpoint_is_used() {
+    let discovery = Discovery::start();
+    let came = std::sync::Arc::new(std::sync::Barrier::new(2));
+    let partner = Server::start(move |number, _| match number {
+        // Both at once, so that there are two connections.
+        0 | 1 => {
+            came.wait();
+            answer("200 OK")
+        }
+        2 => Reply::Silent,
+        _ => answer("200 OK"),
+    });
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    for n in 0..2 {
+        assert_eq!(node.hand_in("safe", &format!("r{n}"), 7, 50.0), 202);
+    }
+    partner.message(1);
+    node.settled(ENDED);
+    assert_eq!(node.hand_in("safe", "silent", 7, 50.0), 202);
+    assert!(partner.message(3).connection > 1, "a machine that is cut off leaves its connections open");
+}
+
+#[test]
+fn the_time_of_a_message_runs_while_its_body_is_on_its_way() {
+    let (discovery, partner) = (Discovery::start(), endpoint("200 OK"));
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], Options::default());
+    let whole = request("safe", "slow", 7, 1.0, b"body");
+    let mut slow = node.connect();
+    slow.get_mut().write_all(&whole[..whole.len() - 2]).expect("sent");
+    std::thread::sleep(Duration::from_millis(1_500));
+    slow.get_mut().write_all(&whole[whole.len() - 2..]).expect("sent");
+    assert_eq!(read(&mut slow).map(|a| a.status()), Some(202));
+    discovery.notice("slow");
+    assert_eq!(partner.count(), 0, "its time was up");
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -625,7 +625,7 @@
     }
 
     /// Gives the final answer: a refusal where trying again is provably harmless, else a failure.
-    fn answer(&mut self, id: MsgId, actions: &mut Vec<Action>) {
+    fn answer(&mut self, now: Nanos, id: MsgId, actions: &mut Vec<Action>) {
         let Some(m) = self.msgs.get(&id).filter(|m| !m.ended) else { return };
         let repeatable = match self.set.classes[m.class].effect {
             Effect::Safe => true,
@@ -633,10 +633,20 @@
             Effect::Unsafe => false,
         };
         let harmless = repeatable || (m.maybe.is_none() && m.out.is_none());
-        actions.push(if harmless { Action::Refuse { id, wait: 0 } } else { Action::Fail { id } });
+        let wait = self.time_to_come_back(now, m.dest);
+        actions.push(if harmless { Action::Refuse { id, wait } } else { Action::Fail { id } });
         self.end(id);
     }
 
+    /// How long a client whose message is given up should stay away: until the destination says that there
+    /// is room, or for the gap to the next careful try there, or for one T1; no longer than clients heed.
+    fn time_to_come_back(&self, now: Nanos, dest: DestId) -> Nanos {
+        let lane = self.lanes.get(&(dest, None));
+        let told = lane.map_or(0, |l| l.wait_until.saturating_sub(now));
+        let gap = self.t1.saturating_mul(lane.map_or(1, |l| 1 << l.knocks.min(20)));
+        told.max(gap.min(self.set.rules.fall)).min(self.set.max_retry_after)
+    }
+
     /// Every message gets its final answer: when no attempt is left to it, or when its time is up.
     fn answer_hopeless(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         let hopeless = |m: &Msg| match m.out {
@@ -646,7 +656,7 @@
         };
         let ids: Vec<MsgId> = self.msgs.iter().filter(|(_, m)| hopeless(m)).map(|(id, _)| *id).collect();
         for id in ids {
-            self.answer(id, actions);
+            self.answer(now, id, actions);
         }
     }
 
@@ -777,7 +787,7 @@
             };
             if self.skip_retry(now, id, endpoint) {
                 if self.last_chance(&self.msgs[&id]) <= self.msgs[&id].due {
-                    self.answer(id, actions);
+                    self.answer(now, id, actions);
                 }
                 continue;
             }
@@ -876,7 +886,7 @@
         while over > 0 {
             let Some(longest) = queues.values_mut().max_by_key(|ids| ids.len()) else { return };
             let Some(id) = longest.pop() else { return };
-            self.answer(id, actions);
+            self.answer(now, id, actions);
             over -= 1;
         }
     }
