--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -58,6 +58,9 @@
     let config = config::read()?;
     let mut term = signal(SignalKind::terminate())?;
     let (journal, found) = journal::Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)?;
+    if !found.is_empty() {
+        eprintln!("the journal holds {} messages", found.len());
+    }
     let settings = config.settings.clone();
 
     // Half of the descriptors are for clients; the rest for calls, and a few for all else.
@@ -101,6 +104,7 @@
         // Never without being told to: better a restart than a process that answers and does nothing.
         _ = &mut driver => return Err(Error::Driver),
     }
+    eprintln!("told to stop");
     let _ = told.send(Input::Stop { after: STOP }).await;
     let _ = phase.send(Phase::Leaving);
     sleep(LEAVE).await;
@@ -109,5 +113,6 @@
     // Whoever is still being read from is told to go elsewhere; then the connections end.
     let _ = phase.send(Phase::Closed);
     let _ = timeout(LAST, intake).await;
+    eprintln!("stopped");
     Ok(())
 }
