Tell a call that was cut off before its last byte from one that may have run

PROTOCOL: a connection that breaks before the call's last byte is written could not connect, and never ran. hyper says only whether it had begun to write; calls.rs took any such break as a reset, which fails an unsafe message for nothing, for example at an endpoint that accepts and closes at once.

--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -130,8 +130,13 @@
                     let _ = told.send(Input::Unsent { call }).await;
                     return;
                 }
+                // Whatever ended it: an endpoint begins a call with its last byte.
+                Ok(Err(Error::Cut)) => broken(link, Outcome::ConnectFailed).await,
                 Ok(Err(_)) => broken(link, Outcome::Reset).await,
-                Err(outcome) => broken(link, outcome).await,
+                Err(outcome) => {
+                    let outcome = if link.all_written() { outcome } else { Outcome::ConnectFailed };
+                    broken(link, outcome).await
+                }
             };
             let _ = told.send(Input::Ended { call, ended }).await;
         });
--- a/dispatcher/src/link.rs
+++ b/dispatcher/src/link.rs
@@ -6,14 +6,17 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::written::{Watched, Written};
+
 /// Why there is no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -23,6 +26,9 @@
     /// The connection was gone before anything of the request was written.
     #[error("not sent")]
     NotSent,
+    /// The connection broke before the last byte of the request was written: it can't have been acted on.
+    #[error("sent in part")]
+    Cut,
     /// The connection broke, or what came is no answer.
     #[error("no answer: {0}")]
     Broken(hyper::Error),
@@ -40,12 +46,19 @@
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    written: Written,
 }
 
 impl Link {
     pub async fn open(address: SocketAddr) -> Result<Self, Error> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        Self::over(stream).await
+    }
+
+    async fn over(stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static) -> Result<Self, Error> {
+        let written = Written::default();
+        let stream = Watched { stream, written: written.clone() };
         let mut http = http1::Builder::new();
         http.max_buf_size(LONGEST_HEAD);
         let (sender, connection) = http.handshake(TokioIo::new(stream)).await.map_err(Error::Broken)?;
@@ -53,7 +66,7 @@
             // How it ends is told to whoever waits for an answer on it.
             let _ = connection.await;
         });
-        Ok(Link { sender, task })
+        Ok(Link { sender, task, written })
     }
 
     /// Nothing is out on it and the other side has not closed it.
@@ -63,12 +76,19 @@
 
     /// Sends a request, and waits for the head of its answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        self.written.expect(request.body().size_hint().exact().unwrap_or(u64::MAX) as usize);
         self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
             Some(_) => Error::NotSent,
+            None if !self.written.all() => Error::Cut,
             None => Error::Broken(e.into_error()),
         })
     }
 
+    /// The last byte of the latest request has been written.
+    pub fn all_written(&self) -> bool {
+        self.written.all()
+    }
+
     /// Waits until the connection can carry another request.
     pub async fn rested(&mut self) -> bool {
         self.sender.ready().await.is_ok()
@@ -124,3 +144,39 @@
         Ok(answer)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::AsyncReadExt;
+
+    /// The other side reads so many bytes of a request with a long body, then closes.
+    async fn cut_after(read: usize) -> Error {
+        let (ours, mut theirs) = tokio::io::duplex(16);
+        let mut link = Link::over(ours).await.expect("a connection");
+        let reader = tokio::spawn(async move {
+            let mut bytes = vec![0; read];
+            theirs.read_exact(&mut bytes).await.expect("so many bytes");
+        });
+        let body = Full::new(Bytes::from(vec![b'x'; 1_000]));
+        let request = Request::post("/hook").header("Host", "a").body(body).expect("a request");
+        let error = link.send(request).await.expect_err("no answer");
+        reader.await.expect("it read");
+        error
+    }
+
+    fn wait<T>(future: impl Future<Output = T>) -> T {
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime")
+            .block_on(future)
+    }
+
+    #[test]
+    fn a_request_that_was_not_written_to_its_end_never_ran() {
+        assert!(matches!(wait(cut_after(500)), Error::Cut));
+        let whole = "POST /hook HTTP/1.1\r\nhost: a\r\ncontent-length: 1000\r\n\r\n".len() + 1_000;
+        assert!(matches!(wait(cut_after(whole)), Error::Broken(_)));
+    }
+}
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -9,6 +9,7 @@
 mod link;
 mod notices;
 mod peers;
+mod written;
 
 use std::process::ExitCode;
 use std::time::Duration;
