--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -51,7 +51,8 @@
     pub fn new(most: usize, keepalive: Nanos, connect: Nanos, told: mpsc::Sender<Input>) -> Self {
         // An idle connection that the endpoint may be closing is not reused: a request that crosses the end
         // counts as a reset, which an unsafe message does not survive.
-        let reuse_within = Duration::from_nanos(keepalive - keepalive / 8).saturating_sub(SAFETY);
+        let keepalive = Duration::from_nanos(keepalive);
+        let reuse_within = keepalive.saturating_sub(SAFETY).max(keepalive / 2);
         let connect_within = Duration::from_nanos(connect);
         Calls { idle: HashMap::new(), count: 0, most, reuse_within, connect_within, told }
     }
@@ -167,8 +168,8 @@
     }
 }
 
-/// Time for the two sides' clocks and the way between them.
-const SAFETY: Duration = Duration::from_millis(100);
+/// Idle connections are given up so long before the endpoint may close them: many times the way there.
+const SAFETY: Duration = Duration::from_millis(500);
 
 /// The connection is closed before the outcome is told: no other attempt may go while it is open.
 async fn broken(link: Link, outcome: Outcome) -> Ended {
