--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -52,7 +52,7 @@
         // An idle connection that the endpoint may be closing is not reused: a request that crosses the end
         // counts as a reset, which an unsafe message does not survive.
         let keepalive = Duration::from_nanos(keepalive);
-        let reuse_within = keepalive.saturating_sub(SAFETY).max(keepalive / 2);
+        let reuse_within = keepalive - keepalive / 8;
         let connect_within = Duration::from_nanos(connect);
         Calls { idle: HashMap::new(), count: 0, most, reuse_within, connect_within, told }
     }
@@ -168,9 +168,6 @@
     }
 }
 
-/// Idle connections are given up so long before the endpoint may close them: many times the way there.
-const SAFETY: Duration = Duration::from_millis(500);
-
 /// The connection is closed before the outcome is told: no other attempt may go while it is open.
 async fn broken(link: Link, outcome: Outcome) -> Ended {
     link.close().await;
