--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -86,6 +86,12 @@
         self.count -= self.idle.remove(&endpoint).map_or(0, |idle| idle.len());
     }
 
+    /// Closes the idle connections to all endpoints but these.
+    pub fn retain(&mut self, stays: impl Fn(EndpointId) -> bool) {
+        self.idle.retain(|endpoint, _| stays(*endpoint));
+        self.count = self.idle.values().map(Vec::len).sum();
+    }
+
     /// Closes the connections that are too old to be used again.
     pub fn sweep(&mut self) {
         for idle in self.idle.values_mut() {
--- a/dispatcher/src/discovery.rs
+++ b/dispatcher/src/discovery.rs
@@ -7,11 +7,12 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use crate::driver::Input;
-use crate::link::Agent;
+use crate::link::{Agent, Error};
 
 /// How long a watch waits for news. What a silent discovery has to tell counts as told soon after the wait
 /// is over, so it is kept short.
@@ -24,12 +25,46 @@
 
 /// The list, or changes of it, as discovery writes them.
 #[derive(Clone, Debug, Default, Deserialize)]
+#[serde(from = "Lines")]
 pub struct List {
-    #[serde(default)]
-    pub index: u64,
-    #[serde(default)]
     pub snapshot: bool,
     pub endpoints: Vec<Endpoint>,
+    /// Names of endpoints of which nothing else can be read.
+    pub unreadable: Vec<String>,
+    index: u64,
+}
+
+#[derive(Deserialize)]
+struct Lines {
+    #[serde(default)]
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    endpoints: Vec<Line>,
+}
+
+/// One line that can't be read costs no other.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Line {
+    Whole(Endpoint),
+    Named { name: String },
+    Other(IgnoredAny),
+}
+
+impl From<Lines> for List {
+    fn from(lines: Lines) -> Self {
+        let Lines { index, snapshot, endpoints } = lines;
+        let mut list = List { index, snapshot, ..List::default() };
+        for line in endpoints {
+            match line {
+                Line::Whole(endpoint) => list.endpoints.push(endpoint),
+                Line::Named { name } => list.unreadable.push(name),
+                Line::Other(_) => {}
+            }
+        }
+        list
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -57,23 +92,32 @@
     Unknown,
 }
 
-/// Watches for ever, from version `index` on. Its own task and connection: nothing else holds it up.
-pub async fn watch(address: SocketAddr, mut index: u64, told: mpsc::Sender<Input>) {
-    let mut agent = Agent::new(address);
+/// Watches for ever. Its own task and connection: nothing else holds it up. An agent that has told nothing yet
+/// is asked for the whole list, since its versions need not be those of another.
+pub async fn watch(mut agent: Agent, told: mpsc::Sender<Input>) {
+    let mut index = None;
     loop {
-        let request = Request::get(format!("/v1/servers?index={index}&wait={WAIT_MS}"))
-            .header("Host", address.to_string())
-            .body(Full::<Bytes>::default());
+        let (path, within) = match index {
+            Some(index) => {
+                let within = Duration::from_millis(WAIT_MS) + MARGIN;
+                (format!("/v1/servers?index={index}&wait={WAIT_MS}"), within)
+            }
+            None => ("/v1/servers".to_owned(), MARGIN),
+        };
+        let request = Request::get(path).body(Full::<Bytes>::default());
         let Ok(request) = request else { return };
-        let answer = agent.ask(request, Duration::from_millis(WAIT_MS) + MARGIN, LONGEST).await;
-        let list = match answer {
+        let list = match agent.ask(request, within, LONGEST).await {
             Ok((StatusCode::OK, body)) => serde_json::from_slice::<List>(&body).map_err(|e| e.to_string()),
             Ok((status, _)) => Err(status.to_string()),
+            Err(Error::Moved) => {
+                index = None;
+                continue;
+            }
             Err(e) => Err(e.to_string()),
         };
         match list {
             Ok(list) => {
-                index = list.index;
+                index = Some(list.index);
                 if told.send(Input::Listed(list)).await.is_err() {
                     return;
                 }
@@ -85,3 +129,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_line_that_cannot_be_read_costs_no_other() {
+        let good = r#"{"name":"a","address":"127.0.0.1:1","group":7,"status":"in_service"}"#;
+        let bad = r#"{"name":"b","address":"nowhere","group":7,"status":"in_service"}"#;
+        let text = format!(r#"{{"index":3,"snapshot":true,"endpoints":[{bad},7,{{}},{good}]}}"#);
+        let list: List = serde_json::from_str(&text).expect("a list");
+        assert_eq!(list.endpoints.iter().map(|e| e.name.as_str()).collect::<Vec<_>>(), ["a"]);
+        assert_eq!((list.unreadable, list.index, list.snapshot), (vec!["b".to_owned()], 3, true));
+    }
+}
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -99,7 +99,13 @@
 
 struct Known {
     address: SocketAddr,
-    zone: usize,
+    entry: Entry,
+}
+
+impl Known {
+    fn ready(&self) -> bool {
+        self.entry.state == State::Ready
+    }
 }
 
 pub struct Driver {
@@ -168,7 +174,9 @@
             stop: None,
         };
         let now = driver.clock.now();
-        driver.listed(now, List { snapshot: true, ..known });
+        let mut known = known;
+        known.snapshot = true;
+        driver.listed(now, known);
         for found in found {
             driver.restore(now, found);
         }
@@ -266,7 +274,7 @@
             Input::Probed { endpoint, took, ended } => {
                 let Ended { outcome, report, link, .. } = ended;
                 if let (Some(link), Some(known)) = (link, self.known.get(&endpoint)) {
-                    self.calls.keep(endpoint, known.address, link);
+                    self.keep(endpoint, known.address, link);
                 }
                 let took = took.as_nanos() as Nanos;
                 self.control.on_event(now, Event::Probed { endpoint, outcome, took, report });
@@ -292,7 +300,11 @@
             let _ = reply.send(Verdict::Taken);
             return;
         }
-        let refused = Verdict::Refused { wait: 0 };
+        if !self.control.has_heard_of(handed.dest) {
+            let _ = reply.send(Verdict::Unheard);
+            return;
+        }
+        let refused = Verdict::Refused { wait: self.control.wait_for_room(now, handed.dest) };
         // No more are held than the settings allow; notices that are owed take room too.
         if self.open >= self.settings.hold || self.held.len() >= 4 * self.settings.hold {
             let _ = reply.send(refused);
@@ -387,7 +399,7 @@
         let known = self.known.get(&endpoint);
         // An endpoint that is not known any more fails the check before the call is written.
         let (address, zone) =
-            known.map_or((SocketAddr::from(([0, 0, 0, 0], 0)), 0), |known| (known.address, known.zone));
+            known.map_or((SocketAddr::from(([0, 0, 0, 0], 0)), 0), |known| (known.address, known.entry.zone));
         let until = now.saturating_add(timeout);
         let begun = false;
         let out = Call { id, attempt, endpoint, address, zone, sent: now, until, begun, call_off: None };
@@ -412,7 +424,7 @@
         // the message, or of its key, may have run out.
         let sound = out.until > now && self.known.contains_key(&endpoint);
         let Some(held) = self.held.get(&id).filter(|_| sound && self.control.may_still_send(now, id)) else {
-            self.calls.keep(endpoint, address, link);
+            self.keep(endpoint, address, link);
             return self.settle(now, call, Outcome::NotSent);
         };
         let within = Duration::from_nanos(out.until - now);
@@ -435,7 +447,7 @@
         let Ended { outcome, over, report, link } = ended;
         let Some(out) = self.out.remove(&call) else { return };
         if let Some(link) = link {
-            self.calls.keep(out.endpoint, out.address, link);
+            self.keep(out.endpoint, out.address, link);
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::ConnectFailed) {
             self.calls.forget(out.endpoint);
@@ -452,6 +464,13 @@
         self.control.on_event(now, event);
     }
 
+    /// Keeps a connection for the next call, unless none goes there any more.
+    fn keep(&mut self, endpoint: EndpointId, address: SocketAddr, link: Link) {
+        if self.known.get(&endpoint).is_some_and(Known::ready) {
+            self.calls.keep(endpoint, address, link);
+        }
+    }
+
     /// The outcome of a call of which nothing was written.
     fn settle(&mut self, now: Nanos, call: u64, outcome: Outcome) {
         self.ended(now, call, Ended { outcome, over: false, report: None, link: None });
@@ -476,21 +495,35 @@
                 Status::Terminating | Status::Unknown => State::Draining,
                 Status::Terminated => State::Gone,
             };
+            let rated = self.settings.weights != Weights::Unknown;
+            let weight = e.weight.filter(|w| rated && w.is_finite()).unwrap_or(0.0);
+            let kind = position(&self.shape.kind_names, &e.kind);
+            let entry = Entry { endpoint, zone, kind, dest: e.group, state, weight };
             if state == State::Gone {
                 self.names.remove(&e.name);
                 self.known.remove(&endpoint);
             } else {
-                self.known.insert(endpoint, Known { address: e.address, zone });
+                self.known.insert(endpoint, Known { address: e.address, entry });
+            }
+            entries.push(entry);
+        }
+        // What is said of these can't be read, and may be a drain: nothing new goes there.
+        for name in list.unreadable {
+            let Some(endpoint) = self.names.get(&name) else { continue };
+            seen.insert(*endpoint);
+            if let Some(known) = self.known.get_mut(endpoint) {
+                known.entry.state = State::Draining;
+                entries.push(known.entry);
             }
-            let rated = self.settings.weights != Weights::Unknown;
-            let weight = e.weight.filter(|w| rated && w.is_finite()).unwrap_or(0.0);
-            let kind = position(&self.shape.kind_names, &e.kind);
-            entries.push(Entry { endpoint, zone, kind, dest: e.group, state, weight });
         }
         if list.snapshot {
             self.names.retain(|_, endpoint| seen.contains(endpoint));
             self.known.retain(|endpoint, _| seen.contains(endpoint));
         }
+        // Connections to an endpoint that takes nothing more are closed. They would hold descriptors here and
+        // places there until they are too old.
+        let known = &self.known;
+        self.calls.retain(|endpoint| known.get(&endpoint).is_some_and(Known::ready));
         self.control.on_event(now, Event::Listed { whole: list.snapshot, entries });
     }
 }
--- a/dispatcher/src/intake.rs
+++ b/dispatcher/src/intake.rs
@@ -1,29 +1,39 @@
 //! The side of the clients: reads what they hand in, and answers.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::{ALLOW, CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::body::{Body, Incoming};
+use hyper::header::{ALLOW, CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use millpost::api::{Effect, Nanos, Settings};
 use millpost_settings::Shape;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::driver::Input;
+use crate::room::{Room, Seat};
 
 const LONGEST_BODY: usize = 64 * 1024;
-const BODY_WITHIN: Duration = Duration::from_secs(10);
-/// A connection that stands idle for so long is closed.
-const IDLE: Duration = Duration::from_secs(60);
+/// A connection on which no whole head has come for so long is closed: it stands idle, or its client sends
+/// a head that never ends.
+const HEAD_WITHIN: Duration = Duration::from_millis(2_100);
+/// A request must have come in whole by then, counted from the same moment.
+const WHOLE_WITHIN: Duration = Duration::from_millis(2_500);
+/// After an error what still comes is read and dropped within these bounds. Guards the answer: a connection
+/// that is closed with bytes unread is reset, and a client that is still sending may not see what it was told.
+const DRAIN_WITHIN: Duration = Duration::from_millis(500);
+const DRAIN_MOST: usize = 4 << 20;
 const LONGEST_KEY: usize = 4096;
 /// Headers of one request; guards the memory, with as many connections as there may be.
 const LONGEST_HEAD: usize = 32 * 1024;
@@ -50,6 +60,8 @@
     Taken,
     /// Refused: handing it in again is harmless.
     Refused { wait: Nanos },
+    /// Its destination does not exist.
+    Unheard,
 }
 
 /// How far the end of the process has come.
@@ -91,23 +103,25 @@
         .zip(&settings.classes)
         .map(|(name, class)| Class { name, keyed: matches!(class.effect, Effect::Keyed { .. }) });
     let intake = Arc::new(Intake { classes: classes.collect(), told, phase: phase.clone() });
-    let room = Arc::new(Semaphore::new(most));
+    let room = Room::new(most);
     loop {
-        let accepted = async {
-            // Closed never: the semaphore lives as long as this loop.
-            let permit = room.clone().acquire_owned().await.ok();
-            (permit, listener.accept().await)
-        };
-        let (permit, accepted) = tokio::select! {
-            accepted = accepted => accepted,
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
             _ = phase.wait_for(|p| *p == Phase::Closed) => break,
         };
         match accepted {
             Ok((stream, _)) => {
+                let (seat, leave) = tokio::select! {
+                    entered = room.enter() => entered,
+                    _ = phase.wait_for(|p| *p == Phase::Closed) => break,
+                };
                 let intake = intake.clone();
                 tokio::spawn(async move {
-                    connection(stream, intake).await;
-                    drop(permit);
+                    let seat = Arc::new(seat);
+                    tokio::select! {
+                        () = connection(stream, intake, seat.clone()) => {}
+                        _ = leave => {}
+                    }
                 });
             }
             Err(e) => {
@@ -118,27 +132,54 @@
         }
     }
     drop(listener);
-    let _ = room.acquire_many(most as u32).await;
+    room.empty().await;
 }
 
-async fn connection(stream: TcpStream, intake: Arc<Intake>) {
+async fn connection(stream: TcpStream, intake: Arc<Intake>, seat: Arc<Seat>) {
     let _ = stream.set_nodelay(true);
     let mut phase = intake.phase.clone();
     let service = service_fn(move |request| {
-        let intake = intake.clone();
-        async move { Ok::<_, Infallible>(intake.answer(request).await) }
+        let (intake, seat) = (intake.clone(), seat.clone());
+        Box::pin(async move {
+            let answer = intake.answer(request, &seat).await;
+            seat.idle();
+            Ok::<_, Infallible>(answer)
+        })
     });
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(LONGEST_HEAD);
-    let served = http.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(served);
-    tokio::select! {
-        _ = &mut served => return,
-        _ = phase.wait_for(|p| *p >= Phase::Closing) => {}
+    http.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(LONGEST_HEAD);
+    let mut served = http.serve_connection(TokioIo::new(stream), service);
+    let ended = tokio::select! {
+        ended = poll_fn(|cx| served.poll_without_shutdown(cx)) => Some(ended),
+        _ = phase.wait_for(|p| *p >= Phase::Closing) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            // What has been read is answered first; an idle connection is closed at once.
+            Pin::new(&mut served).graceful_shutdown();
+            poll_fn(|cx| served.poll_without_shutdown(cx)).await
+        }
+    };
+    if !ended.is_err_and(|e| e.is_timeout()) {
+        drain(served.into_parts().io.into_inner()).await;
     }
-    // What has been read is answered first; an idle connection is closed at once.
-    served.as_mut().graceful_shutdown();
-    let _ = served.await;
+}
+
+/// Ends the sending, and reads on for a while.
+async fn drain(mut stream: TcpStream) {
+    let rest = async {
+        stream.shutdown().await?;
+        let (mut buffer, mut read) = ([0; 8 * 1024], 0);
+        while read < DRAIN_MOST {
+            match stream.read(&mut buffer).await? {
+                0 => break,
+                n => read += n,
+            }
+        }
+        Ok::<_, std::io::Error>(())
+    };
+    let _ = timeout(DRAIN_WITHIN, rest).await;
 }
 
 fn plain(status: StatusCode) -> Response<Full<Bytes>> {
@@ -148,9 +189,10 @@
 }
 
 impl Intake {
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let mut response = match self.take(request).await {
+    async fn answer(&self, request: Request<Incoming>, seat: &Seat) -> Response<Full<Bytes>> {
+        let mut response = match self.take(request, seat).await {
             Ok(Verdict::Taken) => plain(StatusCode::ACCEPTED),
+            Ok(Verdict::Unheard) => plain(StatusCode::NOT_FOUND),
             Ok(Verdict::Refused { wait }) => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
                 let seconds = HeaderValue::from_str(&format!("{:.3}", wait as f64 / 1e9));
@@ -164,15 +206,23 @@
         if response.status() == StatusCode::METHOD_NOT_ALLOWED {
             response.headers_mut().insert(ALLOW, HeaderValue::from_static("GET, POST"));
         }
-        if *self.phase.borrow() >= Phase::Leaving {
+        // After an error nothing that follows on the connection can be trusted: where a body ends, say.
+        let odd = response.status().is_client_error();
+        if odd || *self.phase.borrow() >= Phase::Leaving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
     /// Hands a message to the driver. An error is a status of its own.
-    async fn take(&self, request: Request<Incoming>) -> Result<Verdict, StatusCode> {
+    async fn take(&self, request: Request<Incoming>, seat: &Seat) -> Result<Verdict, StatusCode> {
         let (came, (head, body)) = (Instant::now(), request.into_parts());
+        let whole_by = seat.reading() + WHOLE_WITHIN;
+        // Beside a Content-Length it may hide another request in the body, and the header map does not show
+        // whether there was one. No client needs it: lengths are known.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(StatusCode::BAD_REQUEST);
+        }
         let path = head.uri.path();
         if path == "/healthz" {
             let ok = head.method == Method::GET || head.method == Method::HEAD;
@@ -187,10 +237,15 @@
         if self.classes[class].keyed && fields.key.is_none() {
             return Err(StatusCode::BAD_REQUEST);
         }
-        let body = timeout(BODY_WITHIN, Limited::new(body, LONGEST_BODY).collect()).await;
+        // Told before any of it is read.
+        if body.size_hint().lower() > LONGEST_BODY as u64 {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let body = timeout_at(whole_by, Limited::new(body, LONGEST_BODY).collect()).await;
         let body = body.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map_err(|e| {
             if e.is::<LengthLimitError>() { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST }
         })?;
+        seat.answering();
         let Fields { reference, dest, time_left, key } = fields;
         let handed = Handed { reference, class, dest, time_left, came, key, body: body.to_bytes() };
         let (reply, verdict) = oneshot::channel();
@@ -210,7 +265,12 @@
 
 impl Fields {
     fn read(headers: &HeaderMap) -> Option<Self> {
-        let text = |name: &str| headers.get(name)?.to_str().ok();
+        // A field that comes twice says nothing.
+        let one = |name: &str| {
+            let mut all = headers.get_all(name).iter();
+            all.next().filter(|_| all.next().is_none())
+        };
+        let text = |name: &str| one(name)?.to_str().ok();
         let reference = text("Req-Id").filter(|r| !r.is_empty() && r.len() <= 256)?.to_owned();
         let seconds: f64 = text("Req-Deadline")?.trim().parse().ok()?;
         if !(seconds.is_finite() && seconds >= 0.0) {
@@ -219,7 +279,10 @@
         let time_left = (seconds.min(LONGEST_DEADLINE) * 1e9) as Nanos;
         let mut parts = text("X-Addressing")?.split([',', ';', ' ']);
         let dest = parts.find_map(|p| p.trim().strip_prefix("dest="))?.parse().ok()?;
-        let key = headers.get("Idempotency-Key").map(|k| Bytes::copy_from_slice(k.as_bytes()));
+        let key = one("Idempotency-Key").map(|k| Bytes::copy_from_slice(k.as_bytes()));
+        if key.is_none() && headers.contains_key("Idempotency-Key") {
+            return None;
+        }
         if key.as_ref().is_some_and(|k| k.is_empty() || k.len() > LONGEST_KEY) {
             return None;
         }
--- a/dispatcher/src/link.rs
+++ b/dispatcher/src/link.rs
@@ -8,10 +8,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -38,6 +40,9 @@
     /// It took too long.
     #[error("timed out")]
     TimedOut,
+    /// The other side has a new address.
+    #[error("the address has changed")]
+    Moved,
 }
 
 /// Guards the memory against an answer without end.
@@ -107,41 +112,63 @@
     }
 }
 
-/// A connection to discovery that is opened when it is needed and kept while it works.
+/// A connection to discovery that is opened when it is needed and kept while it works. Its address may
+/// change at any moment: what is under way then ends at once, and the next request goes to the new one.
 pub struct Agent {
-    address: SocketAddr,
+    address: watch::Receiver<SocketAddr>,
     link: Option<Link>,
 }
 
 const CONNECT: Duration = Duration::from_secs(1);
 
 impl Agent {
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: watch::Receiver<SocketAddr>) -> Self {
         Agent { address, link: None }
     }
 
+    /// Waits until the address has changed, and closes the connection to the old one.
+    pub async fn moved(&mut self) {
+        if self.address.changed().await.is_err() {
+            // Nobody is left who could change it.
+            std::future::pending::<()>().await;
+        }
+        self.link = None;
+    }
+
     /// One request and its whole answer. Anything that goes wrong closes the connection.
     pub async fn ask(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         within: Duration,
         longest: usize,
     ) -> Result<(StatusCode, Bytes), Error> {
-        let mut link = match self.link.take().filter(Link::usable) {
-            Some(link) => link,
-            None => timeout(CONNECT, Link::open(self.address)).await.map_err(|_| Error::TimedOut)??,
-        };
+        if self.address.has_changed().unwrap_or(false) {
+            self.moved().await;
+            return Err(Error::Moved);
+        }
+        let address = *self.address.borrow();
+        let kept = self.link.take().filter(Link::usable);
         let exchange = async {
+            let mut link = match kept {
+                Some(link) => link,
+                None => timeout(CONNECT, Link::open(address)).await.map_err(|_| Error::TimedOut)??,
+            };
+            if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+                request.headers_mut().insert(HOST, host);
+            }
             let answer = link.send(request).await?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), longest).collect().await.map_err(Error::Body)?;
-            Ok::<_, Error>((status, body.to_bytes()))
+            let link = if link.rested().await { Some(link) } else { None };
+            Ok::<_, Error>((status, body.to_bytes(), link))
         };
-        let answer = timeout(within, exchange).await.map_err(|_| Error::TimedOut)??;
-        if link.rested().await {
-            self.link = Some(link);
-        }
-        Ok(answer)
+        let answer = tokio::select! {
+            answer = timeout(within, exchange) => answer.map_err(|_| Error::TimedOut)?,
+            () = self.moved() => Err(Error::Moved),
+        };
+        let (status, body, link) = answer?;
+        self.link = link;
+        Ok((status, body))
     }
 }
 
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -9,13 +9,15 @@
 mod link;
 mod notices;
 mod peers;
+mod room;
 mod written;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
@@ -57,7 +59,7 @@
 
 async fn serve() -> Result<(), Error> {
     let config = config::read()?;
-    let mut term = signal(SignalKind::terminate())?;
+    let (mut term, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let (journal, found) = journal::Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)?;
     if !found.is_empty() {
         eprintln!("the journal holds {} messages", found.len());
@@ -78,7 +80,6 @@
         }
         _ => None,
     };
-    let index = config.known.index;
     let driver = Driver::new(Parts {
         calls: calls::Calls::new(idle, settings.keepalive, settings.connect_timeout, told.clone()),
         settings: settings.clone(),
@@ -92,8 +93,10 @@
     });
     let listener = TcpListener::bind(config.listen).await?;
     let mut driver = tokio::spawn(driver.run(inputs));
-    tokio::spawn(discovery::watch(config.discovery, index, told.clone()));
-    tokio::spawn(notices::send(config.discovery, due, told.clone()));
+    let (address, addresses) = watch::channel(config.discovery);
+    tokio::spawn(discovery::watch(link::Agent::new(addresses.clone()), told.clone()));
+    tokio::spawn(notices::send(link::Agent::new(addresses), due, told.clone()));
+    tokio::spawn(reload(hangup, address));
     let (phase, phases) = watch::channel(Phase::Serving);
     let (shape, told_by_clients) = (config.shape, told.clone());
     let intake = tokio::spawn(async move {
@@ -117,3 +120,18 @@
     eprintln!("stopped");
     Ok(())
 }
+
+/// At SIGHUP the configuration is read again, also while the process stops. Discovery may have a new address;
+/// all else holds until the next start. With a file that can't be read the old one stays.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match config::read() {
+            Ok(config) => {
+                eprintln!("configuration read again: discovery is at {}", config.discovery);
+                let new = |old: &mut SocketAddr| std::mem::replace(old, config.discovery) != config.discovery;
+                discovery.send_if_modified(new);
+            }
+            Err(e) => eprintln!("the configuration stays as it was: {e}"),
+        }
+    }
+}
--- a/dispatcher/src/notices.rs
+++ b/dispatcher/src/notices.rs
@@ -1,6 +1,5 @@
 //! Tells the platform how messages ended that were not delivered, until it has taken every notice.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +11,7 @@
 
 use crate::driver::Input;
 use crate::journal::Answer;
-use crate::link::Agent;
+use crate::link::{Agent, Error};
 
 /// Lines in one request, at most.
 const LINES: usize = 64;
@@ -49,18 +48,19 @@
 }
 
 /// Sends what comes, in batches, each again until it is answered 204. Then the driver hears of it.
-pub async fn send(address: SocketAddr, mut due: mpsc::Receiver<Notice>, told: mpsc::Sender<Input>) {
-    let mut agent = Agent::new(address);
+/// A batch that was on its way when the address changed goes to the new one: told twice does no harm.
+pub async fn send(mut agent: Agent, mut due: mpsc::Receiver<Notice>, told: mpsc::Sender<Input>) {
     let mut batch = Vec::new();
     loop {
-        if batch.is_empty() && due.recv_many(&mut batch, LINES).await == 0 {
-            return;
+        if batch.is_empty() {
+            tokio::select! {
+                count = due.recv_many(&mut batch, LINES) => if count == 0 { return },
+                () = agent.moved() => continue,
+            }
         }
         let Ok(body) = body(&batch) else { return };
-        let request = Request::post("/v1/notices")
-            .header("Host", address.to_string())
-            .header("Content-Type", "application/json")
-            .body(Full::new(body));
+        let request =
+            Request::post("/v1/notices").header("Content-Type", "application/json").body(Full::new(body));
         let Ok(request) = request else { return };
         match agent.ask(request, WITHIN, 4096).await {
             Ok((StatusCode::NO_CONTENT, _)) => {
@@ -69,6 +69,7 @@
                     return;
                 }
             }
+            Err(Error::Moved) => {}
             other => {
                 match other {
                     Ok((status, _)) => eprintln!("notices: {status}"),
--- /dev/null
+++ b/dispatcher/src/room.rs
@@ -0,0 +1,147 @@
+//! Which of the clients' connections are kept: as many as there is room for, and who leaves when there is none.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, timeout};
+
+/// A client that means to ask does so right after it has connected. Guards its first request, which fails if
+/// the connection closes under it.
+const GREETING: Duration = Duration::from_millis(200);
+/// A body that is on its way comes within this time, and an answer has been written.
+const SLOW: Duration = Duration::from_millis(500);
+/// How often it is looked again whether one may leave.
+const AGAIN: Duration = Duration::from_millis(20);
+
+/// What a connection is at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    /// It has asked nothing yet.
+    Silent,
+    /// No request is open.
+    Idle,
+    /// The body of a request is being read.
+    Reading,
+    /// A request is owed its answer.
+    Answering,
+}
+
+struct Place {
+    state: State,
+    since: Instant,
+    /// None once it has been told to leave.
+    leave: Option<oneshot::Sender<()>>,
+}
+
+#[derive(Default)]
+struct Places {
+    taken: HashMap<u64, Place>,
+    next: u64,
+}
+
+/// The room for clients' connections.
+pub struct Room {
+    most: usize,
+    places: Mutex<Places>,
+    freed: Notify,
+}
+
+/// The place of one connection, which it holds until this is dropped.
+pub struct Seat {
+    number: u64,
+    room: Arc<Room>,
+}
+
+impl Room {
+    pub fn new(most: usize) -> Arc<Self> {
+        Arc::new(Room { most, places: Mutex::default(), freed: Notify::new() })
+    }
+
+    fn places(&self) -> MutexGuard<'_, Places> {
+        self.places.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A place for a new connection, and the word that it must leave. With no room, one that is of least use
+    /// leaves; it waits only while all are owed an answer.
+    pub async fn enter(self: &Arc<Self>) -> (Seat, oneshot::Receiver<()>) {
+        loop {
+            let freed = self.freed.notified();
+            {
+                let mut places = self.places();
+                if places.taken.len() < self.most {
+                    let (leave, leaves) = oneshot::channel();
+                    let number = places.next;
+                    places.next += 1;
+                    let place = Place { state: State::Silent, since: Instant::now(), leave: Some(leave) };
+                    places.taken.insert(number, place);
+                    return (Seat { number, room: self.clone() }, leaves);
+                }
+                // One at a time: its place is free once its descriptor is.
+                let leaving = places.taken.values().any(|place| place.leave.is_none());
+                if let Some(number) = least(&places.taken).filter(|_| !leaving)
+                    && let Some(leave) = places.taken.get_mut(&number).and_then(|place| place.leave.take())
+                {
+                    let _ = leave.send(());
+                }
+            }
+            let _ = timeout(AGAIN, freed).await;
+        }
+    }
+
+    /// Waits until every connection has ended.
+    pub async fn empty(&self) {
+        loop {
+            let freed = self.freed.notified();
+            if self.places().taken.is_empty() {
+                return;
+            }
+            freed.await;
+        }
+    }
+}
+
+/// The connection that leaves first: one that says nothing, one whose request does not come to its end, then
+/// the one that has stood idle for longest. None that is owed an answer.
+fn least(taken: &HashMap<u64, Place>) -> Option<u64> {
+    let rank = |place: &Place| {
+        let passed = place.since.elapsed();
+        match place.state {
+            State::Silent if passed > GREETING => Some(0),
+            State::Reading if passed > SLOW => Some(1),
+            State::Idle if passed > SLOW => Some(2),
+            State::Silent => Some(3),
+            State::Idle | State::Reading | State::Answering => None,
+        }
+    };
+    let ranked = taken.iter().filter_map(|(number, place)| Some((rank(place)?, place.since, *number)));
+    ranked.min().map(|(_, _, number)| number)
+}
+
+impl Seat {
+    fn now(&self, state: State) {
+        if let Some(place) = self.room.places().taken.get_mut(&self.number) {
+            (place.state, place.since) = (state, Instant::now());
+        }
+    }
+    /// Since when no request has been open: since it came, or since the last answer.
+    pub fn reading(&self) -> Instant {
+        let since = self.room.places().taken.get(&self.number).map(|place| place.since);
+        self.now(State::Reading);
+        since.unwrap_or_else(Instant::now)
+    }
+    pub fn answering(&self) {
+        self.now(State::Answering);
+    }
+    pub fn idle(&self) {
+        self.now(State::Idle);
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.room.places().taken.remove(&self.number);
+        self.room.freed.notify_waiters();
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -647,6 +647,16 @@
         told.max(gap.min(self.set.rules.fall)).min(self.set.max_retry_after)
     }
 
+    /// The list has named an endpoint of this destination.
+    pub fn has_heard_of(&self, dest: DestId) -> bool {
+        self.lanes.range((dest, None)..=(dest, Some(EndpointId::MAX))).next().is_some()
+    }
+
+    /// How long a client should stay away whose message was turned away for want of room.
+    pub fn wait_for_room(&self, now: Nanos, dest: DestId) -> Nanos {
+        self.time_to_come_back(now, dest)
+    }
+
     /// Every message gets its final answer: when no attempt is left to it, or when its time is up.
     fn answer_hopeless(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         let hopeless = |m: &Msg| match m.out {
