--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use millpost::api::{EndpointId, Nanos, Outcome, Report};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::driver::Input;
 use crate::link::{Error, Link};
@@ -18,7 +18,10 @@
 /// An answer's body means nothing; it is read so that the connection can be used again, within these bounds.
 const LONGEST_BODY: usize = 64 * 1024;
 /// A wait that is told counts from the head of its answer, so that little time may pass.
-const BODY_WITHIN: Duration = Duration::from_millis(50);
+const BODY_WITHIN: Duration = Duration::from_millis(80);
+/// An answer is written in one go: once its first line is there, the rest of its head comes in this time.
+/// Guards the slots against heads without end.
+const HEAD_WITHIN: Duration = Duration::from_millis(500);
 
 /// How a call ended.
 pub struct Ended {
@@ -127,16 +130,28 @@
                     std::future::pending::<()>().await;
                 }
             };
+            let written = link.written();
+            let endless = async {
+                written.answered().await;
+                sleep(HEAD_WITHIN).await;
+            };
             let answer = tokio::select! {
                 answer = timeout_at(until, link.send(request)) => answer.map_err(|_| Outcome::TimedOut),
                 () = called_off => Err(Outcome::Cancelled),
+                () = endless => Err(Outcome::Reset),
             };
             let ended = match answer {
                 Ok(Ok(answer)) => finish(link, answer).await,
                 Ok(Err(Error::NotSent)) => {
+                    link.close().await;
                     let _ = told.send(Input::Unsent { call }).await;
                     return;
                 }
+                // Whatever else is wrong with an answer, a first line of 200 is true.
+                Ok(Err(_)) | Err(_) if link.status() == Some(200) => {
+                    link.close().await;
+                    Ended { outcome: Outcome::Served, over: true, report: None, link: None }
+                }
                 // Whatever ended it: an endpoint begins a call with its last byte.
                 Ok(Err(Error::Cut)) => broken(link, Outcome::ConnectFailed).await,
                 Ok(Err(_)) => broken(link, Outcome::Reset).await,
@@ -180,20 +195,23 @@
     Ended { outcome, over: false, report: None, link: None }
 }
 
-/// Reads the rest of an answer. What the call came to is settled by its head alone.
+/// Reads the rest of an answer. A first line of 200 is true whatever follows; any other answer counts only as
+/// a whole. One that breaks off or has no end is spoilt, and proves nothing: the call may have run. What comes
+/// behind a whole answer belongs to nobody, and only costs the connection.
 async fn finish(mut link: Link, answer: Response<hyper::body::Incoming>) -> Ended {
     let (head, body) = answer.into_parts();
+    let body = timeout(BODY_WITHIN, Limited::new(body, LONGEST_BODY).collect()).await;
+    let whole = body.is_ok_and(|body| body.is_ok());
+    if !whole && head.status != StatusCode::OK {
+        return broken(link, Outcome::Reset).await;
+    }
     let (outcome, over) = outcome(head.status, &head.headers);
     let report = head.headers.get("Srv-Load").and_then(|v| v.to_str().ok()).and_then(report);
-    let rest = async { Limited::new(body, LONGEST_BODY).collect().await.is_ok() && link.rested().await };
-    let whole = timeout(BODY_WITHIN, rest).await.unwrap_or(false);
-    let link = if whole {
-        Some(link)
-    } else {
-        link.close().await;
-        None
-    };
-    Ended { outcome, over, report, link }
+    if whole && timeout(BODY_WITHIN, link.rested()).await.unwrap_or(false) {
+        return Ended { outcome, over, report, link: Some(link) };
+    }
+    link.close().await;
+    Ended { outcome, over, report, link: None }
 }
 
 /// What an answer means, and whether the message is over with it.
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -94,6 +94,8 @@
     until: Nanos,
     /// Its attempt is in the journal.
     begun: bool,
+    /// Its connection was opened for it.
+    fresh: bool,
     call_off: Option<oneshot::Sender<()>>,
 }
 
@@ -269,7 +271,7 @@
         match input {
             Input::Handed(handed, reply) => self.handed(now, handed, reply),
             Input::Connected { call, link } => self.connected(now, call, link),
-            Input::Unsent { call } => self.connect(now, call),
+            Input::Unsent { call } => self.unsent(now, call),
             Input::Ended { call, ended } => self.ended(now, call, ended),
             Input::Probed { endpoint, took, ended } => {
                 let Ended { outcome, report, link, .. } = ended;
@@ -314,8 +316,8 @@
         let time_left = time_left.saturating_sub(came.elapsed().as_nanos() as Nanos);
         let deadline = self.clock.to_wall(now + time_left);
         let taken = Taken { reference, class: class as u32, dest, deadline, key, body };
-        let id = match self.journal.take(wall_now(), &taken) {
-            Ok(id) => id,
+        let (id, body) = match self.journal.take(wall_now(), &taken) {
+            Ok(taken) => taken,
             Err(e) => {
                 eprintln!("refused: {e}");
                 let _ = reply.send(refused);
@@ -326,7 +328,7 @@
             self.note(|journal| journal.end(id));
             return;
         }
-        let Taken { reference, key, body, .. } = taken;
+        let Taken { reference, key, .. } = taken;
         self.by_reference.insert(reference.clone(), id);
         self.open += 1;
         self.held.insert(id, Held { reference, key, body, attempts: 0, answered: false });
@@ -383,6 +385,8 @@
     fn answer(&mut self, id: u64, answer: Answer) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.answered) else { return };
         held.answered = true;
+        // No attempt follows; one that is out has its own hold on it.
+        held.body = Bytes::new();
         self.open -= 1;
         let reference = held.reference.clone();
         // On disk first: a message whose notice may be out is not sent again after a restart.
@@ -401,8 +405,9 @@
         let (address, zone) =
             known.map_or((SocketAddr::from(([0, 0, 0, 0], 0)), 0), |known| (known.address, known.entry.zone));
         let until = now.saturating_add(timeout);
-        let begun = false;
-        let out = Call { id, attempt, endpoint, address, zone, sent: now, until, begun, call_off: None };
+        let (begun, fresh) = (false, false);
+        let out =
+            Call { id, attempt, endpoint, address, zone, sent: now, until, begun, fresh, call_off: None };
         self.out.insert(call, out);
         match self.calls.idle(endpoint, address) {
             Some(link) => self.connected(now, call, Some(link)),
@@ -410,8 +415,18 @@
         }
     }
 
+    /// A kept connection was of no use any more: a new one is opened. A new one of no use is a failure, or
+    /// an endpoint that closes each at once would be connected to without end.
+    fn unsent(&mut self, now: Nanos, call: u64) {
+        match self.out.get(&call) {
+            Some(out) if out.fresh => self.settle(now, call, Outcome::ConnectFailed),
+            _ => self.connect(now, call),
+        }
+    }
+
     fn connect(&mut self, now: Nanos, call: u64) {
-        let Some(out) = self.out.get(&call) else { return };
+        let Some(out) = self.out.get_mut(&call) else { return };
+        out.fresh = true;
         let left = Duration::from_nanos(out.until.saturating_sub(now));
         self.calls.connect(call, out.address, left);
     }
--- a/dispatcher/src/link.rs
+++ b/dispatcher/src/link.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::written::{Watched, Written};
+use crate::written::{Quiet, Watched, Written};
 
 /// Why there is no answer.
 #[derive(Debug, thiserror::Error)]
@@ -61,7 +61,9 @@
         Self::over(stream).await
     }
 
-    async fn over(stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static) -> Result<Self, Error> {
+    async fn over(
+        stream: impl AsyncRead + AsyncWrite + Quiet + Send + Unpin + 'static,
+    ) -> Result<Self, Error> {
         let written = Written::default();
         let stream = Watched { stream, written: written.clone() };
         let mut http = http1::Builder::new();
@@ -84,6 +86,7 @@
         self.written.expect(request.body().size_hint().exact().unwrap_or(u64::MAX) as usize);
         self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
             Some(_) => Error::NotSent,
+            None if self.written.stale() => Error::NotSent,
             None if !self.written.all() => Error::Cut,
             None => Error::Broken(e.into_error()),
         })
@@ -94,6 +97,16 @@
         self.written.all()
     }
 
+    /// The status in the first line of the latest answer, also of one that can't be read any further.
+    pub fn status(&self) -> Option<u16> {
+        self.written.status()
+    }
+
+    /// What tells of the latest request and its answer, while the link is in use.
+    pub fn written(&self) -> Written {
+        self.written.clone()
+    }
+
     /// Waits until the connection can carry another request.
     pub async fn rested(&mut self) -> bool {
         self.sender.ready().await.is_ok()
@@ -175,7 +188,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use tokio::io::AsyncReadExt;
+    use tokio::io::{AsyncReadExt, DuplexStream};
+
+    impl Quiet for DuplexStream {
+        fn quiet(&self) -> bool {
+            true
+        }
+    }
 
     /// The other side reads so many bytes of a request with a long body, then closes.
     async fn cut_after(read: usize) -> Error {
@@ -206,4 +225,38 @@
         let whole = "POST /hook HTTP/1.1\r\nhost: a\r\ncontent-length: 1000\r\n\r\n".len() + 1_000;
         assert!(matches!(wait(cut_after(whole)), Error::Broken(_)));
     }
+
+    /// The runtime has not looked at the socket since the answer: only the socket itself can tell.
+    #[test]
+    fn what_waits_in_the_socket_answers_no_request() {
+        use std::io::{Read, Write};
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let request = || Request::post("/hook").header("Host", "a").body(Full::default()).expect("a request");
+        let (copy, copied) = (std::sync::mpsc::channel::<()>(), std::sync::mpsc::channel::<()>());
+        let (go, told) = (copy.1, copied.0);
+        let server = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            assert!(stream.read(&mut [0; 4096]).expect("a request") > 0);
+            stream.write_all(answer).expect("sent");
+            go.recv().expect("the word");
+            stream.write_all(answer).expect("sent");
+            told.send(()).expect("it waits");
+            // Nothing more of a request comes before the end.
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(60)));
+            stream.read(&mut [0; 4096]).map_or(0, |n| n)
+        });
+        wait(async {
+            let mut link = Link::open(address).await.expect("a connection");
+            assert_eq!(link.send(request()).await.expect("an answer").status(), StatusCode::OK);
+            assert!(link.rested().await && link.usable());
+            // No await here, so that the runtime sees nothing of it.
+            copy.0.send(()).expect("it waits");
+            copied.1.recv().expect("it is sent");
+            assert!(matches!(link.send(request()).await, Err(Error::NotSent)));
+            link.close().await;
+        });
+        assert_eq!(server.join().expect("it ends"), 0);
+    }
 }
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -75,6 +75,8 @@
     Answer(&'static str, String),
     /// These bytes, then the end.
     Raw(&'static [u8]),
+    /// These bytes; the connection stays open.
+    Open(Vec<u8>),
     /// Nothing, for as long as the other side keeps the connection.
     Silent,
 }
@@ -129,6 +131,7 @@
                     let _ = writer.write_all(bytes);
                     return;
                 }
+                Reply::Open(bytes) => writer.write_all(&bytes),
                 Reply::Silent => {
                     let _ = reader.read_to_end(&mut Vec::new());
                     return;
