Wait for a slow answer on a kept connection again

To blame: calls.rs `send`, the select whose branches tokio polls in any order. The watch for a head without end looked at the answer of the request before, if it was polled first, and ended every call of more than 500 ms. Half of such calls failed; the test fails without the order.

--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -136,6 +136,8 @@
                 sleep(HEAD_WITHIN).await;
             };
             let answer = tokio::select! {
+                // In this order: what is watched is that of the request before until this one has begun.
+                biased;
                 answer = timeout_at(until, link.send(request)) => answer.map_err(|_| Outcome::TimedOut),
                 () = called_off => Err(Outcome::Cancelled),
                 () = endless => Err(Outcome::Reset),
@@ -289,4 +291,46 @@
             assert_eq!(wait(&headers(bad)), None, "{bad}");
         }
     }
+
+    /// A kept connection has seen an answer already; the next one may still take its time.
+    #[test]
+    fn a_slow_answer_on_a_kept_connection_is_waited_for() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                std::thread::spawn(move || {
+                    use std::io::{Read, Write};
+                    for pause in [Duration::ZERO, HEAD_WITHIN * 2] {
+                        let _ = stream.read(&mut [0; 4096]);
+                        std::thread::sleep(pause);
+                        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    }
+                    let _ = stream.read(&mut [0; 1]);
+                });
+            }
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let (told, mut inputs) = mpsc::channel(64);
+            let calls = Calls::new(8, 1, 1, told);
+            let until = Instant::now() + Duration::from_secs(60);
+            let mut call_offs = Vec::new();
+            for call in 0..8 {
+                let request = || request(address, "r", None, Bytes::new(), HEAD_WITHIN).expect("a request");
+                let mut link = Link::open(address).await.expect("a connection");
+                link.send(request()).await.expect("the first answer");
+                assert!(link.rested().await);
+                let (call_off, called_off) = oneshot::channel();
+                calls.send(call, link, request(), until, called_off);
+                call_offs.push(call_off);
+            }
+            for _ in 0..8 {
+                match inputs.recv().await {
+                    Some(Input::Ended { ended, .. }) => assert_eq!(ended.outcome, Outcome::Served),
+                    _ => panic!("not the end of a call"),
+                }
+            }
+        });
+    }
 }
