--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -33,6 +33,10 @@
     pub link: Option<Link>,
 }
 
+/// An endpoint may give connections up much sooner than it says, without a word: each is then reset at its next
+/// request. What was seen of that holds for so long.
+const SEEN_FOR: Duration = Duration::from_secs(15);
+
 struct Idle {
     link: Link,
     address: SocketAddr,
@@ -42,6 +46,8 @@
 /// Starts calls and keeps idle connections.
 pub struct Calls {
     idle: HashMap<EndpointId, Vec<Idle>>,
+    /// The idle time from which on an endpoint's connections seem to be given up, and when that was seen.
+    given_up: HashMap<EndpointId, (Duration, Instant)>,
     count: usize,
     most: usize,
     reuse_within: Duration,
@@ -57,16 +63,44 @@
         let keepalive = Duration::from_nanos(keepalive);
         let reuse_within = keepalive - keepalive / 8;
         let connect_within = Duration::from_nanos(connect);
-        Calls { idle: HashMap::new(), count: 0, most, reuse_within, connect_within, told }
+        Calls {
+            idle: HashMap::new(),
+            given_up: HashMap::new(),
+            count: 0,
+            most,
+            reuse_within,
+            connect_within,
+            told,
+        }
+    }
+
+    /// A connection that had stood idle for so long was of no use at its next request.
+    pub fn was_given_up(&mut self, endpoint: EndpointId, age: Duration) {
+        let age = self.reuse_within(endpoint).min(age * 3 / 4);
+        self.given_up.insert(endpoint, (age, Instant::now()));
+    }
+
+    fn reuse_within(&self, endpoint: EndpointId) -> Duration {
+        let seen = self.given_up.get(&endpoint).filter(|(_, at)| at.elapsed() < SEEN_FOR);
+        seen.map_or(self.reuse_within, |(age, _)| self.reuse_within.min(*age))
     }
 
-    /// The idle connection that was used last.
-    pub fn idle(&mut self, endpoint: EndpointId, address: SocketAddr) -> Option<Link> {
+    /// The idle connection that was used last, and for how long it has stood idle. For a message that does not
+    /// survive a reset none that the endpoint may have given up; any other may try it, since a new connection
+    /// costs more than a second attempt.
+    pub fn idle(
+        &mut self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        sure: bool,
+    ) -> Option<(Link, Duration)> {
+        let within = if sure { self.reuse_within(endpoint) } else { self.reuse_within };
         let idle = self.idle.get_mut(&endpoint)?;
-        while let Some(kept) = idle.pop() {
+        while let Some(kept) = idle.pop_if(|kept| !sure || kept.since.elapsed() < within) {
             self.count -= 1;
-            if kept.address == address && kept.since.elapsed() < self.reuse_within && kept.link.usable() {
-                return Some(kept.link);
+            let age = kept.since.elapsed();
+            if kept.address == address && age < within && kept.link.usable() {
+                return Some((kept.link, age));
             }
         }
         None
@@ -92,6 +126,7 @@
     /// Closes the idle connections to all endpoints but these.
     pub fn retain(&mut self, stays: impl Fn(EndpointId) -> bool) {
         self.idle.retain(|endpoint, _| stays(*endpoint));
+        self.given_up.retain(|endpoint, _| stays(*endpoint));
         self.count = self.idle.values().map(Vec::len).sum();
     }
 
@@ -144,7 +179,8 @@
             };
             let ended = match answer {
                 Ok(Ok(answer)) => finish(link, answer).await,
-                Ok(Err(Error::NotSent)) => {
+                // Whatever ended it: an endpoint begins a call with its last byte.
+                Ok(Err(Error::NotSent | Error::Cut)) => {
                     link.close().await;
                     let _ = told.send(Input::Unsent { call }).await;
                     return;
@@ -154,8 +190,6 @@
                     link.close().await;
                     Ended { outcome: Outcome::Served, over: true, report: None, link: None }
                 }
-                // Whatever ended it: an endpoint begins a call with its last byte.
-                Ok(Err(Error::Cut)) => broken(link, Outcome::ConnectFailed).await,
                 Ok(Err(_)) => broken(link, Outcome::Reset).await,
                 Err(outcome) => {
                     let outcome = if link.all_written() { outcome } else { Outcome::ConnectFailed };
@@ -168,12 +202,13 @@
 
     /// Probes an endpoint, on a connection of its own if none is idle.
     pub fn probe(&mut self, endpoint: EndpointId, address: SocketAddr) {
-        let (told, within, idle) = (self.told.clone(), self.connect_within, self.idle(endpoint, address));
+        let (told, within, idle) =
+            (self.told.clone(), self.connect_within, self.idle(endpoint, address, false));
         tokio::spawn(async move {
             let began = Instant::now();
             let exchange = async {
                 let mut link = match idle {
-                    Some(link) => link,
+                    Some((link, _)) => link,
                     None => Link::open(address).await.map_err(|_| Outcome::ConnectFailed)?,
                 };
                 let request = Request::get("/load").header("Host", address.to_string());
@@ -333,4 +368,30 @@
             }
         });
     }
+
+    #[test]
+    fn connections_that_an_endpoint_gives_up_early_are_not_used_for_longer() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let (told, _inputs) = mpsc::channel(1);
+            let hour = 3_600_000_000_000;
+            let mut calls = Calls::new(8, hour, hour, told);
+            for endpoint in [1, 2] {
+                let mut link = Link::open(address).await.expect("a connection");
+                assert!(link.rested().await);
+                calls.keep(endpoint, address, link);
+            }
+            let (link, age) = calls.idle(1, address, true).expect("it is usable");
+            calls.was_given_up(1, Duration::ZERO);
+            calls.keep(1, address, link);
+            assert!(age < Duration::from_secs(3_600) && calls.idle(1, address, true).is_none());
+            assert!(calls.idle(1, address, false).is_some(), "a message that may go again");
+            assert!(calls.idle(2, address, true).is_some(), "another endpoint's");
+            // Its number is not used again once it is gone.
+            calls.retain(|endpoint| endpoint != 1);
+            assert!(calls.given_up.is_empty());
+        });
+    }
 }
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use millpost::Control;
-use millpost::api::{Action, EndpointId, Entry, Event, Nanos, Outcome, Settings, State, Weights};
+use millpost::api::{Action, Effect, EndpointId, Entry, Event, Nanos, Outcome, Settings, State, Weights};
 use millpost_settings::Shape;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -28,7 +28,7 @@
     Handed(Handed, oneshot::Sender<Verdict>),
     /// The connection for a call is there, or did not come up.
     Connected { call: u64, link: Option<Link> },
-    /// The connection of a call was gone before anything was written.
+    /// The connection of a call was gone before its last byte was written.
     Unsent { call: u64 },
     /// A call is over.
     Ended { call: u64, ended: Ended },
@@ -79,6 +79,8 @@
     key: Option<Bytes>,
     body: Bytes,
     attempts: u32,
+    /// An attempt that may have run is its last.
+    once: bool,
     /// The final answer has been given; its notice is owed.
     answered: bool,
 }
@@ -96,6 +98,8 @@
     begun: bool,
     /// Its connection was opened for it.
     fresh: bool,
+    /// How long its kept connection had stood idle.
+    idle_for: Duration,
     call_off: Option<oneshot::Sender<()>>,
 }
 
@@ -149,6 +153,8 @@
 
 /// After SIGTERM clients go on coming for a while; an idle process stays at least so long.
 const LEAST_STAY: Nanos = 1_000_000_000;
+/// A connection that is reset so soon after a request was lost before it, more likely than under it.
+const AT_ONCE: Nanos = 10_000_000;
 const SWEEP: Nanos = 1_000_000_000;
 
 impl Driver {
@@ -190,6 +196,7 @@
         let Found { id, taken, history } = found;
         let Taken { reference, class, dest, deadline, key, body } = taken;
         self.by_reference.insert(reference.clone(), id);
+        let once = self.once(class as usize);
         // A class that the settings don't know any more can't be judged: the message is given up.
         let unknown = (class as usize >= self.settings.classes.len()).then_some(Answer::Failed);
         let answer = history.answer.or(unknown);
@@ -214,7 +221,7 @@
                 },
             );
         }
-        self.held.insert(id, Held { reference, key, body, attempts: history.attempts, answered });
+        self.held.insert(id, Held { reference, key, body, attempts: history.attempts, once, answered });
     }
 
     /// Runs until the process is to end.
@@ -329,12 +336,17 @@
             return;
         }
         let Taken { reference, key, .. } = taken;
+        let once = self.once(class);
         self.by_reference.insert(reference.clone(), id);
         self.open += 1;
-        self.held.insert(id, Held { reference, key, body, attempts: 0, answered: false });
+        self.held.insert(id, Held { reference, key, body, attempts: 0, once, answered: false });
         self.control.on_event(now, Event::Message { id, class, tenant: None, key: None, dest, time_left });
     }
 
+    fn once(&self, class: usize) -> bool {
+        self.settings.classes.get(class).is_some_and(|class| class.effect == Effect::Unsafe)
+    }
+
     /// Writes to the journal where failing costs no more than caution after a restart.
     fn note(&mut self, write: impl FnOnce(&mut Journal) -> Result<(), crate::journal::Error>) {
         if let Err(e) = write(&mut self.journal) {
@@ -397,7 +409,7 @@
 
     fn begin(&mut self, now: Nanos, id: u64, endpoint: EndpointId, timeout: Nanos) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        let (attempt, call) = (held.attempts, self.next_call);
+        let (attempt, sure, call) = (held.attempts, held.once, self.next_call);
         held.attempts += 1;
         self.next_call += 1;
         let known = self.known.get(&endpoint);
@@ -405,12 +417,15 @@
         let (address, zone) =
             known.map_or((SocketAddr::from(([0, 0, 0, 0], 0)), 0), |known| (known.address, known.entry.zone));
         let until = now.saturating_add(timeout);
-        let (begun, fresh) = (false, false);
+        let idle = self.calls.idle(endpoint, address, sure);
+        let (begun, fresh, sent) = (false, idle.is_none(), now);
+        let idle_for = idle.as_ref().map_or(Duration::ZERO, |(_, age)| *age);
+        let call_off = None;
         let out =
-            Call { id, attempt, endpoint, address, zone, sent: now, until, begun, fresh, call_off: None };
+            Call { id, attempt, endpoint, address, zone, sent, until, begun, fresh, idle_for, call_off };
         self.out.insert(call, out);
-        match self.calls.idle(endpoint, address) {
-            Some(link) => self.connected(now, call, Some(link)),
+        match idle {
+            Some((link, _)) => self.connected(now, call, Some(link)),
             None => self.connect(now, call),
         }
     }
@@ -418,10 +433,12 @@
     /// A kept connection was of no use any more: a new one is opened. A new one of no use is a failure, or
     /// an endpoint that closes each at once would be connected to without end.
     fn unsent(&mut self, now: Nanos, call: u64) {
-        match self.out.get(&call) {
-            Some(out) if out.fresh => self.settle(now, call, Outcome::ConnectFailed),
-            _ => self.connect(now, call),
+        let Some(out) = self.out.get(&call) else { return };
+        if out.fresh {
+            return self.settle(now, call, Outcome::ConnectFailed);
         }
+        self.calls.was_given_up(out.endpoint, out.idle_for);
+        self.connect(now, call);
     }
 
     fn connect(&mut self, now: Nanos, call: u64) {
@@ -433,7 +450,10 @@
 
     fn connected(&mut self, now: Nanos, call: u64, link: Option<Link>) {
         let Some(out) = self.out.get_mut(&call) else { return };
-        let Some(link) = link else { return self.settle(now, call, Outcome::ConnectFailed) };
+        let Some(link) = link else {
+            self.calls.forget(out.endpoint);
+            return self.settle(now, call, Outcome::ConnectFailed);
+        };
         let (id, endpoint, address, zone) = (out.id, out.endpoint, out.address, out.zone);
         // Connecting takes time: by now the endpoint may drain, a wait may have been told, or the time of
         // the message, or of its key, may have run out.
@@ -464,7 +484,11 @@
         if let Some(link) = link {
             self.keep(out.endpoint, out.address, link);
         }
-        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::ConnectFailed) {
+        if outcome == Outcome::Reset && !out.fresh && now.saturating_sub(out.sent) < AT_ONCE {
+            self.calls.was_given_up(out.endpoint, out.idle_for);
+        }
+        // A connection that was reset says nothing of the others: each is looked at before it is used.
+        if outcome == Outcome::TimedOut {
             self.calls.forget(out.endpoint);
         }
         let Call { id, attempt, endpoint, sent, begun, .. } = out;
--- a/dispatcher/src/link.rs
+++ b/dispatcher/src/link.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::written::{Quiet, Watched, Written};
+use crate::written::{Peek, Watched, Written};
 
 /// Why there is no answer.
 #[derive(Debug, thiserror::Error)]
@@ -62,10 +62,10 @@
     }
 
     async fn over(
-        stream: impl AsyncRead + AsyncWrite + Quiet + Send + Unpin + 'static,
+        stream: impl AsyncRead + AsyncWrite + Peek + Send + Unpin + 'static,
     ) -> Result<Self, Error> {
         let written = Written::default();
-        let stream = Watched { stream, written: written.clone() };
+        let stream = Watched::new(stream, written.clone());
         let mut http = http1::Builder::new();
         http.max_buf_size(LONGEST_HEAD);
         let (sender, connection) = http.handshake(TokioIo::new(stream)).await.map_err(Error::Broken)?;
@@ -188,11 +188,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::written::Waiting;
     use tokio::io::{AsyncReadExt, DuplexStream};
 
-    impl Quiet for DuplexStream {
-        fn quiet(&self) -> bool {
-            true
+    impl Peek for DuplexStream {
+        fn waiting(&self) -> Waiting {
+            Waiting::Nothing
         }
     }
 
@@ -223,6 +224,7 @@
     fn a_request_that_was_not_written_to_its_end_never_ran() {
         assert!(matches!(wait(cut_after(500)), Error::Cut));
         let whole = "POST /hook HTTP/1.1\r\nhost: a\r\ncontent-length: 1000\r\n\r\n".len() + 1_000;
+        assert!(matches!(wait(cut_after(whole - 1)), Error::Cut));
         assert!(matches!(wait(cut_after(whole)), Error::Broken(_)));
     }
 
--- a/dispatcher/src/peers.rs
+++ b/dispatcher/src/peers.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 use crate::driver::Input;
 
@@ -29,7 +31,11 @@
         tokio::spawn(async move {
             let mut buffer = [0; LONGEST + 1];
             loop {
-                let Ok((length, sender)) = receiver.recv_from(&mut buffer).await else { continue };
+                let Ok((length, sender)) = receiver.recv_from(&mut buffer).await else {
+                    // Guards the core: an error that stays would be met again at once.
+                    sleep(Duration::from_millis(10)).await;
+                    continue;
+                };
                 let Some(from) = peers.iter().position(|p| *p == sender) else { continue };
                 if length <= LONGEST {
                     let note = Input::Note { from, bytes: buffer[..length].to_vec() };
--- a/dispatcher/src/written.rs
+++ b/dispatcher/src/written.rs
@@ -1,42 +1,67 @@
 //! Watches what passes on a connection: whether the last byte of a request went out, whether anything came that
 //! nobody asked for, and what the first line of an answer says, also of one that can't be read any further.
+//!
+//! A call begins with its last byte. That byte is held back for a moment: an endpoint that has given the
+//! connection up resets it at the bytes before, and the call is then known not to have run.
 
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::{Sleep, sleep};
 
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 /// The longest first line that is looked at.
 const LONGEST_LINE: usize = 256;
 
-/// A stream that can tell whether it has something to be read.
-pub trait Quiet {
-    /// Nothing has come, nor has the other side closed.
-    fn quiet(&self) -> bool;
+/// How long the last byte is held back: time for a reset to come.
+const HOLD: Duration = Duration::from_millis(2);
+
+/// What waits to be read from a stream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Waiting {
+    Nothing,
+    Something,
+    /// The other side has ended or reset the connection.
+    End,
+}
+
+/// A stream that can tell what waits to be read from it.
+pub trait Peek {
+    fn waiting(&self) -> Waiting;
 }
 
-impl Quiet for TcpStream {
+impl Peek for TcpStream {
     /// Asks the socket itself: what the runtime knows of it may be older.
-    fn quiet(&self) -> bool {
-        let peeked = SockRef::from(self).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    fn waiting(&self) -> Waiting {
+        match SockRef::from(self).peek(&mut [MaybeUninit::uninit()]) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Waiting::Nothing,
+            Ok(1..) => Waiting::Something,
+            _ => Waiting::End,
+        }
     }
 }
 
 /// How far the writing of one request has come.
-#[derive(Debug, Default)]
-struct Progress {
+#[derive(Clone, Copy, Debug, Default)]
+struct Request {
     /// Bytes of the end of the head that were seen in a row.
     matched: usize,
     head_done: bool,
     body_left: usize,
+}
+
+/// How far one exchange has come.
+#[derive(Debug, Default)]
+struct Progress {
+    request: Request,
     /// Something of it has been written.
     begun: bool,
     /// Something had come before: the connection can't carry the request.
@@ -96,9 +121,8 @@
     std::str::from_utf8(number).ok().filter(|n| n.len() == 3)?.parse().ok()
 }
 
-impl Progress {
+impl Request {
     fn wrote(&mut self, mut bytes: &[u8]) {
-        self.begun |= !bytes.is_empty();
         while let Some((byte, rest)) = bytes.split_first().filter(|_| !self.head_done) {
             self.matched = match *byte {
                 b if b == END_OF_HEAD[self.matched] => self.matched + 1,
@@ -110,6 +134,14 @@
         }
         self.body_left = self.body_left.saturating_sub(bytes.len());
     }
+    fn done(&self) -> bool {
+        self.head_done && self.body_left == 0
+    }
+    /// These bytes are its last.
+    fn ends_with(mut self, bytes: &[u8]) -> bool {
+        self.wrote(bytes);
+        self.done()
+    }
 }
 
 #[derive(Default)]
@@ -128,12 +160,12 @@
     }
     /// A request with a body of this length comes next.
     pub fn expect(&self, body: usize) {
-        *self.progress() = Progress { body_left: body, ..Progress::default() };
+        let request = Request { body_left: body, ..Request::default() };
+        *self.progress() = Progress { request, ..Progress::default() };
     }
     /// The last byte of the request has been written.
     pub fn all(&self) -> bool {
-        let progress = self.progress();
-        progress.head_done && progress.body_left == 0
+        self.progress().request.done()
     }
     /// Nothing of the request was written, since something had come before it.
     pub fn stale(&self) -> bool {
@@ -157,8 +189,16 @@
 
 /// A stream on which is watched what passes.
 pub struct Watched<S> {
-    pub stream: S,
-    pub written: Written,
+    stream: S,
+    written: Written,
+    /// Runs while a last byte is held back.
+    hold: Option<Pin<Box<Sleep>>>,
+}
+
+impl<S> Watched<S> {
+    pub fn new(stream: S, written: Written) -> Self {
+        Watched { stream, written, hold: None }
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
@@ -174,16 +214,37 @@
 }
 
 /// Vectored writes are left out: hyper then hands over one buffer.
-impl<S: AsyncWrite + Quiet + Unpin> AsyncWrite for Watched<S> {
+impl<S: AsyncWrite + Peek + Unpin> AsyncWrite for Watched<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let (begun, request) = {
+            let progress = self.written.progress();
+            (progress.begun, progress.request)
+        };
         // Guards the request: what has come before it would be taken for its answer.
-        if !self.written.progress().begun && !self.stream.quiet() {
+        if !begun && self.stream.waiting() != Waiting::Nothing {
             self.written.progress().stale = true;
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let mut bytes = buf;
+        if !request.done() && request.ends_with(buf) {
+            match buf {
+                [_] => {
+                    let hold = self.hold.get_or_insert_with(|| Box::pin(sleep(HOLD)));
+                    ready!(hold.as_mut().poll(cx));
+                    self.hold = None;
+                    if self.stream.waiting() == Waiting::End {
+                        return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+                    }
+                }
+                [most @ .., _] => bytes = most,
+                [] => {}
+            }
+        }
+        let wrote = Pin::new(&mut self.stream).poll_write(cx, bytes);
         if let Poll::Ready(Ok(n)) = wrote {
-            self.written.progress().wrote(&buf[..n.min(buf.len())]);
+            let mut progress = self.written.progress();
+            progress.begun |= n > 0;
+            progress.request.wrote(&bytes[..n.min(bytes.len())]);
         }
         wrote
     }
@@ -205,9 +266,9 @@
         for cut in 0..request.len() {
             let written = Written::default();
             written.expect(8);
-            written.progress().wrote(&request[..cut]);
+            written.progress().request.wrote(&request[..cut]);
             assert!(!written.all(), "cut at {cut}");
-            written.progress().wrote(&request[cut..]);
+            written.progress().request.wrote(&request[cut..]);
             assert!(written.all(), "cut at {cut}");
         }
     }
--- a/dispatcher/tests/serving.rs
+++ b/dispatcher/tests/serving.rs
@@ -279,6 +279,33 @@
     assert!(discovery.notices.lock().expect("lock").is_empty());
 }
 
+#[test]
+fn a_kept_connection_that_is_reset_at_the_next_request_costs_no_message() {
+    let (discovery, partner) = (Discovery::start(), endpoint("200 OK"));
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut reader = std::io::BufReader::new(stream);
+                read(&mut reader).expect("a request");
+                let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                // With the first byte of the next one it is closed, and reset for what is left unread.
+                let _ = std::io::Read::read(reader.get_mut(), &mut [0]);
+            });
+        }
+    });
+    let line =
+        entry("a", &partner, 7, "in_service").replace(&partner.address.to_string(), &address.to_string());
+    let node = Node::start(&discovery, &[line], Options::default());
+    for n in 0..5 {
+        let answer = node.ask(request("unsafe", &format!("r{n}"), 7, 50.0, &[7; 20_000]));
+        assert_eq!(answer.map(|a| a.status()), Some(202));
+        node.settled(ENDED);
+    }
+    assert!(discovery.notices.lock().expect("lock").is_empty(), "it never ran, and could go again");
+}
+
 #[test]
 fn a_client_that_stalls_holds_nobody_up() {
     let (discovery, partner) = (Discovery::start(), endpoint("200 OK"));
--- a/src/control.rs
+++ b/src/control.rs
@@ -99,6 +99,8 @@
     taken_from: Nanos,
     turn: u64,
     kind: usize,
+    /// When an endpoint of it was last in the list.
+    listed_at: Nanos,
 }
 
 struct Endpoint {
@@ -542,7 +544,7 @@
             let lane = (entry.dest, apart.then_some(entry.endpoint));
             let fresh = || Lane { taken_from: now, ..Lane::default() };
             let l = self.lanes.entry(lane).or_insert_with(fresh);
-            (l.weight, l.kind) = (entry.weight.max(0.0), entry.kind);
+            (l.weight, l.kind, l.listed_at) = (entry.weight.max(0.0), entry.kind, now);
             let e = self.endpoints.entry(entry.endpoint).or_insert(Endpoint {
                 lane,
                 zone: entry.zone,
@@ -559,6 +561,22 @@
         // What is gone and idle is forgotten; a call that is still out keeps it until its outcome.
         self.endpoints.retain(|_, e| e.ready || e.calls > 0);
         self.by_dest.retain(|(_, id)| self.endpoints.contains_key(id));
+        // So is a destination (or route) without any endpoint, once nothing that is known of it can matter:
+        // no message for it is left, its wait is over and it would be warm by now. Else each route of
+        // a fleet whose endpoints are replaced all day would stay.
+        let longest = self.set.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let span = longest.saturating_add(self.set.rules.cold);
+        let (by_dest, endpoints) = (&self.by_dest, &self.endpoints);
+        self.lanes.retain(|(dest, route), l| {
+            let listed = match route {
+                Some(id) => endpoints.contains_key(id),
+                None => by_dest.range((*dest, 0)..=(*dest, EndpointId::MAX)).next().is_some(),
+            };
+            if listed {
+                l.listed_at = now;
+            }
+            listed || l.listed_at.max(l.wait_until).saturating_add(span) > now
+        });
     }
 
     /// Marks a message as answered; it stays known until its attempt has an outcome.
@@ -754,8 +772,11 @@
     /// of a slot (by powers of two of the averaged time over the bundle), in turns among these. With slots
     /// short, turns alone let slow or failing destinations take most of the time. It may starve a slow one.
     fn fill_slots(&mut self, now: Nanos, actions: &mut Vec<Action>) {
+        if self.calls.len() >= self.set.slots {
+            return;
+        }
         let mut waiting: BTreeMap<DestId, Vec<MsgId>> = BTreeMap::new();
-        let mut riders = waiting.clone();
+        let (mut riders, mut sorted) = (waiting.clone(), BTreeSet::new());
         for (id, m) in &self.msgs {
             if self.may_go(now, *id, m) {
                 let due = m.due <= now;
@@ -765,11 +786,6 @@
                 }
             }
         }
-        for ids in waiting.values_mut() {
-            ids.reverse();
-            self.sort(now, ids);
-            ids.reverse();
-        }
         while self.calls.len() < self.set.slots {
             let turn = |(dest, ids): &(&DestId, &Vec<MsgId>)| {
                 let lanes = self.lanes.range((**dest, None)..=(**dest, Some(EndpointId::MAX)));
@@ -784,17 +800,23 @@
                 })
             };
             let Some(dest) = waiting.iter().min_by_key(turn).map(|(dest, _)| *dest) else { return };
-            let Some(id) = waiting.get_mut(&dest).and_then(Vec::pop) else {
+            // Most that wait do so for a destination that is closed: they are not sorted for nothing.
+            let Some(open) = self.pick_endpoint(now, dest, None) else {
                 waiting.remove(&dest);
                 continue;
             };
-            let zone = self.zone_of(id);
-            let Some(endpoint) = self.pick_endpoint(now, dest, zone) else {
-                if zone.is_none() {
-                    waiting.remove(&dest);
-                }
+            if let Some(ids) = waiting.get_mut(&dest).filter(|_| sorted.insert(dest)) {
+                ids.reverse();
+                self.sort(now, ids);
+                ids.reverse();
+            }
+            let Some(id) = waiting.get_mut(&dest).and_then(Vec::pop) else {
+                waiting.remove(&dest);
                 continue;
             };
+            let zone = self.zone_of(id);
+            let endpoint = if zone.is_none() { Some(open) } else { self.pick_endpoint(now, dest, zone) };
+            let Some(endpoint) = endpoint else { continue };
             if self.skip_retry(now, id, endpoint) {
                 if self.last_chance(&self.msgs[&id]) <= self.msgs[&id].due {
                     self.answer(now, id, actions);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -487,3 +487,24 @@
     // A pace taken from the one success so far would let one go, and never grow back.
     assert_eq!(sent(&b.decide()).len(), 20);
 }
+
+#[test]
+fn destinations_and_routes_without_endpoints_are_forgotten_in_time() {
+    // Destination 9 has routes apart, destination 7 not.
+    let mut b = Bench::new(settings(), vec![entry(1, 7, 0), entry(2, 9, 2)]);
+    b.take(1, 0, 9);
+    b.decide();
+    b.over(1, 0, 2, Outcome::Full(Some(60 * S)), 0);
+    let replaced = |b: &mut Bench, n: u64| {
+        b.tell(Event::Listed { whole: true, entries: vec![entry(n, 8, 0)] });
+        [7, 9].map(|dest| b.control.has_heard_of(dest))
+    };
+    assert_eq!(replaced(&mut b, 10), [true, true], "it may be back at once");
+    b.now = 31 * S;
+    assert_eq!(replaced(&mut b, 11), [true, true], "messages for it may be held");
+    b.now = 33 * S;
+    assert_eq!(replaced(&mut b, 12), [false, true], "a wait is heeded to its end");
+    b.now = 93 * S;
+    assert_eq!(replaced(&mut b, 13), [false, false]);
+    assert!(b.control.has_heard_of(8));
+}
