--- a/src/control.rs
+++ b/src/control.rs
@@ -286,7 +286,7 @@
         self.eased_at = now;
         let start = self.pace.min(self.sending.max(SECOND / t1.max(1) as f64));
         let part = self.limit / set.dispatchers.max(1) as f64;
-        self.pace = (start * 0.7).max(part / 2.0).max(SECOND / set.rules.fall.max(1) as f64 / 2.0);
+        self.pace = (start * 0.8).max(part / 2.0).max(SECOND / set.rules.fall.max(1) as f64 / 2.0);
         self.paced.tokens = self.paced.tokens.min(0.0);
     }
     /// The destination is back, or said when it will be, and is cold from then on. All that know of one
@@ -479,7 +479,7 @@
                 // Above the reported limit only while the pace binds: a report may be late, wrong or
                 // missing.
                 if lane.pace < lane.limit || lane.paced.tokens < 1.0 {
-                    lane.pace *= 1.0 + (0.05 * lane.share_left).clamp(0.02, 0.05);
+                    lane.pace *= 1.0 + (0.15 * lane.share_left).clamp(0.02, 0.15);
                 }
             }
             Outcome::NotSent | Outcome::Exhausted => {}
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -508,3 +508,47 @@
     assert_eq!(replaced(&mut b, 13), [false, false]);
     assert!(b.control.has_heard_of(8));
 }
+
+/// Messages of a backlog that go within two seconds after refusals have eased the pace.
+fn gone_with(share_left: f64) -> usize {
+    let mut b = Bench::new(Settings { slots: 50, hold: 1_000, ..settings() }, vec![entry(1, 7, 0)]);
+    // Refusals between successes: an excess over the limit, and no outage.
+    for id in 0..8 {
+        b.take(id, 2, 7);
+        b.decide();
+        b.now += 300 * MS;
+        if id % 2 == 0 {
+            let (endpoint, outcome, took, closed) = (1, Outcome::Served, 50 * MS, true);
+            let report = Some(Report { share_left: 0.0, limit: 20.0 });
+            b.tell(Event::Outcome { id, attempt: 0, endpoint, outcome, took, closed, report });
+        } else {
+            b.refused(id, 0, 0.0, 20.0);
+        }
+        b.decide();
+    }
+    for id in 100..500 {
+        b.take(id, 0, 7);
+    }
+    let (end, mut out, mut gone) = (b.now + 2 * S, Vec::<(Nanos, MsgId)>::new(), 0);
+    let report = Some(Report { share_left, limit: 20.0 });
+    while b.now < end {
+        b.now += 5 * MS;
+        let now = b.now;
+        for (_, id) in out.extract_if(.., |(at, _)| *at + 50 * MS <= now) {
+            let (endpoint, outcome, took, closed) = (1, Outcome::Served, 50 * MS, true);
+            b.tell(Event::Outcome { id, attempt: 0, endpoint, outcome, took, closed, report });
+        }
+        b.tell(Event::Wake);
+        let fresh = sent(&b.decide()).into_iter().filter(|id| *id >= 100);
+        let before = out.len();
+        out.extend(fresh.map(|id| (now, id)));
+        gone += out.len() - before;
+    }
+    gone
+}
+
+#[test]
+fn the_pace_comes_back_by_the_allowance_that_is_left() {
+    let (much, none) = (gone_with(1.0), gone_with(0.0));
+    assert!(much > 3 * none, "{much} with all of it left, {none} with none");
+}
