--- a/dispatcher/src/room.rs
+++ b/dispatcher/src/room.rs
@@ -10,8 +10,10 @@
 /// A client that means to ask does so right after it has connected. Guards its first request, which fails if
 /// the connection closes under it.
 const GREETING: Duration = Duration::from_millis(200);
-/// A body that is on its way comes within this time, and an answer has been written.
+/// A body that is on its way comes within this time.
 const SLOW: Duration = Duration::from_millis(500);
+/// An answer has been written by then. No longer, or a crowd of clients that ask once and stay keeps others out.
+const WRITTEN: Duration = Duration::from_millis(10);
 /// How often it is looked again whether one may leave.
 const AGAIN: Duration = Duration::from_millis(20);
 
@@ -110,9 +112,8 @@
         match place.state {
             State::Silent if passed > GREETING => Some(0),
             State::Reading if passed > SLOW => Some(1),
-            State::Idle if passed > SLOW => Some(2),
-            State::Silent => Some(3),
-            State::Idle | State::Reading | State::Answering => None,
+            State::Idle if passed > WRITTEN => Some(2),
+            State::Silent | State::Idle | State::Reading | State::Answering => None,
         }
     };
     let ranked = taken.iter().filter_map(|(number, place)| Some((rank(place)?, place.since, *number)));
@@ -145,3 +146,34 @@
         self.room.freed.notify_waiters();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn place(state: State, age_ms: u64) -> Place {
+        let since = Instant::now().checked_sub(Duration::from_millis(age_ms)).expect("a past");
+        Place { state, since, leave: None }
+    }
+
+    #[test]
+    fn who_leaves_first() {
+        let all = [
+            (1, place(State::Answering, 9_000)),
+            (2, place(State::Idle, 100)),
+            (3, place(State::Idle, 200)),
+            (4, place(State::Reading, 100)),
+            (5, place(State::Reading, 1_000)),
+            (6, place(State::Silent, 1_000)),
+            (7, place(State::Silent, 0)),
+        ];
+        let mut taken = HashMap::from(all);
+        let mut order = Vec::new();
+        while let Some(number) = least(&taken) {
+            order.push(number);
+            taken.remove(&number);
+        }
+        // Nobody who is owed an answer, or whose request is just coming in, though all else is full.
+        assert_eq!(order, [6, 5, 3, 2]);
+    }
+}
