A rig that plays the whole service on loopback, with reports, capacity, scale and restart

Nobody could start the service without a platform, and nobody knew what one core carries. millpost-rig plays a plan with real dispatchers among the stand-ins, shows progress and writes a report with plots; capacity finds the highest rate beside a bare forwarder, scale fits how cost grows, restart plays a rolling restart.

--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! What the tests share: the real binary among the stand-ins, and what its store tells.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 use std::ops::{Deref, DerefMut};
 use std::path::Path;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,1 +1,271 @@
-fn main() {}
+//! The whole service on loopback: real dispatchers among stand-ins, at load and through failure.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use millpost_standins::audit::Verdict;
+use millpost_standins::plan::Plan;
+
+mod capacity;
+mod forward;
+mod play;
+mod proc;
+mod report;
+mod restart;
+mod scale;
+
+/// What is played where no plan is named.
+const SAMPLE: &str = include_str!("../plans/sample.toml");
+
+/// Plays the whole millpost service on loopback: real dispatchers, and stand-ins for partners, discovery, clients and
+/// the links between them. An auditor hears both sides and holds what it hears against the six rules.
+///
+/// Without a command it writes a documented sample plan, plays it for about 20 seconds and reports on the terminal
+/// and in a self-contained HTML file with plots over time.
+///
+/// Exit codes: 0, all rules kept; 1, a rule was broken; 2, something could not be read or started.
+#[derive(Parser)]
+#[command(name = "millpost-rig", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Verb>,
+    /// Where reports, the sample plan and the dispatchers' logs go.
+    #[arg(long, global = true, default_value = "target/rig")]
+    out: PathBuf,
+    /// Print the results as JSON instead of text.
+    #[arg(long, global = true)]
+    json: bool,
+    /// No live progress.
+    #[arg(long, global = true)]
+    quiet: bool,
+    /// Draw everything from this seed, not from the plan's.
+    #[arg(long, global = true)]
+    seed: Option<u64>,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Play a plan (the sample where none is named).
+    Run {
+        /// A plan, in TOML; `millpost-rig sample` prints one with every setting explained.
+        plan: Option<PathBuf>,
+    },
+    /// Print the sample plan.
+    Sample,
+    /// Read a plan and say what is wrong with it.
+    Check {
+        /// The plan.
+        plan: PathBuf,
+    },
+    /// Find the highest rate that one core carries, and the same for a bare forwarder.
+    Capacity {
+        /// Seconds that each rate is tried for.
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+        /// Destinations.
+        #[arg(long, default_value_t = 4)]
+        destinations: usize,
+        /// Bytes of a body.
+        #[arg(long, default_value_t = 300)]
+        body: usize,
+        /// The first rate tried, messages a second.
+        #[arg(long, default_value_t = 2_000.0)]
+        from: f64,
+        /// What the dispatcher's writes outlast: `process` or `machine`.
+        #[arg(long, default_value = "process", value_parser = ["process", "machine"])]
+        durability: String,
+    },
+    /// Measure how cost grows with destinations and with messages held.
+    Scale {
+        /// Most destinations in the module.
+        #[arg(long, default_value_t = 10_000)]
+        destinations: usize,
+        /// Most messages held in the module.
+        #[arg(long, default_value_t = 20_000)]
+        held: usize,
+        /// Messages a second through the dispatcher.
+        #[arg(long, default_value_t = 2_000.0)]
+        rate: f64,
+        /// Seconds for each number of destinations through the dispatcher; 0 leaves that part out.
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
+    },
+    /// Play a rolling restart of two dispatchers at high load, beside the same day without it.
+    Restart {
+        /// Messages a second, both dispatchers together.
+        #[arg(long, default_value_t = 240.0)]
+        rate: f64,
+        /// Median time of a partner to answer, milliseconds.
+        #[arg(long, default_value_t = 120.0)]
+        latency: f64,
+    },
+    /// The bare forwarder, to these addresses.
+    #[command(hide = true)]
+    Forward {
+        /// One address for each destination.
+        addresses: Vec<std::net::SocketAddr>,
+    },
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse()) {
+        Ok(broken) => ExitCode::from(u8::from(broken)),
+        Err(why) => {
+            eprintln!("millpost-rig: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Whether a rule was broken.
+fn run(a: Arguments) -> Result<bool, String> {
+    let seed = a.seed;
+    match a.command.unwrap_or(Verb::Run { plan: None }) {
+        Verb::Sample => {
+            print!("{SAMPLE}");
+            Ok(false)
+        }
+        Verb::Check { plan } => {
+            let plan = Plan::read(&plan).map_err(|e| e.to_string())?;
+            println!("{}: {} faults over {} s; it can be played", plan.name, plan.faults.len(), plan.seconds);
+            Ok(false)
+        }
+        Verb::Forward { addresses } => forward::serve(addresses).map(|()| false).map_err(|e| e.to_string()),
+        Verb::Run { plan } => {
+            std::fs::create_dir_all(&a.out).map_err(|e| format!("{}: {e}", a.out.display()))?;
+            let file = match plan {
+                Some(file) => file,
+                None => {
+                    let file = a.out.join("sample.toml");
+                    write(&file, SAMPLE)?;
+                    file
+                }
+            };
+            let mut plan = Plan::read(&file).map_err(|e| e.to_string())?;
+            plan.seed = seed.unwrap_or(plan.seed);
+            let program = proc::dispatcher()?;
+            let deal = proc::deal(&proc::cores(), plan.dispatchers.count);
+            let bar = bar(plan.seconds, a.quiet || a.json);
+            let progress = |s: &play::Sample, v: &Verdict| show(&bar, s, v);
+            let watch = play::Watch { progress: &progress, logs: Some(&a.out) };
+            let outcome = threads(&deal)?
+                .block_on(play::play(&plan, &program, &deal, &watch))
+                .map_err(|e| e.to_string())?;
+            bar.finish_and_clear();
+            let page = a.out.join("report.html");
+            write(&page, &report::html(&outcome))?;
+            if a.json {
+                println!("{}", json(&outcome)?);
+            } else {
+                print!("{}", report::text(&outcome));
+                println!(
+                    "\nplan {}, plots {}, logs {}",
+                    file.display(),
+                    page.display(),
+                    a.out.join("dispatcher-*.log").display()
+                );
+            }
+            Ok(outcome.verdict.rules_broken() > 0)
+        }
+        Verb::Capacity { seconds, destinations, body, from, durability } => {
+            let program = proc::dispatcher()?;
+            let deal = proc::deal(&proc::cores(), 1);
+            let seed = seed.unwrap_or(1);
+            let options = capacity::Options { seconds, destinations, from, body, seed, durability };
+            let done = threads(&deal)?
+                .block_on(capacity::measure(&options, &program, &deal))
+                .map_err(|e| e.to_string())?;
+            if a.json {
+                println!("{}", json(&done)?);
+            }
+            for (name, bound) in ["dispatcher", "forwarder"].iter().zip(done.rig_bound) {
+                if bound {
+                    println!("{name}: the rig's own cores were the limit; more may be carried");
+                }
+            }
+            println!(
+                "capacity {:.0}/s forwarder {:.0}/s ratio {:.2}",
+                done.dispatcher, done.forwarder, done.ratio
+            );
+            Ok(false)
+        }
+        Verb::Scale { destinations, held, rate, seconds } => {
+            let program = proc::dispatcher()?;
+            let deal = proc::deal(&proc::cores(), 1);
+            let seed = seed.unwrap_or(1);
+            let measured = scale::measure(destinations, held, rate, seconds, seed, &program, &deal);
+            let done = threads(&deal)?.block_on(measured)?;
+            if a.json {
+                println!("{}", json(&done)?);
+            }
+            println!(
+                "exponents: a message in the module by destinations {:.2}, by messages held {:.2}; a round with nothing due by destinations {:.2}; a message through the dispatcher by destinations {:.2}",
+                done.by_destinations, done.by_held, done.idle_by_destinations, done.through_by_destinations
+            );
+            Ok(done.through.iter().any(|t| t.broken > 0))
+        }
+        Verb::Restart { rate, latency } => {
+            std::fs::create_dir_all(&a.out).map_err(|e| format!("{}: {e}", a.out.display()))?;
+            let program = proc::dispatcher()?;
+            let deal = proc::deal(&proc::cores(), 2);
+            let bar = bar(24.0, a.quiet || a.json);
+            let progress = |s: &play::Sample, v: &Verdict| show(&bar, s, v);
+            let watch = play::Watch { progress: &progress, logs: Some(&a.out) };
+            let measured = restart::measure(rate, latency, seed.unwrap_or(1), &program, &deal, &watch);
+            let done = threads(&deal)?.block_on(measured)?;
+            bar.finish_and_clear();
+            write(&a.out.join("restart.html"), &report::html(&done.rolling))?;
+            if a.json {
+                println!("{}", json(&done)?);
+            } else {
+                println!(
+                    "without a restart\n{}\nwith it\n{}",
+                    report::text(&done.calm),
+                    report::text(&done.rolling)
+                );
+            }
+            println!(
+                "restart: {} messages beyond those without it were not delivered within the aim; one dispatcher's hold and slots force {:.0}",
+                done.lost_to_it, done.forced
+            );
+            Ok(done.calm.verdict.rules_broken() + done.rolling.verdict.rules_broken() > 0)
+        }
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> Result<String, String> {
+    serde_json::to_string_pretty(value).map_err(|e| e.to_string())
+}
+
+fn write(file: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+/// A runtime on the rig's own cores.
+fn threads(deal: &proc::Deal) -> Result<tokio::runtime::Runtime, String> {
+    proc::hold(0, &deal.rig);
+    let mut runtime = tokio::runtime::Builder::new_multi_thread();
+    // Two at least: starting a dispatcher blocks one for a moment.
+    runtime.worker_threads(deal.rig.len().max(2)).enable_all();
+    runtime.build().map_err(|e| e.to_string())
+}
+
+fn bar(seconds: f64, hidden: bool) -> ProgressBar {
+    if hidden {
+        return ProgressBar::hidden();
+    }
+    let bar = ProgressBar::new((seconds * 10.0) as u64);
+    let style = ProgressStyle::with_template("{bar:24} {msg}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    bar
+}
+
+fn show(bar: &ProgressBar, s: &play::Sample, v: &Verdict) {
+    bar.set_position((s.at * 10.0) as u64);
+    bar.set_message(format!(
+        "{:5.1} s  {:6.0}/s in  {:6.0}/s delivered  held {:5}  out {:4}  refused {:5}  202 p50 {:.1} p99 {:.1} ms  rules broken {}",
+        s.at, s.taken, s.delivered, s.held, s.out, v.refused + v.bounced, s.taken_p50, s.taken_p99, s.broken
+    ));
+}
--- a/standins/src/audit.rs
+++ b/standins/src/audit.rs
@@ -323,6 +323,7 @@
     lines: HashMap<(usize, u64, usize), Vec<Arc<str>>>,
     verdict: Verdict,
     latencies: Vec<Duration>,
+    out: u64,
 }
 
 /// Latencies that are kept until they are asked for.
@@ -344,6 +345,7 @@
             lines: HashMap::new(),
             verdict: Verdict::default(),
             latencies: Vec::new(),
+            out: 0,
         }
     }
 
@@ -357,6 +359,11 @@
         self.dests.get(&dest).is_some_and(|dest| dest.fallen)
     }
 
+    /// Calls that are out now.
+    pub fn calls_out(&self) -> u64 {
+        self.out
+    }
+
     /// Times from the first handing in to the delivery, of what was delivered since this was last asked.
     pub fn take_latencies(&mut self) -> Vec<Duration> {
         std::mem::take(&mut self.latencies)
@@ -393,6 +400,7 @@
                 }
             }
             Heard::CallOver { call, reference, how } => {
+                self.out = self.out.saturating_sub(1);
                 let record = self.record(&reference);
                 record.out.retain(|(other, _)| *other != call);
                 if how == Over::Answered(200) && record.delivered.is_none() {
@@ -567,6 +575,7 @@
         first_byte: Duration,
     ) {
         self.verdict.calls += 1;
+        self.out += 1;
         // Others that were out before it: closing may be heard a moment later than what followed it.
         let record = self.record(reference);
         let known = record.known;
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -13,7 +13,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::runtime::Handle;
+use tokio::time::{sleep, timeout};
 
 use crate::audit::{Heard, Recorder, Told};
 use crate::plan::Plan;
@@ -53,6 +54,8 @@
 struct Door {
     address: SocketAddr,
     up: AtomicBool,
+    /// Its restart was told to the front, which asks after its health only once it is ready again.
+    planned: AtomicBool,
     idle: Mutex<Vec<Connection>>,
 }
 
@@ -110,6 +113,7 @@
         let door = |address: &SocketAddr| Door {
             address: *address,
             up: AtomicBool::new(true),
+            planned: AtomicBool::new(false),
             idle: Mutex::default(),
         };
         let ranks = (0..plan.partners.destinations).map(|n| (n as f64 + 1.0).powf(-plan.load.skew));
@@ -126,44 +130,64 @@
         })
     }
 
-    /// Hands messages in at the plan's rate times `share`, for so long; ends once each has been answered or given up.
+    /// Hands messages in at `rate` a second for so long; ends once each has been answered or given up.
     pub async fn run(self: Arc<Self>, rate: f64, lasts: Duration, seed: u64) {
         let front = tokio::spawn(self.clone().watch_doors());
         let silent = tokio::spawn(self.clone().silent_connections());
+        // A thread of its own: the runtime's timer counts whole milliseconds, which would be part of each latency.
+        let (this, handle) = (self.clone(), tokio::runtime::Handle::current());
+        let paced = tokio::task::spawn_blocking(move || this.pace(rate, lasts, seed, &handle));
+        let _ = paced.await;
+        while self.on_the_way.load(Ordering::Relaxed) > 0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        front.abort();
+        silent.abort();
+    }
+
+    fn pace(self: Arc<Self>, rate: f64, lasts: Duration, seed: u64, handle: &Handle) {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let (start, mut at) = (Instant::now(), 0.0);
-        let mut woken = Instant::now();
         loop {
             at += -(1.0 - rng.random::<f64>()).ln() / rate;
             if at >= lasts.as_secs_f64() {
-                break;
+                return;
             }
             let due = start + Duration::from_secs_f64(at);
-            // Many arrivals within the timer's millisecond are sent in one go.
-            if due > woken {
-                sleep_until(due.into()).await;
-                woken = Instant::now();
+            let early = due.saturating_duration_since(Instant::now());
+            // The system wakes a sleeper some 60 us late; arrivals that are closer are sent in one go.
+            if early > Duration::from_micros(60) {
+                std::thread::sleep(early - Duration::from_micros(60));
             }
-            let late = woken.saturating_duration_since(due).as_micros() as u64;
-            self.seen.lag_us.fetch_max(late, Ordering::Relaxed);
-            self.seen.offered.fetch_add(1, Ordering::Relaxed);
             let order = self.order(due, &mut rng);
+            self.seen.offered.fetch_add(1, Ordering::Relaxed);
             if self.on_the_way.load(Ordering::Relaxed) >= MOST {
                 self.seen.dropped.fetch_add(1, Ordering::Relaxed);
                 continue;
             }
             self.on_the_way.fetch_add(1, Ordering::Relaxed);
             let this = self.clone();
-            tokio::spawn(async move {
+            handle.spawn(async move {
+                let late = due.elapsed().as_micros() as u64;
+                this.seen.lag_us.fetch_max(late, Ordering::Relaxed);
                 this.send(order).await;
                 this.on_the_way.fetch_sub(1, Ordering::Relaxed);
             });
         }
-        while self.on_the_way.load(Ordering::Relaxed) > 0 {
-            sleep(Duration::from_millis(10)).await;
-        }
-        front.abort();
-        silent.abort();
+    }
+
+    /// A dispatcher is about to be restarted as planned: from now on the front deals it no connection, and those that
+    /// clients have are used for as long as they stay open.
+    pub fn planned(&self, node: usize) {
+        self.doors[node].planned.store(true, Ordering::Relaxed);
+        self.doors[node].up.store(false, Ordering::Relaxed);
+    }
+
+    /// It is ready again.
+    pub fn ready(&self, node: usize) {
+        lock(&self.doors[node].idle).clear();
+        self.doors[node].planned.store(false, Ordering::Relaxed);
+        self.doors[node].up.store(true, Ordering::Relaxed);
     }
 
     fn order(&self, due: Instant, rng: &mut Pcg64Mcg) -> Order {
@@ -305,7 +329,7 @@
             for (door, since) in self.doors.iter().zip(&mut since) {
                 let well = timeout(Duration::from_millis(500), healthy(door.address)).await.unwrap_or(false);
                 lock(&door.idle).retain(|c| c.since.elapsed() < Duration::from_millis(1_900));
-                if well == door.up.load(Ordering::Relaxed) {
+                if door.planned.load(Ordering::Relaxed) || well == door.up.load(Ordering::Relaxed) {
                     *since = None;
                 } else if since.get_or_insert_with(Instant::now).elapsed() >= late {
                     door.up.store(well, Ordering::Relaxed);
