Rig: clients share a bounded number of connections, as many descriptors as there may be

With a connection for each request on its way, a stall of some milliseconds grew into a storm of connections that ended the forwarder for want of descriptors at 12,800 messages a second: the rig measured itself.

--- a/rig/src/forward.rs
+++ b/rig/src/forward.rs
@@ -70,7 +70,11 @@
         println!("{}", listener.local_addr()?);
         let forwarder = Arc::new(Forwarder { addresses, ..Forwarder::default() });
         loop {
-            let (stream, _) = listener.accept().await?;
+            let Ok((stream, _)) = listener.accept().await else {
+                // Out of descriptors, perhaps: the next try may do better.
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+                continue;
+            };
             let forwarder = forwarder.clone();
             tokio::spawn(async move {
                 let _ = stream.set_nodelay(true);
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -122,6 +122,7 @@
 /// Whether a rule was broken.
 fn run(a: Arguments) -> Result<bool, String> {
     let seed = a.seed;
+    proc::raise_descriptors();
     match a.command.unwrap_or(Verb::Run { plan: None }) {
         Verb::Sample => {
             print!("{SAMPLE}");
--- a/rig/src/proc.rs
+++ b/rig/src/proc.rs
@@ -5,6 +5,7 @@
 use std::process::Command;
 
 use nix::sched::{CpuSet, sched_getaffinity, sched_setaffinity};
+use nix::sys::resource::{Resource, getrlimit, setrlimit};
 use nix::unistd::Pid;
 
 /// A reading of a process.
@@ -78,6 +79,13 @@
     named && sched_setaffinity(Pid::from_raw(pid as i32), &set).is_ok()
 }
 
+/// Lets this process, and those that it starts, open as many descriptors as the system allows.
+pub fn raise_descriptors() {
+    if let Ok((_, hard)) = getrlimit(Resource::RLIMIT_NOFILE) {
+        let _ = setrlimit(Resource::RLIMIT_NOFILE, hard, hard);
+    }
+}
+
 /// The dispatcher's program, built if need be: it lies beside this one.
 pub fn dispatcher() -> Result<PathBuf, String> {
     let me = std::env::current_exe().map_err(|e| e.to_string())?;
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 
 use crate::audit::{Heard, Recorder, Told};
@@ -22,8 +23,6 @@
 use crate::service::Effect;
 use crate::wire::{Message, Reader, hand_in};
 
-/// Connections to one dispatcher that stand idle, at most.
-const IDLE: usize = 512;
 /// Requests on their way at once, at most: beyond it arrivals are dropped here, and counted.
 const MOST: usize = 20_000;
 
@@ -57,6 +56,8 @@
     /// Its restart was told to the front, which asks after its health only once it is ready again.
     planned: AtomicBool,
     idle: Mutex<Vec<Connection>>,
+    /// Connections that clients may have open to it.
+    places: Semaphore,
 }
 
 struct Connection {
@@ -115,6 +116,7 @@
             up: AtomicBool::new(true),
             planned: AtomicBool::new(false),
             idle: Mutex::default(),
+            places: Semaphore::new(plan.load.connections),
         };
         let ranks = (0..plan.partners.destinations).map(|n| (n as f64 + 1.0).powf(-plan.load.skew));
         Arc::new(Clients {
@@ -277,6 +279,8 @@
         let door = &self.doors[node];
         let mut heard = Some(heard);
         let exchange = async {
+            // With all connections busy it waits for one, and its latency counts.
+            let _place = door.places.acquire().await.map_err(|_| No::Connection)?;
             for fresh in [false, true] {
                 let kept = if fresh { None } else { lock(&door.idle).pop() };
                 let mut connection = match (kept, fresh) {
@@ -294,7 +298,7 @@
                     Ok(Some(answer)) => {
                         connection.since = Instant::now();
                         let mut idle = lock(&door.idle);
-                        if !answer.closes() && idle.len() < IDLE {
+                        if !answer.closes() {
                             idle.push(connection);
                         }
                         return Ok(answer);
--- a/standins/src/plan.rs
+++ b/standins/src/plan.rs
@@ -87,6 +87,8 @@
     pub front_notices_ms: u64,
     /// Destinations' shares of the messages fall by rank to this power; 0 for equal shares.
     pub skew: f64,
+    /// Connections that all clients together have open to one dispatcher, at most.
+    pub connections: usize,
     /// Connections that clients open and leave without a byte, a second and dispatcher.
     pub silent_per_second: f64,
 }
@@ -100,6 +102,7 @@
             answer_within_ms: 400,
             front_notices_ms: 2_000,
             skew: 0.5,
+            connections: 128,
             silent_per_second: 0.0,
         }
     }
@@ -336,7 +339,7 @@
             let mut found = found.filter(|(_, l)| l.split('=').next().is_some_and(|k| k.trim() == key));
             found.next().map_or(from, |(at, _)| at)
         };
-        let checks: [(&str, &str, bool, &str); 13] = [
+        let checks: [(&str, &str, bool, &str); 14] = [
             ("", "seconds", plan.seconds > 0.0 && plan.seconds <= 3_600.0, "between 0 and 3,600"),
             ("dispatchers", "count", (1..=16).contains(&plan.dispatchers.count), "from 1 to 16"),
             (
@@ -357,6 +360,7 @@
                 plan.load.body[0] <= plan.load.body[1] && plan.load.body[1] <= 65_536,
                 "least and most, up to 65,536 bytes",
             ),
+            ("load", "connections", (1..=10_000).contains(&plan.load.connections), "from 1 to 10,000"),
             ("load", "skew", (0.0..=4.0).contains(&plan.load.skew), "from 0 to 4"),
             (
                 "load",
