Hold a call's last byte back only where it proves something

Every call waited 2 ms with its last byte, and paid a second write and a timer for it, also messages that may go again and connections that had carried a call a moment before. Now it is held back for messages that must not go twice, and on kept connections that stood idle for 50 ms.

--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -194,6 +194,10 @@
 const LEAST_STAY: Nanos = 1_000_000_000;
 /// A connection that is reset so soon after a request was lost before it, more likely than under it.
 const AT_ONCE: Nanos = 10_000_000;
+/// A kept connection that was used so lately has not been given up since.
+const JUST_USED: Duration = Duration::from_millis(50);
+/// Inputs that are taken before it is looked again whether something is due.
+const BATCH: usize = 32;
 const SWEEP: Nanos = 1_000_000_000;
 /// A final answer is kept for so long after the message's time is up: its client may ask once more.
 const KEEP_ANSWER: Nanos = 10_000_000_000;
@@ -381,6 +385,11 @@
                 input = inputs.recv() => {
                     let Some(input) = input else { return };
                     self.take(input);
+                    // What has come by now is taken in one go: what follows once a round is done once for all of it.
+                    for _ in 1..BATCH {
+                        let Ok(input) = inputs.try_recv() else { break };
+                        self.take(input);
+                    }
                     news = true;
                 }
                 () = sleep_until(self.clock.instant(next.min(now + pause))) => {}
@@ -751,6 +760,9 @@
         let sound = self.may_write(now, call);
         let Some(out) = self.out.get_mut(&call) else { return };
         let (endpoint, address) = (out.endpoint, out.address);
+        // A connection that was in use just now is not stale, and a message that may go again needs no proof that it
+        // never ran where a new one breaks.
+        let stale = !out.fresh && out.idle_for >= JUST_USED;
         let Some(held) = self.held.get(&out.id).filter(|_| sound) else {
             self.keep(endpoint, address, link);
             return self.settle(now, call, Outcome::NotSent);
@@ -760,7 +772,8 @@
         let Some(request) = request else { return self.settle(now, call, Outcome::NotSent) };
         let (call_off, called_off) = oneshot::channel();
         out.call_off = Some(call_off);
-        self.calls.send(call, link, request, self.clock.instant(out.until), called_off);
+        let proof = held.once || stale;
+        self.calls.send(call, link, request, self.clock.instant(out.until), proof, called_off);
     }
 
     fn ended(&mut self, now: Nanos, call: u64, ended: Ended) {
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -40,6 +40,9 @@
     /// No live progress.
     #[arg(long, global = true)]
     quiet: bool,
+    /// The dispatcher's program, in place of the one beside this: to compare two builds.
+    #[arg(long, global = true)]
+    dispatcher: Option<PathBuf>,
     /// Draw everything from this seed, not from the plan's.
     #[arg(long, global = true)]
     seed: Option<u64>,
@@ -146,7 +149,7 @@
             };
             let mut plan = Plan::read(&file).map_err(|e| e.to_string())?;
             plan.seed = seed.unwrap_or(plan.seed);
-            let program = proc::dispatcher()?;
+            let program = program(a.dispatcher)?;
             let deal = proc::deal(&proc::cores(), plan.dispatchers.count);
             let bar = bar(plan.seconds, a.quiet || a.json);
             let progress = |s: &play::Sample, v: &Verdict| show(&bar, s, v);
@@ -171,7 +174,7 @@
             Ok(outcome.verdict.rules_broken() > 0)
         }
         Verb::Capacity { seconds, destinations, body, from, durability } => {
-            let program = proc::dispatcher()?;
+            let program = program(a.dispatcher)?;
             let deal = proc::deal(&proc::cores(), 1);
             let seed = seed.unwrap_or(1);
             let options = capacity::Options { seconds, destinations, from, body, seed, durability };
@@ -193,7 +196,7 @@
             Ok(false)
         }
         Verb::Scale { destinations, held, rate, seconds } => {
-            let program = proc::dispatcher()?;
+            let program = program(a.dispatcher)?;
             let deal = proc::deal(&proc::cores(), 1);
             let seed = seed.unwrap_or(1);
             let measured = scale::measure(destinations, held, rate, seconds, seed, &program, &deal);
@@ -209,7 +212,7 @@
         }
         Verb::Restart { rate, latency } => {
             std::fs::create_dir_all(&a.out).map_err(|e| format!("{}: {e}", a.out.display()))?;
-            let program = proc::dispatcher()?;
+            let program = program(a.dispatcher)?;
             let deal = proc::deal(&proc::cores(), 2);
             let bar = bar(24.0, a.quiet || a.json);
             let progress = |s: &play::Sample, v: &Verdict| show(&bar, s, v);
@@ -236,6 +239,14 @@
     }
 }
 
+fn program(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    match named {
+        Some(program) if program.is_file() => Ok(program),
+        Some(program) => Err(format!("{}: no such program", program.display())),
+        None => proc::dispatcher(),
+    }
+}
+
 fn json(value: &impl serde::Serialize) -> Result<String, String> {
     serde_json::to_string_pretty(value).map_err(|e| e.to_string())
 }
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -106,6 +106,8 @@
     body: Vec<u8>,
     due: Instant,
     deadline: Instant,
+    /// Its latency is one of those that are measured.
+    counts: bool,
 }
 
 impl Clients {
@@ -161,7 +163,7 @@
             if early > Duration::from_micros(60) {
                 std::thread::sleep(early - Duration::from_micros(60));
             }
-            let order = self.order(due, &mut rng);
+            let order = self.order(due, at >= self.plan.load.warm_up, &mut rng);
             self.seen.offered.fetch_add(1, Ordering::Relaxed);
             if self.on_the_way.load(Ordering::Relaxed) >= MOST {
                 self.seen.dropped.fetch_add(1, Ordering::Relaxed);
@@ -192,14 +194,14 @@
         self.doors[node].up.store(true, Ordering::Relaxed);
     }
 
-    fn order(&self, due: Instant, rng: &mut Pcg64Mcg) -> Order {
+    fn order(&self, due: Instant, counts: bool, rng: &mut Pcg64Mcg) -> Order {
         let class = draw(&self.classes, rng.random());
         let dest = draw(&self.destinations, rng.random()) as u64;
         let origin = self.next_message.fetch_add(1, Ordering::Relaxed);
         let [least, most] = self.plan.load.body;
         let body = vec![b'm'; rng.random_range(least..=most)];
         let deadline = due + Duration::from_millis(self.plan.service.classes[class].deadline_ms);
-        Order { origin, class, dest, key: format!("k{origin:x}"), body, due, deadline }
+        Order { origin, class, dest, key: format!("k{origin:x}"), body, due, deadline, counts }
     }
 
     /// All tries of one message.
@@ -245,7 +247,9 @@
                         Told::Taken => {
                             let took = order.due.elapsed().as_micros().min(u128::from(u32::MAX)) as u32;
                             counts.taken.fetch_add(1, Ordering::Relaxed);
-                            lock(&counts.latencies).push(took);
+                            if order.counts {
+                                lock(&counts.latencies).push(took);
+                            }
                             return;
                         }
                         Told::Refused => drop(counts.refused.fetch_add(1, Ordering::Relaxed)),
--- a/standins/src/plan.rs
+++ b/standins/src/plan.rs
@@ -81,6 +81,8 @@
     pub body: [usize; 2],
     /// How often a client hands a message in again that was refused or not answered.
     pub retries: u32,
+    /// Latencies count from then on, seconds.
+    pub warm_up: f64,
     /// A client waits so long for its 202, milliseconds.
     pub answer_within_ms: u64,
     /// The front notices after so long that a dispatcher has died or is back, milliseconds.
@@ -99,6 +101,7 @@
             per_second: 200.0,
             body: [200, 800],
             retries: 3,
+            warm_up: 0.0,
             answer_within_ms: 400,
             front_notices_ms: 2_000,
             skew: 0.5,
