--- a/rig/src/scale.rs
+++ b/rig/src/scale.rs
@@ -14,6 +14,8 @@
 use crate::proc::Deal;
 
 const MS: u64 = 1_000_000;
+/// Destinations that messages are sent to while others are known or waited for.
+const ACTIVE: usize = 5;
 
 /// One point: what one message costs in the module, and one round in which nothing is due.
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -61,7 +63,8 @@
 }
 
 fn module(destinations: usize, held: usize, messages: usize) -> Result<Point, String> {
-    let service = Service { slots: 64, hold: held + 1_000, ..Service::default() };
+    // Room enough that nothing is given up for want of it.
+    let service = Service { slots: 64, hold: 2 * held + 1_000, ..Service::default() };
     let settings = service.settings(0, 1).to_string();
     let (settings, _) = millpost_settings::read(&settings)?;
     let mut control = Control::new(settings, 7);
@@ -76,9 +79,9 @@
     let mut now = 1_000 * MS;
     control.on_event(now, Event::Listed { whole: true, entries: (0..destinations).map(entry).collect() });
     let mut actions = Vec::new();
-    // The first tenth of the destinations, one at least and a hundred at most, are active; held messages wait for the
-    // others, each of which has told a wait that outlasts the measurement.
-    let active = (destinations / 10).clamp(1, 100);
+    // A few destinations are active; held messages wait for the others, each of which has told a wait that outlasts
+    // the measurement.
+    let active = ACTIVE.min(destinations - 1);
     let waiting = destinations - active;
     let mut id = 0;
     for dest in active..destinations.min(active + held) {
--- /dev/null
+++ b/src/codec.rs
@@ -0,0 +1,47 @@
+//! Numbers and times as bytes, for what outlives the process. Little-endian; a time is its distance from the writing.
+
+use crate::api::Nanos;
+
+/// Bytes so far, and the time that times are written from.
+pub(crate) struct Writer(pub Vec<u8>, pub Nanos);
+
+impl Writer {
+    pub fn number(&mut self, n: u64) {
+        self.0.extend_from_slice(&n.to_le_bytes());
+    }
+    pub fn float(&mut self, x: f64) {
+        self.0.extend_from_slice(&(x as f32).to_le_bytes());
+    }
+    /// A time, as its distance from now.
+    pub fn time(&mut self, at: Nanos) {
+        self.number((at as i64).wrapping_sub(self.1 as i64) as u64);
+    }
+    pub fn maybe(&mut self, at: Option<Nanos>) {
+        self.0.push(at.is_some().into());
+        self.time(at.unwrap_or(0));
+    }
+}
+
+/// What is still to be read, and the time that times are read from. `None` where it ends too early, or is no number.
+pub(crate) struct Reader<'a>(pub &'a [u8], pub Nanos);
+
+impl Reader<'_> {
+    pub fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
+        let (part, rest) = self.0.split_first_chunk::<N>()?;
+        self.0 = rest;
+        Some(*part)
+    }
+    pub fn number(&mut self) -> Option<u64> {
+        self.take().map(u64::from_le_bytes)
+    }
+    pub fn float(&mut self) -> Option<f64> {
+        self.take().map(|b| f64::from(f32::from_le_bytes(b))).filter(|x| x.is_finite() && *x >= 0.0)
+    }
+    pub fn time(&mut self) -> Option<Nanos> {
+        self.number().map(|at| self.1.saturating_add_signed(at as i64))
+    }
+    pub fn maybe(&mut self) -> Option<Option<Nanos>> {
+        let [there] = self.take()?;
+        self.time().map(|at| (there > 0).then_some(at))
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,11 +5,13 @@
 //! T1 and T1. Everything else is a guard that a send passes, or an extension whose comment says what it
 //! answers.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::agenda::{Agenda, Timers};
 use crate::api::*;
 
 mod learnt;
@@ -145,6 +147,30 @@
     ended: bool,
 }
 
+/// The place of a message among those that wait, the best being the least.
+#[derive(Clone, Copy)]
+struct Rank((f64, Nanos));
+
+impl Ord for Rank {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.0.total_cmp(&other.0.0).then(self.0.1.cmp(&other.0.1))
+    }
+}
+
+impl PartialOrd for Rank {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Rank {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Rank {}
+
 #[derive(Default)]
 struct KeyLine {
     line: VecDeque<MsgId>,
@@ -157,9 +183,19 @@
     rng: Pcg64Mcg,
     t1: Nanos,
     msgs: BTreeMap<MsgId, Msg>,
+    /// What falls due when.
+    agenda: Agenda,
     keys: BTreeMap<u64, KeyLine>,
+    /// Keys that rest.
+    rests: Timers<u64>,
     lanes: BTreeMap<LaneId, Lane>,
+    /// Lanes that have calls out.
+    busy: BTreeSet<LaneId>,
+    /// Lanes without an endpoint in the list.
+    unlisted: BTreeSet<LaneId>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// Endpoints that take nothing new.
+    leaving: BTreeSet<EndpointId>,
     /// The endpoints of each destination.
     by_dest: BTreeSet<(DestId, EndpointId)>,
     /// Messages still without outcome in each call that is out.
@@ -352,9 +388,14 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             t1: (aim / 4).max(1),
             msgs: BTreeMap::new(),
+            agenda: Agenda::default(),
             keys: BTreeMap::new(),
+            rests: Timers::default(),
             lanes: BTreeMap::new(),
+            busy: BTreeSet::new(),
+            unlisted: BTreeSet::new(),
             endpoints: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             by_dest: BTreeSet::new(),
             calls: BTreeMap::new(),
             next_call: 0,
@@ -379,6 +420,7 @@
                 let Some(m) = self.msgs.get_mut(&id).filter(|_| attempts > 0) else { return };
                 (m.attempts, m.step, m.first_sent, m.maybe) = (attempts, attempts, first_sent, may_have_run);
                 m.wait_for_doubled_time(now, self.t1);
+                self.track(now, id);
             }
             Event::Stopping { at } => self.stops_at = at,
             Event::Outcome { id, endpoint, outcome, took, closed, report, .. } => {
@@ -435,10 +477,30 @@
             ended: false,
         };
         self.msgs.insert(id, msg);
+        self.track(now, id);
         let lanes = self.lanes.range_mut((dest, None)..=(dest, Some(EndpointId::MAX)));
         lanes.for_each(|(_, lane)| lane.taken += 1);
     }
 
+    /// Notes when a message falls due, and when it is past hope unless something changes.
+    fn track(&mut self, now: Nanos, id: MsgId) {
+        let Some(m) = self.msgs.get(&id).filter(|m| !m.ended) else { return };
+        let last = self.last_chance(m);
+        match m.out {
+            Some(_) => self.agenda.is_out(id, m.dest, m.deadline),
+            None => self.agenda.waits(now, id, m.dest, m.due, if last <= m.due { 0 } else { last }),
+        }
+    }
+
+    /// Something changed at a destination: it may be open again, or its messages past hope sooner.
+    fn look_again(&mut self, now: Nanos, dest: DestId, floor_before: Nanos) {
+        self.agenda.unpark(dest);
+        if self.lanes.get(&(dest, None)).is_some_and(|lane| lane.floor() > floor_before) {
+            let held: Vec<MsgId> = self.agenda.held_for(dest).collect();
+            held.into_iter().for_each(|id| self.track(now, id));
+        }
+    }
+
     fn attempt_over(&mut self, now: Nanos, id: MsgId, outcome: Outcome, took: Nanos, closed: bool) {
         let Some(m) = self.msgs.get_mut(&id) else { return };
         let Some(out) = m.out.take() else { return };
@@ -454,6 +516,7 @@
         m.wait_for_doubled_time(now, self.t1);
         if let Some(line) = m.key.filter(|_| outcome.may_still_run()).and_then(|k| self.keys.get_mut(&k)) {
             line.rest_until = now + self.set.rules.key_rest;
+            self.rests.set(m.key.unwrap_or(0), line.rest_until);
         }
         let ended = m.ended;
         // The slot is free once the last message of the call has its outcome.
@@ -467,11 +530,16 @@
                 e.calls -= 1;
                 if let Some(lane) = self.lanes.get_mut(&e.lane) {
                     lane.calls -= 1;
+                    if lane.calls == 0 {
+                        self.busy.remove(&e.lane);
+                    }
                 }
             }
         }
         if ended {
             self.end(id);
+        } else {
+            self.track(now, id);
         }
         let full_time_out = self.endpoints.get(&out.endpoint).and_then(|e| self.lanes.get(&e.lane));
         let full_time_out = full_time_out.map_or(took, |lane| 2 * lane.margin(self.t1, self.t1));
@@ -482,6 +550,7 @@
     fn judge(&mut self, now: Nanos, endpoint: EndpointId, outcome: Outcome, took: Nanos, full: Nanos) {
         let Some(e) = self.endpoints.get_mut(&endpoint) else { return };
         let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
+        let floor = lane.floor();
         lane.quiet_since = now;
         lane.news = lane.news.max(News::Some);
         match outcome {
@@ -532,6 +601,7 @@
         }
         let lane = e.lane;
         self.note_news(lane);
+        self.look_again(now, lane.0, floor);
     }
 
     fn heard(&mut self, endpoint: EndpointId, report: Option<Report>) {
@@ -552,6 +622,7 @@
         self.subscribe_fails = 0;
         if whole {
             self.endpoints.values_mut().for_each(|e| e.ready = false);
+            self.leaving.extend(self.endpoints.keys());
         }
         for entry in entries {
             let apart = self.set.kinds.get(entry.kind).is_some_and(|k| k.apart);
@@ -559,6 +630,7 @@
             let fresh = || Lane { taken_from: now, ..Lane::default() };
             let l = self.lanes.entry(lane).or_insert_with(fresh);
             (l.weight, l.kind, l.listed_at) = (entry.weight.max(0.0), entry.kind, now);
+            self.unlisted.remove(&lane);
             let e = self.endpoints.entry(entry.endpoint).or_insert(Endpoint {
                 lane,
                 zone: entry.zone,
@@ -570,26 +642,42 @@
                 ok_at: 0,
             });
             e.ready = entry.state == State::Ready;
+            if e.ready {
+                self.leaving.remove(&entry.endpoint)
+            } else {
+                self.leaving.insert(entry.endpoint)
+            };
             self.by_dest.insert((entry.dest, entry.endpoint));
+            self.agenda.unpark(entry.dest);
         }
         // What is gone and idle is forgotten; a call that is still out keeps it until its outcome.
-        self.endpoints.retain(|_, e| e.ready || e.calls > 0);
-        self.by_dest.retain(|(_, id)| self.endpoints.contains_key(id));
+        let (endpoints, by_dest, lanes) = (&mut self.endpoints, &mut self.by_dest, &mut self.lanes);
+        let unlisted = &mut self.unlisted;
+        self.leaving.retain(|id| {
+            let Some(e) = endpoints.get(id).filter(|e| !e.ready && e.calls == 0) else { return true };
+            let (dest, route) = e.lane;
+            by_dest.remove(&(dest, *id));
+            endpoints.remove(id);
+            let listed = by_dest.range((dest, 0)..=(dest, EndpointId::MAX)).next().is_some();
+            let lane = lanes.get_mut(&(dest, route)).filter(|_| route.is_some() || !listed);
+            if let Some(lane) = lane {
+                lane.listed_at = now;
+                unlisted.insert((dest, route));
+            }
+            false
+        });
         // So is a destination (or route) without any endpoint, once nothing that is known of it can matter:
         // no message for it is left, its wait is over and it would be warm by now. Else each route of
         // a fleet whose endpoints are replaced all day would stay.
         let longest = self.set.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let span = longest.saturating_add(self.set.rules.cold);
-        let (by_dest, endpoints) = (&self.by_dest, &self.endpoints);
-        self.lanes.retain(|(dest, route), l| {
-            let listed = match route {
-                Some(id) => endpoints.contains_key(id),
-                None => by_dest.range((*dest, 0)..=(*dest, EndpointId::MAX)).next().is_some(),
-            };
-            if listed {
-                l.listed_at = now;
+        unlisted.retain(|id| {
+            let stays =
+                lanes.get(id).is_some_and(|l| l.listed_at.max(l.wait_until).saturating_add(span) > now);
+            if !stays {
+                lanes.remove(id);
             }
-            listed || l.listed_at.max(l.wait_until).saturating_add(span) > now
+            stays
         });
     }
 
@@ -597,11 +685,15 @@
     fn end(&mut self, id: MsgId) {
         let Some(m) = self.msgs.get_mut(&id) else { return };
         m.ended = true;
+        self.agenda.is_over(id, m.dest);
         if m.out.is_some() {
             return;
         }
-        if let Some(line) = m.key.and_then(|key| self.keys.get_mut(&key)) {
+        if let Some((key, line)) = m.key.and_then(|key| Some((key, self.keys.get_mut(&key)?))) {
             line.line.retain(|other| *other != id);
+            if line.line.is_empty() && !self.rests.contains(key) {
+                self.keys.remove(&key);
+            }
         }
         self.msgs.remove(&id);
     }
@@ -616,7 +708,11 @@
         self.answer_hopeless(now, actions);
         self.fill_slots(now, actions);
         self.make_room(now, actions);
-        self.keys.retain(|_, k| !k.line.is_empty() || k.rest_until > now);
+        while let Some(key) = self.rests.pop(now) {
+            if self.keys.get(&key).is_some_and(|k| k.line.is_empty()) {
+                self.keys.remove(&key);
+            }
+        }
         let next = self.next_wake(now);
         if next < self.wake_at || self.wake_at <= now {
             self.wake_at = next;
@@ -632,7 +728,8 @@
     /// a long stall; the next success mends that.
     fn strike_silent(&mut self, now: Nanos) {
         let (unknown, mut struck) = (4 * self.t1, Vec::new());
-        for (id, lane) in self.lanes.iter_mut().filter(|(_, l)| l.calls > 0) {
+        for id in &self.busy {
+            let Some(lane) = self.lanes.get_mut(id) else { continue };
             let margin = lane.margin(unknown, self.t1);
             if now.saturating_sub(lane.quiet_since) >= margin {
                 (lane.quiet_since, lane.silent) = (now, true);
@@ -640,7 +737,10 @@
                 struck.push(*id);
             }
         }
-        struck.into_iter().for_each(|id| self.note_news(id));
+        for id in struck {
+            self.note_news(id);
+            self.agenda.unpark(id.0);
+        }
     }
 
     /// The latest moment at which another attempt of this message makes sense and is allowed.
@@ -693,14 +793,15 @@
 
     /// Every message gets its final answer: when no attempt is left to it, or when its time is up.
     fn answer_hopeless(&mut self, now: Nanos, actions: &mut Vec<Action>) {
-        let hopeless = |m: &Msg| match m.out {
-            _ if m.ended => false,
-            Some(_) => m.deadline <= now,
-            None => self.last_chance(m) <= m.due.max(now),
-        };
-        let ids: Vec<MsgId> = self.msgs.iter().filter(|(_, m)| hopeless(m)).map(|(id, _)| *id).collect();
-        for id in ids {
-            self.answer(now, id, actions);
+        for id in self.agenda.alarmed(now) {
+            let Some(m) = self.msgs.get(&id) else { continue };
+            let hopeless =
+                if m.out.is_some() { m.deadline <= now } else { self.last_chance(m) <= m.due.max(now) };
+            if hopeless {
+                self.answer(now, id, actions);
+            } else {
+                self.track(now, id);
+            }
         }
     }
 
@@ -724,11 +825,9 @@
         (-loss * self.set.classes[m.class].worth, m.aim_at)
     }
 
-    /// Sorts messages by rank, best first; each rank is worked out once.
-    fn sort(&self, now: Nanos, ids: &mut [MsgId]) {
-        let mut ranked: Vec<_> = ids.iter().map(|id| (self.rank(now, &self.msgs[id]), *id)).collect();
-        ranked.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
-        ids.iter_mut().zip(ranked).for_each(|(id, (_, ranked))| *id = ranked);
+    /// Messages by rank: the best comes out first, of equals the newest. Each rank is worked out once.
+    fn ranked(&self, now: Nanos, ids: impl Iterator<Item = MsgId>) -> BinaryHeap<(Reverse<Rank>, MsgId)> {
+        ids.filter_map(|id| Some((Reverse(Rank(self.rank(now, self.msgs.get(&id)?))), id))).collect()
     }
 
     /// Whether a send that was decided may still be written: asked again once there is a connection, since
@@ -748,7 +847,8 @@
 
     /// Order, key rest, one attempt at a time: what a message itself must pass, besides the time of its next
     /// try.
-    fn may_go(&self, now: Nanos, id: MsgId, m: &Msg) -> bool {
+    fn may_go(&self, now: Nanos, id: MsgId) -> bool {
+        let Some(m) = self.msgs.get(&id) else { return false };
         if m.ended || m.out.is_some() || self.last_chance(m) <= now {
             return false;
         }
@@ -788,72 +888,107 @@
     /// of a slot (by powers of two of the averaged time over the bundle), in turns among these. With slots
     /// short, turns alone let slow or failing destinations take most of the time. It may starve a slow one.
     fn fill_slots(&mut self, now: Nanos, actions: &mut Vec<Action>) {
+        self.agenda.advance(now);
         if self.calls.len() >= self.set.slots {
             return;
         }
-        let mut waiting: BTreeMap<DestId, Vec<MsgId>> = BTreeMap::new();
-        let (mut riders, mut sorted) = (waiting.clone(), BTreeSet::new());
-        for (id, m) in &self.msgs {
-            if self.may_go(now, *id, m) {
-                let due = m.due <= now;
-                if due || m.attempts < self.set.try_limit / 2 {
-                    let queue = if due { &mut waiting } else { &mut riders };
-                    queue.entry(m.dest).or_default().push(*id);
-                }
-            }
-        }
+        let open: Vec<DestId> = self.agenda.open().collect();
+        let mut turns: BTreeSet<_> =
+            open.iter().filter_map(|dest| Some((self.turn(now, *dest, None)?, *dest))).collect();
+        let mut queues: BTreeMap<DestId, BinaryHeap<_>> = BTreeMap::new();
         while self.calls.len() < self.set.slots {
-            let turn = |(dest, ids): &(&DestId, &Vec<MsgId>)| {
-                let lanes = self.lanes.range((**dest, None)..=(**dest, Some(EndpointId::MAX)));
-                lanes.fold((0, 0, 0), |(calls, time, turn), (_, l)| {
-                    let carried = ids.len().clamp(1, self.bundle(l.kind)) as f64;
-                    let each = (l.floor() as f64 + l.delay_now(now)) / carried;
-                    (
-                        calls + l.calls,
-                        time.max((each as Nanos).checked_ilog2().unwrap_or(0)),
-                        turn.max(l.turn),
-                    )
-                })
-            };
-            let Some(dest) = waiting.iter().min_by_key(turn).map(|(dest, _)| *dest) else { return };
-            // Most that wait do so for a destination that is closed: they are not sorted for nothing.
+            let Some((_, dest)) = turns.pop_first() else { return };
+            // One that is closed is not looked at again before it may be open: nothing is ranked in vain.
             let Some(open) = self.pick_endpoint(now, dest, None) else {
-                waiting.remove(&dest);
-                continue;
-            };
-            if let Some(ids) = waiting.get_mut(&dest).filter(|_| sorted.insert(dest)) {
-                ids.reverse();
-                self.sort(now, ids);
-                ids.reverse();
-            }
-            let Some(id) = waiting.get_mut(&dest).and_then(Vec::pop) else {
-                waiting.remove(&dest);
+                let until = self.closed_for(now, dest);
+                self.agenda.park(dest, until);
                 continue;
             };
+            let queue = queues.entry(dest).or_insert_with(|| {
+                self.ranked(now, self.agenda.ready_for(dest).filter(|id| self.may_go(now, *id)))
+            });
+            let Some((_, id)) = queue.pop() else { continue };
             let zone = self.zone_of(id);
             let endpoint = if zone.is_none() { Some(open) } else { self.pick_endpoint(now, dest, zone) };
-            let Some(endpoint) = endpoint else { continue };
-            if self.skip_retry(now, id, endpoint) {
-                if self.last_chance(&self.msgs[&id]) <= self.msgs[&id].due {
-                    self.answer(now, id, actions);
-                }
-                continue;
+            if let Some(endpoint) = endpoint {
+                self.try_send(now, id, endpoint, queues.get_mut(&dest), actions);
             }
-            self.next_call += 1;
-            self.send(now, id, endpoint, actions);
-            // One call carries as many waiting messages as the kind allows: it counts once against the
-            // limit and the slots. A retry rides along without a draw, and before it is due while it has
-            // more than half its tries, since the call goes anyway. All share one fate.
-            for _ in 1..self.bundle(self.endpoints[&endpoint].kind) {
-                let next = waiting.get_mut(&dest).and_then(Vec::pop);
-                let Some(next) = next.or_else(|| riders.get_mut(&dest)?.pop()) else { break };
-                if self.zone_of(next).is_none_or(|z| self.endpoints[&endpoint].zone == z) {
+            let left = queues.get(&dest).map_or(0, BinaryHeap::len);
+            turns.extend(self.turn(now, dest, Some(left)).map(|turn| (turn, dest)));
+        }
+    }
+
+    /// Sends a message that is due, and what may ride with it, unless it is a retry that is not drawn.
+    fn try_send(
+        &mut self,
+        now: Nanos,
+        id: MsgId,
+        endpoint: EndpointId,
+        queue: Option<&mut BinaryHeap<(Reverse<Rank>, MsgId)>>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.skip_retry(now, id, endpoint) {
+            if self.last_chance(&self.msgs[&id]) <= self.msgs[&id].due {
+                self.answer(now, id, actions);
+            }
+            return;
+        }
+        self.next_call += 1;
+        self.send(now, id, endpoint, actions);
+        // One call carries as many waiting messages as the kind allows: it counts once against the
+        // limit and the slots. A retry rides along without a draw, and before it is due while it has
+        // more than half its tries, since the call goes anyway. All share one fate.
+        let (dest, zone) = (self.endpoints[&endpoint].lane.0, self.endpoints[&endpoint].zone);
+        let fits = |this: &Self, id| this.zone_of(id).is_none_or(|z| z == zone);
+        let mut places = self.bundle(self.endpoints[&endpoint].kind) - 1;
+        let mut queue = queue.filter(|_| places > 0);
+        while let Some((_, next)) = queue.as_mut().filter(|_| places > 0).and_then(|queue| queue.pop()) {
+            places -= 1;
+            if fits(self, next) {
+                self.send(now, next, endpoint, actions);
+            }
+        }
+        if places > 0 {
+            let early = |id: &MsgId| {
+                let m = &self.msgs[id];
+                m.due > now && m.attempts < self.set.try_limit / 2 && self.may_go(now, *id)
+            };
+            let mut riders: Vec<MsgId> = self.agenda.held_for(dest).filter(early).collect();
+            for next in riders.drain(riders.len().saturating_sub(places)..).rev() {
+                if fits(self, next) {
                     self.send(now, next, endpoint, actions);
                 }
             }
         }
     }
 
+    /// The place of a destination among those that wait for a slot, by the messages left; `None` without any.
+    fn turn(&self, now: Nanos, dest: DestId, left: Option<usize>) -> Option<(usize, u32, u64)> {
+        let lanes = || self.lanes.range((dest, None)..=(dest, Some(EndpointId::MAX))).map(|(_, l)| l);
+        let most = lanes().map(|l| self.bundle(l.kind)).max().unwrap_or(1);
+        let left = left.unwrap_or_else(|| {
+            self.agenda.ready_for(dest).filter(|id| self.may_go(now, *id)).take(most).count()
+        });
+        let place = lanes().fold((0, 0, 0), |(calls, time, turn), l| {
+            let each = (l.floor() as f64 + l.delay_now(now)) / left.clamp(1, self.bundle(l.kind)) as f64;
+            (calls + l.calls, time.max((each as Nanos).checked_ilog2().unwrap_or(0)), turn.max(l.turn))
+        });
+        (left > 0).then_some(place)
+    }
+
+    /// Until when nothing can go to a destination that is closed now. Its budget grows with its warmth:
+    /// what hangs on that is asked again after a T1.
+    fn closed_for(&mut self, now: Nanos, dest: DestId) -> Nanos {
+        let (set, t1) = (&self.set, self.t1);
+        let lanes = self.lanes.range_mut((dest, None)..=(dest, Some(EndpointId::MAX)));
+        let closed = lanes.filter_map(|(_, lane)| {
+            let until = lane.closed_until(now, set, t1)?;
+            let sure = lane.wait_until > now || until == NEVER;
+            Some(if sure { until } else { until.min(now.saturating_add(t1)) })
+        });
+        closed.min().unwrap_or(NEVER)
+    }
+
     /// The zone that a keyed message must stay in, once it may have run.
     fn zone_of(&self, id: MsgId) -> Option<usize> {
         let m = &self.msgs[&id];
@@ -870,6 +1005,7 @@
             return false;
         }
         m.wait_for_doubled_time(now + 1, self.t1);
+        self.track(now, id);
         true
     }
 
@@ -885,6 +1021,7 @@
             }
             e.calls += 1;
             lane.calls += 1;
+            self.busy.insert(e.lane);
             // Own calls a second, averaged over the rule's window.
             let window = self.set.rules.fall.max(1) as f64;
             let passed = now.saturating_sub(lane.sent_at) as f64 / window;
@@ -908,6 +1045,7 @@
         let again = self.set.classes[m.class].effect != Effect::Unsafe && m.attempts < self.set.try_limit;
         let timeout = left.min(if again { early } else { 2 * early });
         actions.push(Action::Send { id, endpoint, timeout });
+        self.agenda.is_out(id, m.dest, m.deadline);
     }
 
     /// A full hold turns new messages away unseen. Before it comes to that, the destination with the
@@ -915,9 +1053,8 @@
     /// filling the hold at the cost of healthy ones. It answers early some that a short outage would have
     /// let through late.
     fn make_room(&mut self, now: Nanos, actions: &mut Vec<Action>) {
-        let held = self.msgs.values().filter(|m| !m.ended).count();
         let room = self.set.hold / 16 + 1;
-        let mut over = (held + room).saturating_sub(self.set.hold);
+        let mut over = (self.agenda.held() + room).saturating_sub(self.set.hold);
         if over == 0 {
             return;
         }
@@ -928,47 +1065,25 @@
                 queues.entry(m.dest).or_default().push(*id);
             }
         }
-        for ids in queues.values_mut() {
-            self.sort(now, ids);
-        }
-        while over > 0 {
-            let Some(longest) = queues.values_mut().max_by_key(|ids| ids.len()) else { return };
-            let Some(id) = longest.pop() else { return };
+        let mut lengths: BTreeSet<(usize, DestId)> = queues.iter().map(|(d, ids)| (ids.len(), *d)).collect();
+        let mut sorted = BTreeSet::new();
+        while let Some((length, dest)) = lengths.pop_last().filter(|_| over > 0) {
+            let Some(ids) = queues.get_mut(&dest) else { return };
+            if sorted.insert(dest) {
+                ids.sort_by_cached_key(|id| Rank(self.rank(now, &self.msgs[id])));
+            }
+            let Some(id) = ids.pop() else { return };
             self.answer(now, id, actions);
             over -= 1;
+            lengths.insert((length - 1, dest));
         }
     }
 
     /// The next moment at which something falls due without an event.
     fn next_wake(&mut self, now: Nanos) -> Nanos {
-        let mut next = self.subscribe_at;
-        let mut at = |t: Nanos| {
-            if t > now {
-                next = next.min(t)
-            }
-        };
-        let mut waiting = BTreeSet::new();
-        for m in self.msgs.values().filter(|m| !m.ended) {
-            if m.out.is_some() {
-                at(m.deadline);
-                continue;
-            }
-            at(m.due);
-            at(self.last_chance(m));
-            if m.due <= now {
-                waiting.insert(m.dest);
-            }
-        }
-        self.keys.values().for_each(|k| at(k.rest_until));
-        let (set, t1) = (&self.set, self.t1);
-        for ((dest, _), lane) in &mut self.lanes {
-            if lane.calls > 0 {
-                at(lane.quiet_since + lane.margin(4 * t1, t1));
-            }
-            if waiting.contains(dest) {
-                at(lane.closed_until(now, set, t1).unwrap_or(0));
-            }
-        }
-        next
+        let quiet = self.busy.iter().filter_map(|id| self.lanes.get(id));
+        let quiet = quiet.map(|lane| lane.quiet_since + lane.margin(4 * self.t1, self.t1));
+        let all = quiet.chain([self.subscribe_at, self.agenda.next()]).chain(self.rests.first());
+        all.filter(|at| *at > now).min().unwrap_or(NEVER)
     }
 }
--- a/src/control/learnt.rs
+++ b/src/control/learnt.rs
@@ -2,6 +2,7 @@
 //! keeps them unread; what of them is too old is decided here. Times in them are relative to the writing.
 
 use super::*;
+use crate::codec::{Reader, Writer};
 
 const VERSION: u8 = 1;
 
@@ -27,48 +28,6 @@
     pub bytes: Vec<u8>,
 }
 
-struct Writer(Vec<u8>, Nanos);
-
-impl Writer {
-    fn number(&mut self, n: u64) {
-        self.0.extend_from_slice(&n.to_le_bytes());
-    }
-    fn float(&mut self, x: f64) {
-        self.0.extend_from_slice(&(x as f32).to_le_bytes());
-    }
-    /// A time, as its distance from now.
-    fn time(&mut self, at: Nanos) {
-        self.number((at as i64).wrapping_sub(self.1 as i64) as u64);
-    }
-    fn maybe(&mut self, at: Option<Nanos>) {
-        self.0.push(at.is_some().into());
-        self.time(at.unwrap_or(0));
-    }
-}
-
-struct Reader<'a>(&'a [u8], Nanos);
-
-impl Reader<'_> {
-    fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
-        let (part, rest) = self.0.split_first_chunk::<N>()?;
-        self.0 = rest;
-        Some(*part)
-    }
-    fn number(&mut self) -> Option<u64> {
-        self.take().map(u64::from_le_bytes)
-    }
-    fn float(&mut self) -> Option<f64> {
-        self.take().map(|b| f64::from(f32::from_le_bytes(b))).filter(|x| x.is_finite() && *x >= 0.0)
-    }
-    fn time(&mut self) -> Option<Nanos> {
-        self.number().map(|at| self.1.saturating_add_signed(at as i64))
-    }
-    fn maybe(&mut self) -> Option<Option<Nanos>> {
-        let [there] = self.take()?;
-        self.time().map(|at| (there > 0).then_some(at))
-    }
-}
-
 impl Lane {
     fn write(&self, now: Nanos) -> Vec<u8> {
         let mut to = Writer(vec![VERSION, u8::from(self.silent), u8::from(self.shut)], now);
@@ -190,7 +149,9 @@
         }
         (old.weight, old.kind, old.listed_at) = (lane.weight, lane.kind, lane.listed_at);
         old.taken = old.taken.saturating_add(lane.taken);
+        let floor = lane.floor();
         *lane = old;
+        self.look_again(now, dest, floor);
         true
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,7 +70,9 @@
 //! assert_eq!(actions[0], Action::Fail { id: 1 });
 //! ```
 
+mod agenda;
 pub mod api;
+mod codec;
 mod control;
 
 pub use control::{Control, Lesson, doubled_time, retry_probability};
