Rig: what a message costs by part, and whether dispatchers end in order

The dispatcher counts time and allocations by part with the feature meter (off by default, nothing remains of it).

--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -14,6 +14,7 @@
 
 use crate::driver::Input;
 use crate::link::{Error, Link};
+use crate::meter::{Part, metered};
 
 /// An answer's body means nothing; it is read so that the connection can be used again, within these bounds.
 const LONGEST_BODY: usize = 64 * 1024;
@@ -142,10 +143,10 @@
     /// Opens a connection for a call; the driver hears of it before anything is sent.
     pub fn connect(&self, call: u64, address: SocketAddr, within: Duration) {
         let (told, within) = (self.told.clone(), within.min(self.connect_within));
-        tokio::spawn(async move {
+        tokio::spawn(metered(Part::Calls, async move {
             let link = timeout(within, Link::open(address)).await.ok().and_then(Result::ok);
             let _ = told.send(Input::Connected { call, link }).await;
-        });
+        }));
     }
 
     /// Sends a call and waits for its end. Dropping the sender of `called_off` does nothing; using it ends
@@ -160,7 +161,7 @@
         called_off: oneshot::Receiver<()>,
     ) {
         let told = self.told.clone();
-        tokio::spawn(async move {
+        tokio::spawn(metered(Part::Calls, async move {
             let called_off = async {
                 if called_off.await.is_err() {
                     std::future::pending::<()>().await;
@@ -198,14 +199,14 @@
                 }
             };
             let _ = told.send(Input::Ended { call, ended }).await;
-        });
+        }));
     }
 
     /// Probes an endpoint, on a connection of its own if none is idle.
     pub fn probe(&mut self, endpoint: EndpointId, address: SocketAddr) {
         let (told, within, idle) =
             (self.told.clone(), self.connect_within, self.idle(endpoint, address, false));
-        tokio::spawn(async move {
+        tokio::spawn(metered(Part::Calls, async move {
             let began = Instant::now();
             let exchange = async {
                 let mut link = match idle {
@@ -223,7 +224,7 @@
                 Err(_) => Ended { outcome: Outcome::TimedOut, over: false, report: None, link: None },
             };
             let _ = told.send(Input::Probed { endpoint, took: began.elapsed(), ended }).await;
-        });
+        }));
     }
 }
 
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -20,6 +20,7 @@
 use crate::discovery::{self, List, Status};
 use crate::intake::{Handed, Verdict};
 use crate::link::Link;
+use crate::meter::{Part, within};
 use crate::notices::Notice;
 use crate::peers::Peers;
 
@@ -196,6 +197,8 @@
 const AT_ONCE: Nanos = 10_000_000;
 /// A kept connection that was used so lately has not been given up since.
 const JUST_USED: Duration = Duration::from_millis(50);
+/// Shortest time between two rounds. What waits a whole tick goes out in bursts, for which connections must be opened.
+const ROUND: Nanos = 1_000_000;
 /// Inputs that are taken before it is looked again whether something is due.
 const BATCH: usize = 32;
 const SWEEP: Nanos = 1_000_000_000;
@@ -353,7 +356,7 @@
 
     /// Runs until the process is to end.
     pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
-        let tick = self.settings.tick.max(1_000_000);
+        let tick = self.settings.tick.min(ROUND);
         let (mut asked, mut news, mut swept) = (0, true, self.clock.now());
         loop {
             let now = self.clock.now();
@@ -367,7 +370,7 @@
             if now > swept + SWEEP {
                 swept = now;
                 self.calls.sweep();
-                self.ledger.tidy(self.clock.wall());
+                within(Part::Journal, || self.ledger.tidy(self.clock.wall()));
                 self.learn(now, false);
                 self.note_recovery(now);
             }
@@ -454,7 +457,7 @@
             return self.once_it_lasts(now, last, Act::Confirm { dest: handed.dest, reply });
         }
         // It comes again after its end: it gets the same answer, and nothing is sent again.
-        if let Some(end) = self.ledger.final_answer(&handed.reference) {
+        if let Some(end) = within(Part::Journal, || self.ledger.final_answer(&handed.reference)) {
             let verdict = match end {
                 Final::Delivered => Verdict::Taken,
                 Final::Answered(Answer::Failed) => Verdict::Failed,
@@ -481,7 +484,7 @@
         // A copy, so that no buffer that it was read into is kept for it.
         let body = Bytes::copy_from_slice(&body);
         let taken = Taken { reference, class: class as u32, dest, deadline, key, body };
-        let done = self.ledger.take(self.clock.wall(), &taken);
+        let done = within(Part::Journal, || self.ledger.take(self.clock.wall(), &taken));
         let Some((id, seq)) = self.noted(done) else {
             let _ = reply.send(refused);
             return;
@@ -502,7 +505,8 @@
             // A client that left before its answer voids the id.
             return self.over(id, None);
         }
-        self.control.on_event(now, Event::Message { id, class, tenant: None, key: None, dest, time_left });
+        let event = Event::Message { id, class, tenant: None, key: None, dest, time_left };
+        within(Part::Module, || self.control.on_event(now, event));
     }
 
     /// Does something at once, or as soon as the write of this number lasts.
@@ -576,7 +580,7 @@
     fn learn(&mut self, now: Nanos, grave_only: bool) {
         let lessons = self.control.learnt(now, grave_only).into_iter();
         let lessons = lessons.map(|lesson| (lesson.dest, lesson.route, Some(lesson.bytes)));
-        let done = self.ledger.learn(self.clock.wall(), lessons);
+        let done = within(Part::Journal, || self.ledger.learn(self.clock.wall(), lessons));
         self.noted(done);
     }
 
@@ -615,7 +619,8 @@
             self.by_reference.remove(&held.reference);
             self.open -= usize::from(held.answer.is_none());
             let until = held.deadline.max(self.clock.wall()).saturating_add(KEEP_ANSWER);
-            let done = self.ledger.end(id, end.map(|end| (&held.reference[..], end, until)));
+            let end = end.map(|end| (&held.reference[..], end, until));
+            let done = within(Part::Journal, || self.ledger.end(id, end));
             self.noted(done);
         }
     }
@@ -623,8 +628,10 @@
     fn decide(&mut self, now: Nanos) {
         let mut actions = Vec::new();
         self.wake = self.wake.filter(|at| *at > now);
-        self.control.on_event(now, Event::Wake);
-        self.control.decide(now, &mut actions);
+        within(Part::Module, || {
+            self.control.on_event(now, Event::Wake);
+            self.control.decide(now, &mut actions);
+        });
         for action in actions {
             match action {
                 Action::Send { id, endpoint, timeout } => self.begin(now, id, endpoint, timeout),
@@ -668,7 +675,7 @@
     fn write_answers(&mut self) {
         while let Some((id, answer)) = self.unwritten.pop_front() {
             let Some(reference) = self.held.get(&id).map(|held| held.reference.clone()) else { continue };
-            let done = self.ledger.answer(id, answer);
+            let done = within(Part::Journal, || self.ledger.answer(id, answer));
             let Some(seq) = self.noted(done) else {
                 self.unwritten.push_front((id, answer));
                 return;
@@ -735,7 +742,7 @@
             return self.settle(now, call, Outcome::NotSent);
         }
         // On disk before the first byte: an attempt that the store does not know of could go twice.
-        let done = self.ledger.begin(id, self.clock.wall(), zone as u32);
+        let done = within(Part::Journal, || self.ledger.begin(id, self.clock.wall(), zone as u32));
         let Some(seq) = self.noted(done) else {
             self.keep(endpoint, address, link);
             return self.settle(now, call, Outcome::NotSent);
@@ -795,12 +802,12 @@
             // An endpoint may also say that a message is over of which it has had nothing.
             self.over(id, (outcome == Outcome::Served).then_some(Final::Delivered));
         } else if begun && self.held.contains_key(&id) {
-            let done = self.ledger.outcome(id, outcome.never_ran());
+            let done = within(Part::Journal, || self.ledger.outcome(id, outcome.never_ran()));
             self.noted(done);
         }
         let (took, closed) = (now.saturating_sub(sent), over || answered);
         let event = Event::Outcome { id, attempt, endpoint, outcome, took, closed, report };
-        self.control.on_event(now, event);
+        within(Part::Module, || self.control.on_event(now, event));
     }
 
     /// Keeps a connection for the next call, unless none goes there any more.
--- a/dispatcher/src/intake.rs
+++ b/dispatcher/src/intake.rs
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::driver::Input;
+use crate::meter::{Part, metered};
 use crate::room::{Room, Seat};
 
 const LONGEST_BODY: usize = 64 * 1024;
@@ -118,13 +119,13 @@
                     _ = phase.wait_for(|p| *p == Phase::Closed) => break,
                 };
                 let intake = intake.clone();
-                tokio::spawn(async move {
+                tokio::spawn(metered(Part::Intake, async move {
                     let seat = Arc::new(seat);
                     tokio::select! {
                         () = connection(stream, intake, seat.clone()) => {}
                         _ = leave => {}
                     }
-                });
+                }));
             }
             Err(e) => {
                 // Out of descriptors, perhaps: the next try may do better.
--- a/dispatcher/src/link.rs
+++ b/dispatcher/src/link.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::meter::{Part, metered};
 use crate::written::{Peek, Watched, Written};
 
 /// Why there is no answer.
@@ -69,10 +70,10 @@
         let mut http = http1::Builder::new();
         http.max_buf_size(LONGEST_HEAD);
         let (sender, connection) = http.handshake(TokioIo::new(stream)).await.map_err(Error::Broken)?;
-        let task = tokio::spawn(async move {
+        let task = tokio::spawn(metered(Part::Calls, async move {
             // How it ends is told to whoever waits for an answer on it.
             let _ = connection.await;
-        });
+        }));
         Ok(Link { sender, task, written })
     }
 
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -6,6 +6,7 @@
 mod driver;
 mod intake;
 mod link;
+mod meter;
 mod notices;
 mod options;
 mod peers;
@@ -153,7 +154,7 @@
         notices,
     });
     let listener = TcpListener::bind(config.listen).await?;
-    let mut driver = tokio::spawn(driver.run(inputs));
+    let mut driver = tokio::spawn(meter::metered(meter::Part::Driver, driver.run(inputs)));
     let (address, addresses) = watch::channel(config.discovery);
     tokio::spawn(discovery::watch(link::Agent::new(addresses.clone()), told.clone()));
     tokio::spawn(notices::send(link::Agent::new(addresses), due, told.clone()));
@@ -178,6 +179,7 @@
     // Whoever is still being read from is told to go elsewhere; then the connections end.
     let _ = phase.send(Phase::Closed);
     let _ = timeout(LAST, intake).await;
+    meter::report();
     eprintln!("stopped");
     Ok(())
 }
--- a/rig/src/capacity.rs
+++ b/rig/src/capacity.rs
@@ -110,7 +110,8 @@
 
 async fn dispatcher(o: &Options, rate: f64, program: &Path, deal: &Deal) -> std::io::Result<Trial> {
     let plan = plan(o, rate);
-    let outcome = play::play(&plan, program, deal, &Watch { progress: &|_, _| {}, logs: None }).await?;
+    let outcome =
+        play::play(&plan, program, deal, &Watch { progress: &|_, _| {}, logs: None, ends: false }).await?;
     let (c, v) = (&outcome.clients, &outcome.verdict);
     let mut why = why(outcome.taken_ms.p99, c.offered, c.taken, v.delivered, v.in_aim);
     if v.rules_broken() > 0 {
@@ -141,6 +142,7 @@
 async fn forwarder(o: &Options, rate: f64, deal: &Deal) -> std::io::Result<Trial> {
     let plan = plan(o, rate);
     let recorder = Recorder::new(plan.service.clone());
+    recorder.audit().reserve(play::room(&plan));
     let partners = Partners::start(&plan, recorder.clone()).await?;
     let mut command = Command::new(std::env::current_exe()?);
     command.arg("forward").stdout(Stdio::piped());
@@ -250,3 +252,59 @@
         forwarder_trials,
     })
 }
+
+/// What a dispatcher that counts says at its end, by part.
+#[derive(Debug, serde::Deserialize)]
+struct Account {
+    ns: u64,
+    allocations: u64,
+    bytes: u64,
+}
+
+/// Builds a dispatcher that counts, plays this rate, and splits the cost of a message by part.
+///
+/// # Errors
+/// Where it does not build, does not run, or says nothing.
+pub async fn parts(o: &Options, rate: f64, folder: &Path, deal: &Deal) -> Result<String, String> {
+    let target = folder.join("meter");
+    let mut build = Command::new("cargo");
+    build.args(["build", "--quiet", "--release", "-p", "millpost-dispatcher", "--features", "meter"]);
+    build.current_dir(env!("CARGO_MANIFEST_DIR"));
+    let target = std::path::absolute(&target).map_err(|e| e.to_string())?;
+    build.args(["--target-dir".as_ref(), target.as_os_str()]);
+    if !build.status().is_ok_and(|status| status.success()) {
+        return Err("the dispatcher that counts does not build".to_owned());
+    }
+    let log = folder.join("dispatcher-0.log");
+    let _ = std::fs::remove_file(&log);
+    let watch = Watch { progress: &|_, _| {}, logs: Some(folder), ends: true };
+    let program = target.join("release/millpost-dispatcher");
+    let done = play::play(&plan(o, rate), &program, deal, &watch).await.map_err(|e| e.to_string())?;
+    let said = std::fs::read_to_string(&log).map_err(|e| format!("{}: {e}", log.display()))?;
+    let line = said.lines().find_map(|l| l.strip_prefix("meter ")).ok_or("the dispatcher did not count")?;
+    let accounts: std::collections::BTreeMap<String, Account> =
+        serde_json::from_str(line).map_err(|e| format!("{}: {e}", log.display()))?;
+    let taken = done.verdict.taken.max(1) as f64;
+    let cost = &done.costs[0];
+    let known: f64 = accounts.values().map(|a| a.ns as f64 / 1e3 / taken).sum();
+    let mut text = format!("one message at {rate:.0} a second, by part (counting itself costs some)\n");
+    let mut row = |name: &str, us: f64, allocations: Option<f64>, bytes: Option<f64>| {
+        let number = |n: Option<f64>| n.map_or("-".to_owned(), |n| format!("{n:.0}"));
+        text += &format!(
+            "  {name:<8} {us:>7.1} us {:>6} allocations {:>8} bytes allocated\n",
+            number(allocations),
+            number(bytes)
+        );
+    };
+    for (name, a) in &accounts {
+        row(
+            name,
+            a.ns as f64 / 1e3 / taken,
+            Some(a.allocations as f64 / taken),
+            Some(a.bytes as f64 / taken),
+        );
+    }
+    row("runtime", (cost.cpu_us_a_message - known).max(0.0), None, None);
+    row("all", cost.cpu_us_a_message, None, None);
+    Ok(text + &format!("  {:.0} bytes written to files a message\n", cost.bytes_written_a_message))
+}
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -25,7 +25,7 @@
 /// Without a command it writes a documented sample plan, plays it for about 20 seconds and reports on the terminal
 /// and in a self-contained HTML file with plots over time.
 ///
-/// Exit codes: 0, all rules kept; 1, a rule was broken; 2, something could not be read or started.
+/// Exit codes: 0, all rules kept; 1, a rule was broken or a dispatcher did not end in order; 2, something could not be read or started.
 #[derive(Parser)]
 #[command(name = "millpost-rig", version)]
 struct Arguments {
@@ -79,6 +79,9 @@
         /// What the dispatcher's writes outlast: `process` or `machine`.
         #[arg(long, default_value = "process", value_parser = ["process", "machine"])]
         durability: String,
+        /// Also split the cost of a message by part; builds a dispatcher that counts (feature `meter`).
+        #[arg(long)]
+        parts: bool,
     },
     /// Measure how cost grows with destinations and with messages held.
     Scale {
@@ -153,7 +156,7 @@
             let deal = proc::deal(&proc::cores(), plan.dispatchers.count);
             let bar = bar(plan.seconds, a.quiet || a.json);
             let progress = |s: &play::Sample, v: &Verdict| show(&bar, s, v);
-            let watch = play::Watch { progress: &progress, logs: Some(&a.out) };
+            let watch = play::Watch { progress: &progress, logs: Some(&a.out), ends: true };
             let outcome = threads(&deal)?
                 .block_on(play::play(&plan, &program, &deal, &watch))
                 .map_err(|e| e.to_string())?;
@@ -171,16 +174,16 @@
                     a.out.join("dispatcher-*.log").display()
                 );
             }
-            Ok(outcome.verdict.rules_broken() > 0)
+            Ok(outcome.verdict.rules_broken() > 0 || outcome.ends.iter().any(|end| *end != Some(0)))
         }
-        Verb::Capacity { seconds, destinations, body, from, durability } => {
+        Verb::Capacity { seconds, destinations, body, from, durability, parts } => {
             let program = program(a.dispatcher)?;
             let deal = proc::deal(&proc::cores(), 1);
             let seed = seed.unwrap_or(1);
             let options = capacity::Options { seconds, destinations, from, body, seed, durability };
-            let done = threads(&deal)?
-                .block_on(capacity::measure(&options, &program, &deal))
-                .map_err(|e| e.to_string())?;
+            let runtime = threads(&deal)?;
+            let done =
+                runtime.block_on(capacity::measure(&options, &program, &deal)).map_err(|e| e.to_string())?;
             if a.json {
                 println!("{}", json(&done)?);
             }
@@ -189,6 +192,11 @@
                     println!("{name}: the rig's own cores were the limit; more may be carried");
                 }
             }
+            if parts {
+                std::fs::create_dir_all(&a.out).map_err(|e| format!("{}: {e}", a.out.display()))?;
+                let rate = (done.dispatcher / 2.0).max(200.0);
+                print!("{}", runtime.block_on(capacity::parts(&options, rate, &a.out, &deal))?);
+            }
             println!(
                 "capacity {:.0}/s forwarder {:.0}/s ratio {:.2}",
                 done.dispatcher, done.forwarder, done.ratio
@@ -216,7 +224,7 @@
             let deal = proc::deal(&proc::cores(), 2);
             let bar = bar(24.0, a.quiet || a.json);
             let progress = |s: &play::Sample, v: &Verdict| show(&bar, s, v);
-            let watch = play::Watch { progress: &progress, logs: Some(&a.out) };
+            let watch = play::Watch { progress: &progress, logs: Some(&a.out), ends: true };
             let measured = restart::measure(rate, latency, seed.unwrap_or(1), &program, &deal, &watch);
             let done = threads(&deal)?.block_on(measured)?;
             bar.finish_and_clear();
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -120,6 +120,8 @@
     pub costs: Vec<Cost>,
     pub partner_connections: u64,
     pub over_limit: u64,
+    /// How dispatchers ended after the run, where they were told to: exit codes, none for one that did not end.
+    pub ends: Vec<Option<i32>>,
     /// Highest share of its own cores that the rig used in a sample, and whether it stood in its own way.
     pub rig_busy: f64,
     pub rig_bound: bool,
@@ -141,6 +143,15 @@
 pub struct Watch<'a> {
     pub progress: &'a (dyn Fn(&Sample, &Verdict) + Sync),
     pub logs: Option<&'a Path>,
+    /// Dispatchers are told to end after the run, and it is looked how they do.
+    pub ends: bool,
+}
+
+/// Messages whose verdict is open at a time, about.
+pub fn room(plan: &Plan) -> usize {
+    let longest = plan.service.classes.iter().map(|c| c.deadline_ms).max().unwrap_or(0) as f64 / 1e3;
+    let open = plan.load.per_second * (longest + 4.0).min(plan.seconds + 1.0);
+    (open as usize).min(1 << 20)
 }
 
 /// Plays a plan with this dispatcher.
@@ -149,6 +160,7 @@
 /// Where a stand-in finds no port.
 pub async fn play(plan: &Plan, program: &Path, deal: &Deal, watch: &Watch<'_>) -> std::io::Result<Outcome> {
     let recorder = Recorder::new(plan.service.clone());
+    recorder.audit().reserve(room(plan));
     let partners = Arc::new(Partners::start(plan, recorder.clone()).await?);
     let of = plan.dispatchers.count;
     let relay = if plan.dispatchers.peers && of > 1 { Some(Relay::start(of)?) } else { None };
@@ -243,6 +255,7 @@
     let (sampler, ()) = tokio::join!(samples, drive);
     let after: Vec<Reading> = slots.iter().map(|slot| proc::read(slot.node().pid())).collect();
     let verdict = recorder.close();
+    let ends = if watch.ends { tokio::task::block_in_place(|| end(&slots)) } else { Vec::new() };
     partners.close();
     let spent = (recorder.now() - began).as_secs_f64();
     let per = |n: f64| if verdict.taken > 0 { n / (verdict.taken as f64 / of as f64) } else { 0.0 };
@@ -274,6 +287,7 @@
         costs: costs.collect(),
         partner_connections: partners.counts().connections.load(Ordering::Relaxed),
         over_limit: partners.counts().over_limit.load(Ordering::Relaxed),
+        ends,
         rig_busy,
         rig_bound: rig_busy > 0.9 || seen.dropped_by_rig > 0 || seen.rig_lag_ms > 20.0,
         faults: faults
@@ -299,6 +313,22 @@
     }
 }
 
+/// Tells all dispatchers to end; the exit codes of those that did so in time.
+fn end(slots: &[Slot]) -> Vec<Option<i32>> {
+    slots.iter().for_each(|slot| slot.node().terminate());
+    let until = std::time::Instant::now() + TERM;
+    let ended = |slot: &Slot| loop {
+        if let Some(status) = slot.node().ended() {
+            return status.code();
+        }
+        if std::time::Instant::now() > until {
+            return None;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    slots.iter().map(ended).collect()
+}
+
 /// All that a fault may strike.
 struct On {
     partners: Arc<Partners>,
--- a/rig/src/scale.rs
+++ b/rig/src/scale.rs
@@ -224,7 +224,7 @@
     let mut through = Vec::new();
     for destinations in tens(most_destinations.min(10_000)).filter(|_| seconds > 0.0) {
         let plan = plan(destinations, rate, seconds, seed);
-        let watch = Watch { progress: &|_, _| {}, logs: None };
+        let watch = Watch { progress: &|_, _| {}, logs: None, ends: false };
         let done = play::play(&plan, program, deal, &watch).await.map_err(|e| e.to_string())?;
         let cost = &done.costs[0];
         eprintln!(
--- a/standins/src/audit.rs
+++ b/standins/src/audit.rs
@@ -349,6 +349,12 @@
         }
     }
 
+    /// Makes room for so many messages without a verdict, so that nothing is moved later while others wait.
+    pub fn reserve(&mut self, messages: usize) {
+        self.records.reserve(messages);
+        self.origins.reserve(messages);
+    }
+
     /// Class and destination of a message that was handed in.
     pub fn known(&self, reference: &str) -> Option<(usize, u64)> {
         self.records.get(reference)?.known.map(|known| (known.class, known.dest))
