Refuse connections on the way out; tests of the stand-ins and of the rig

From 0.7 s after SIGTERM to the end a dispatcher went on accepting connections and closed them unread, which leaves a client in doubt; now the door is shut.

--- a/dispatcher/src/intake.rs
+++ b/dispatcher/src/intake.rs
@@ -73,10 +73,8 @@
     Serving,
     /// Every answer closes its connection.
     Leaving,
-    /// Idle connections are closed.
+    /// Idle connections are closed, and no new ones are accepted.
     Closing,
-    /// No new connections are accepted.
-    Closed,
 }
 
 #[derive(Clone)]
@@ -91,8 +89,8 @@
     phase: watch::Receiver<Phase>,
 }
 
-/// Serves clients on `listener`, `most` connections at once, until the phase is `Closed` and every
-/// connection has ended.
+/// Serves clients on `listener`, `most` connections at once, until the phase is `Closing` and every connection has
+/// ended. A client that comes later is refused its connection, and so knows that its message is not here.
 pub async fn serve(
     listener: TcpListener,
     most: usize,
@@ -110,13 +108,13 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|p| *p == Phase::Closed) => break,
+            _ = phase.wait_for(|p| *p >= Phase::Closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
                 let (seat, leave) = tokio::select! {
                     entered = room.enter() => entered,
-                    _ = phase.wait_for(|p| *p == Phase::Closed) => break,
+                    _ = phase.wait_for(|p| *p >= Phase::Closing) => break,
                 };
                 let intake = intake.clone();
                 tokio::spawn(metered(Part::Intake, async move {
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -176,8 +176,7 @@
     sleep(LEAVE).await;
     let _ = phase.send(Phase::Closing);
     let _ = timeout(STOP, &mut driver).await;
-    // Whoever is still being read from is told to go elsewhere; then the connections end.
-    let _ = phase.send(Phase::Closed);
+    // Whoever is still being read from is told to go elsewhere, now that nobody takes it; then the connections end.
     let _ = timeout(LAST, intake).await;
     meter::report();
     eprintln!("stopped");
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -342,6 +342,8 @@
     pin: Option<Vec<usize>>,
 }
 
+/// Health calls of a crowd.
+const CROWD: u32 = 1_000;
 /// New connections go on coming for so long after a planned end was told.
 const FRONT_LEAVES: Duration = Duration::from_millis(300);
 
@@ -377,6 +379,7 @@
                 agent.spoil(false);
             }
         }
+        (What::Crowd, Target::Dispatcher(node)) => clients.crowd(node, CROWD, lasts).await,
         (What::Kill | What::Terminate, Target::Dispatcher(node)) => {
             let (slot, what, recorder) = (slots[node].clone(), fault.what, recorder.clone());
             let core = pin.as_ref().map(|cores| cores[node]);
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -318,6 +318,15 @@
         (node, done.unwrap_or(Err(No::Answer { cut: false })))
     }
 
+    /// Health calls for one dispatcher, each on a new connection, evenly spaced over a time.
+    pub async fn crowd(&self, node: usize, calls: u32, over: Duration) {
+        let address = self.doors[node].address;
+        for _ in 0..calls {
+            tokio::spawn(timeout(Duration::from_secs(5), healthy(address)));
+            sleep(over / calls.max(1)).await;
+        }
+    }
+
     /// The next dispatcher in turn among those that the front holds to be up.
     fn door(&self) -> usize {
         let from = self.next_door.fetch_add(1, Ordering::Relaxed);
--- a/standins/src/partner.rs
+++ b/standins/src/partner.rs
@@ -387,6 +387,8 @@
         let Calls { writer, out, .. } = calls;
         if !kept {
             let _ = socket2::SockRef::from(writer.as_ref()).set_linger(Some(Duration::ZERO));
+            // Dropped, it would end its sending in order first.
+            writer.forget();
         }
         if let Some((call, reference)) = out {
             self.recorder.hear(Heard::CallOver { call, reference, how: Over::Closed });
--- a/standins/src/plan.rs
+++ b/standins/src/plan.rs
@@ -244,6 +244,8 @@
     Kill,
     /// SIGTERM, SIGKILL if it still runs after 3.7 s; started again at the end.
     Terminate,
+    /// A thousand health calls come, each on a new connection.
+    Crowd,
     /// Discovery answers 503.
     Mute,
     /// Discovery tells what is new only at the end.
@@ -302,7 +304,7 @@
     fn fits(self, target: Target) -> bool {
         use Target::{Destination, Destinations, Discovery, Dispatcher, Endpoint, Link};
         match self {
-            What::Kill | What::Terminate => matches!(target, Dispatcher(_)),
+            What::Kill | What::Terminate | What::Crowd => matches!(target, Dispatcher(_)),
             What::Mute | What::Late | What::Unreadable => target == Discovery,
             What::Cut | What::Hang | What::OneWay => matches!(target, Link(_)),
             _ => matches!(target, Destinations | Destination(_) | Endpoint(..)),
