Send what goes to one endpoint in one round as one call

Need: a second deployment has partners that take 20 messages in a call. The module bundles for them and counts one call, but the driver (driver.rs, begin) sent every message in a call of its own. Ruled out: crashes and broken rules (none), lateness of the loop (4 ms as elsewhere), memory, descriptors, the module itself.

Change: sends of a round to one endpoint travel as POST /hook/batch, each attempt noted before the first byte, each message with the end that the answer gives it; what an answer leaves out may have run. A wait beside deliveries is an event of its own for the module.

--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::batch;
 use crate::driver::Input;
 use crate::link::{Error, Link};
 use crate::meter::{Part, metered};
@@ -24,16 +25,64 @@
 /// Guards the slots against heads without end.
 const HEAD_WITHIN: Duration = Duration::from_millis(500);
 
-/// How a call ended.
-pub struct Ended {
+/// The ends of several messages come in the body of an answer, which may take so long.
+const ENDS_WITHIN: Duration = Duration::from_millis(500);
+
+/// How the call of one message ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct End {
     pub outcome: Outcome,
     /// The message is over: delivered, or the endpoint says so.
     pub over: bool,
+}
+
+impl From<Outcome> for End {
+    fn from(outcome: Outcome) -> Self {
+        End { outcome, over: false }
+    }
+}
+
+/// How a call ended for the messages in it.
+#[derive(Debug, PartialEq)]
+pub enum Fate {
+    /// All fared alike.
+    All(End),
+    /// One end for each, in their order.
+    Each(Vec<End>),
+}
+
+impl Fate {
+    /// The end of the message at this place in the call.
+    pub fn of(&self, place: usize) -> End {
+        match self {
+            Fate::All(end) => *end,
+            // An answer gives each an end; one that it did not would have proven nothing.
+            Fate::Each(ends) => ends.get(place).copied().unwrap_or(Outcome::Reset.into()),
+        }
+    }
+    /// Whether it ended so for all.
+    pub fn is(&self, outcome: Outcome) -> bool {
+        matches!(self, Fate::All(end) if end.outcome == outcome)
+    }
+}
+
+/// How a call ended.
+pub struct Ended {
+    pub fate: Fate,
+    /// A wait that an answer told though it turned away no message.
+    pub wait: Option<Nanos>,
     pub report: Option<Report>,
     /// The connection, if it can be used again.
     pub link: Option<Link>,
 }
 
+impl Ended {
+    /// An end without an answer, which costs the connection.
+    pub fn without_answer(outcome: Outcome) -> Self {
+        Ended { fate: Fate::All(outcome.into()), wait: None, report: None, link: None }
+    }
+}
+
 /// An endpoint may give connections up much sooner than it says, without a word: each is then reset at its next
 /// request. What was seen of that holds for so long.
 const SEEN_FOR: Duration = Duration::from_secs(15);
@@ -151,6 +200,7 @@
 
     /// Sends a call and waits for its end. Dropping the sender of `called_off` does nothing; using it ends
     /// the call.
+    #[expect(clippy::too_many_arguments, reason = "each is a part of one request")]
     pub fn send(
         &self,
         call: u64,
@@ -159,6 +209,8 @@
         until: Instant,
         proof: bool,
         called_off: oneshot::Receiver<()>,
+        // The messages in the call, where there are several.
+        references: Vec<String>,
     ) {
         let told = self.told.clone();
         tokio::spawn(metered(Part::Calls, async move {
@@ -180,17 +232,19 @@
                 () = endless => Err(Outcome::Reset),
             };
             let ended = match answer {
-                Ok(Ok(answer)) => finish(link, answer).await,
+                Ok(Ok(answer)) => finish(link, answer, &references).await,
                 // Whatever ended it: an endpoint begins a call with its last byte.
                 Ok(Err(Error::NotSent | Error::Cut)) => {
                     link.close().await;
                     let _ = told.send(Input::Unsent { call }).await;
                     return;
                 }
-                // Whatever else is wrong with an answer, a first line of 200 is true.
-                Ok(Err(_)) | Err(_) if link.status() == Some(200) => {
+                // Whatever else is wrong with an answer, a first line of 200 is true; for several messages it is what
+                // follows that tells.
+                Ok(Err(_)) | Err(_) if link.status() == Some(200) && references.is_empty() => {
                     link.close().await;
-                    Ended { outcome: Outcome::Served, over: true, report: None, link: None }
+                    let served = End { outcome: Outcome::Served, over: true };
+                    Ended { fate: Fate::All(served), ..Ended::without_answer(Outcome::Served) }
                 }
                 Ok(Err(_)) => broken(link, Outcome::Reset).await,
                 Err(outcome) => {
@@ -216,12 +270,12 @@
                 let request = Request::get("/load").header("Host", address.to_string());
                 let request = request.body(Full::default()).map_err(|_| Outcome::NotSent)?;
                 let answer = link.send(request, false).await.map_err(|_| Outcome::Reset)?;
-                Ok(finish(link, answer).await)
+                Ok(finish(link, answer, &[]).await)
             };
             let ended = match timeout(within, exchange).await {
                 Ok(Ok(ended)) => ended,
-                Ok(Err(outcome)) => Ended { outcome, over: false, report: None, link: None },
-                Err(_) => Ended { outcome: Outcome::TimedOut, over: false, report: None, link: None },
+                Ok(Err(outcome)) => Ended::without_answer(outcome),
+                Err(_) => Ended::without_answer(Outcome::TimedOut),
             };
             let _ = told.send(Input::Probed { endpoint, took: began.elapsed(), ended }).await;
         }));
@@ -231,41 +285,77 @@
 /// The connection is closed before the outcome is told: no other attempt may go while it is open.
 async fn broken(link: Link, outcome: Outcome) -> Ended {
     link.close().await;
-    Ended { outcome, over: false, report: None, link: None }
+    Ended::without_answer(outcome)
 }
 
-/// Reads the rest of an answer. A first line of 200 is true whatever follows; any other answer counts only as
-/// a whole. One that breaks off or has no end is spoilt, and proves nothing: the call may have run. What comes
-/// behind a whole answer belongs to nobody, and only costs the connection.
-async fn finish(mut link: Link, answer: Response<hyper::body::Incoming>) -> Ended {
+/// Reads the rest of an answer. A first line of 200 is true whatever follows, to a call with one message; any other
+/// answer counts only as a whole. One that breaks off or has no end is spoilt, and proves nothing: the call may have
+/// run. What comes behind a whole answer belongs to nobody, and only costs the connection.
+async fn finish(mut link: Link, answer: Response<hyper::body::Incoming>, references: &[String]) -> Ended {
     let (head, body) = answer.into_parts();
-    let body = timeout(BODY_WITHIN, Limited::new(body, LONGEST_BODY).collect()).await;
-    let whole = body.is_ok_and(|body| body.is_ok());
-    if !whole && head.status != StatusCode::OK {
-        return broken(link, Outcome::Reset).await;
+    let told = wait(&head.headers);
+    // With a wait told little time may pass; without, there is more to lose by an answer that is not read.
+    let within = if references.is_empty() || told.is_some() { BODY_WITHIN } else { ENDS_WITHIN };
+    let body = timeout(within, Limited::new(body, LONGEST_BODY).collect()).await;
+    let body = body.ok().and_then(Result::ok).map(|body| body.to_bytes());
+    let whole = body.is_some();
+    let several = !references.is_empty();
+    if !whole && (several || head.status != StatusCode::OK) {
+        let wait = told.filter(|_| several);
+        return Ended { wait, ..broken(link, Outcome::Reset).await };
     }
-    let (outcome, over) = outcome(head.status, &head.headers);
+    let fate = match body.filter(|_| several && head.status == StatusCode::OK) {
+        Some(body) => Fate::Each(ends(&body, references, told)),
+        None if several => Fate::All(outcome_of_several(head.status, &head.headers)),
+        None => Fate::All(outcome(head.status, &head.headers)),
+    };
+    // Whoever was refused tells of it already.
+    let wait = told.filter(|_| matches!(fate, Fate::Each(_)));
     let report = head.headers.get("Srv-Load").and_then(|v| v.to_str().ok()).and_then(report);
     if whole && timeout(BODY_WITHIN, link.rested()).await.unwrap_or(false) {
-        return Ended { outcome, over, report, link: Some(link) };
+        return Ended { fate, wait, report, link: Some(link) };
     }
     link.close().await;
-    Ended { outcome, over, report, link: None }
+    Ended { fate, wait, report, link: None }
+}
+
+/// What the answer to a call with several messages says of each.
+fn ends(body: &[u8], references: &[String], wait: Option<Nanos>) -> Vec<End> {
+    let end = |told: Option<batch::End>| match told {
+        Some(batch::End::Delivered) => End { outcome: Outcome::Served, over: true },
+        Some(batch::End::Refused) => Outcome::Full(wait).into(),
+        Some(batch::End::Over) => End { outcome: Outcome::NotSent, over: true },
+        Some(batch::End::Spent) => Outcome::Exhausted.into(),
+        Some(batch::End::Failed) => Outcome::Error.into(),
+        None => Outcome::Reset.into(),
+    };
+    batch::ends(body, references).into_iter().map(end).collect()
+}
+
+/// What an answer to a call with several messages means that tells no end of each.
+fn outcome_of_several(status: StatusCode, headers: &HeaderMap) -> End {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => outcome(status, headers),
+        // It was not understood, and none has run.
+        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => Outcome::NotSent.into(),
+        // That a message is over or spent is said of each; said of all, it is no answer that the protocol knows.
+        _ => Outcome::Error.into(),
+    }
 }
 
 /// What an answer means, and whether the message is over with it.
-fn outcome(status: StatusCode, headers: &HeaderMap) -> (Outcome, bool) {
+fn outcome(status: StatusCode, headers: &HeaderMap) -> End {
     match status {
-        StatusCode::OK => (Outcome::Served, true),
-        StatusCode::TOO_MANY_REQUESTS => (Outcome::Full(wait(headers)), false),
+        StatusCode::OK => End { outcome: Outcome::Served, over: true },
+        StatusCode::TOO_MANY_REQUESTS => Outcome::Full(wait(headers)).into(),
         StatusCode::SERVICE_UNAVAILABLE if headers.get("X-Over-Slots").is_some_and(|v| v == "1") => {
-            (Outcome::NotSent, false)
+            Outcome::NotSent.into()
         }
-        StatusCode::SERVICE_UNAVAILABLE => (Outcome::Full(wait(headers)), false),
-        StatusCode::GATEWAY_TIMEOUT => (Outcome::Exhausted, false),
-        StatusCode::GONE => (Outcome::NotSent, true),
+        StatusCode::SERVICE_UNAVAILABLE => Outcome::Full(wait(headers)).into(),
+        StatusCode::GATEWAY_TIMEOUT => Outcome::Exhausted.into(),
+        StatusCode::GONE => End { outcome: Outcome::NotSent, over: true },
         // An answer that the protocol does not know proves nothing: it may have run.
-        _ => (Outcome::Error, false),
+        _ => Outcome::Error.into(),
     }
 }
 
@@ -292,7 +382,7 @@
     seen.then_some(report)
 }
 
-/// The request of one call.
+/// The request of a call with one message.
 pub fn request(
     address: SocketAddr,
     reference: &str,
@@ -300,10 +390,7 @@
     body: Bytes,
     within: Duration,
 ) -> Option<Request<Full<Bytes>>> {
-    let request = Request::post("/hook")
-        .header("Host", address.to_string())
-        .header("Req-Id", reference)
-        .header("Req-Deadline", format!("{:.3}", within.as_secs_f64()));
+    let request = head("/hook", address, within).header("Req-Id", reference);
     let request = match key {
         Some(key) => request.header("Idempotency-Key", HeaderValue::from_bytes(key).ok()?),
         None => request,
@@ -311,6 +398,22 @@
     request.body(Full::new(body)).ok()
 }
 
+/// The request of a call with several messages, each as [`batch::item`] gives it.
+pub fn request_of_several(
+    address: SocketAddr,
+    items: &[String],
+    within: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let request = head("/hook/batch", address, within).header("Content-Type", "application/json");
+    request.body(Full::new(batch::body(items))).ok()
+}
+
+fn head(path: &str, address: SocketAddr, within: Duration) -> hyper::http::request::Builder {
+    Request::post(path)
+        .header("Host", address.to_string())
+        .header("Req-Deadline", format!("{:.3}", within.as_secs_f64()))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -359,12 +462,12 @@
                 link.send(request(), true).await.expect("the first answer");
                 assert!(link.rested().await);
                 let (call_off, called_off) = oneshot::channel();
-                calls.send(call, link, request(), until, true, called_off);
+                calls.send(call, link, request(), until, true, called_off, Vec::new());
                 call_offs.push(call_off);
             }
             for _ in 0..8 {
                 match inputs.recv().await {
-                    Some(Input::Ended { ended, .. }) => assert_eq!(ended.outcome, Outcome::Served),
+                    Some(Input::Ended { ended, .. }) => assert_eq!(ended.fate.of(0).outcome, Outcome::Served),
                     _ => panic!("not the end of a call"),
                 }
             }
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -9,14 +9,17 @@
 
 use bytes::Bytes;
 use millpost::Control;
-use millpost::api::{Action, Effect, EndpointId, Entry, Event, Nanos, Outcome, Settings, State, Weights};
+use millpost::api::{
+    Action, Effect, EndpointId, Entry, Event, Nanos, Outcome, Report, Settings, State, Weights,
+};
 use millpost_settings::Shape;
 use millpost_store::ledger::{Answer, Final, Found, History, Listed, Taken};
 use millpost_store::{Disk, Error as StoreError, Folder, Ledger, Seq, Synced};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
-use crate::calls::{Calls, Ended, request};
+use crate::batch;
+use crate::calls::{Calls, End, Ended, request, request_of_several};
 use crate::discovery::{self, List, Status};
 use crate::intake::{Handed, Verdict};
 use crate::link::Link;
@@ -108,16 +111,25 @@
     Tell(Notice),
 }
 
-/// A call that the module has asked for and that has no outcome yet.
-struct Call {
+/// A message in a call.
+#[derive(Clone, Copy)]
+struct Member {
     id: u64,
     attempt: u32,
+}
+
+/// A call that the module has asked for and that has no outcome yet.
+struct Call {
+    /// The messages in it: one, or several where the kind of endpoint takes that.
+    members: Vec<Member>,
+    /// What it has no room for goes in calls that follow it, one at a time: they share its slot.
+    rest: VecDeque<Vec<Member>>,
     endpoint: EndpointId,
     address: SocketAddr,
     zone: usize,
     sent: Nanos,
     until: Nanos,
-    /// Its attempt is in the journal.
+    /// Its attempts are in the journal.
     begun: bool,
     /// Its connection was opened for it.
     fresh: bool,
@@ -422,7 +434,8 @@
             Input::Unsent { call } => self.unsent(now, call),
             Input::Ended { call, ended } => self.ended(now, call, ended),
             Input::Probed { endpoint, took, ended } => {
-                let Ended { outcome, report, link, .. } = ended;
+                let Ended { fate, report, link, .. } = ended;
+                let outcome = fate.of(0).outcome;
                 if let (Some(link), Some(known)) = (link, self.known.get(&endpoint)) {
                     self.keep(endpoint, known.address, link);
                 }
@@ -632,15 +645,27 @@
             self.control.on_event(now, Event::Wake);
             self.control.decide(now, &mut actions);
         });
+        // Sends of one round to one endpoint travel as one call, up to as many as its kind takes.
+        let mut sends: Vec<(EndpointId, Vec<(u64, Nanos)>)> = Vec::new();
+        let mut latest: HashMap<EndpointId, usize> = HashMap::new();
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout } => self.begin(now, id, endpoint, timeout),
+                Action::Send { id, endpoint, timeout } => match latest.get(&endpoint) {
+                    Some(n) if sends[*n].1.len() < self.bundle(endpoint) => sends[*n].1.push((id, timeout)),
+                    _ => {
+                        latest.insert(endpoint, sends.len());
+                        sends.push((endpoint, vec![(id, timeout)]));
+                    }
+                },
                 Action::Refuse { id, wait } => {
                     self.answer(id, Answer::Refused { wait_ms: wait.div_ceil(1_000_000) });
                 }
                 Action::Fail { id } => self.answer(id, Answer::Failed),
                 Action::Cancel { id, attempt } => {
-                    let mut calls = self.out.values_mut().filter(|c| c.id == id && c.attempt == attempt);
+                    // A call that carries others too is not called off for one of them.
+                    let mut calls = self.out.values_mut().filter(
+                        |c| matches!(c.members[..], [Member { id: i, attempt: a }] if (i, a) == (id, attempt)),
+                    );
                     if let Some(call_off) = calls.next().and_then(|c| c.call_off.take()) {
                         let _ = call_off.send(());
                     }
@@ -656,11 +681,20 @@
                 Action::Wake { at } => self.wake = Some(self.wake.map_or(at, |other| other.min(at))),
             }
         }
+        for (endpoint, messages) in sends {
+            self.begin(now, endpoint, &messages);
+        }
         if self.control.has_grave_news() {
             self.learn(now, true);
         }
     }
 
+    /// How many messages a call to an endpoint may carry.
+    fn bundle(&self, endpoint: EndpointId) -> usize {
+        let kind = self.known.get(&endpoint).and_then(|known| self.settings.kinds.get(known.entry.kind));
+        kind.map_or(1, |kind| kind.bundle.max(1))
+    }
+
     fn answer(&mut self, id: u64, answer: Answer) {
         let Some(held) = self.held.get_mut(&id).filter(|h| h.answer.is_none()) else { return };
         held.answer = Some(answer);
@@ -685,22 +719,63 @@
         }
     }
 
-    fn begin(&mut self, now: Nanos, id: u64, endpoint: EndpointId, timeout: Nanos) {
-        let Some(held) = self.held.get_mut(&id) else { return };
-        let (attempt, sure, call) = (held.attempts, held.once, self.next_call);
-        held.attempts += 1;
+    /// Begins what the module sends to one endpoint in one round.
+    fn begin(&mut self, now: Nanos, endpoint: EndpointId, messages: &[(u64, Nanos)]) {
+        let (mut parts, mut left) = (VecDeque::<Vec<Member>>::new(), 0);
+        for (id, _) in messages {
+            let Some(held) = self.held.get_mut(id) else { continue };
+            let member = Member { id: *id, attempt: held.attempts };
+            held.attempts += 1;
+            // A key that is no text can't stand among others.
+            let key = held.key.as_deref();
+            let alone = key.is_some_and(|key| std::str::from_utf8(key).is_err());
+            let room = if alone { batch::LONGEST } else { batch::room(&held.reference, key, &held.body) };
+            match parts.back_mut().filter(|_| room <= left) {
+                Some(part) => part.push(member),
+                // Two bytes are the brackets'.
+                None => {
+                    left = batch::LONGEST - 2;
+                    parts.push_back(vec![member]);
+                }
+            }
+            left = left.saturating_sub(room);
+        }
+        // One fate, one end: that of the message which may wait longest.
+        let timeout = messages.iter().map(|(_, timeout)| *timeout).max().unwrap_or(0);
+        self.start(now, endpoint, now.saturating_add(timeout), parts);
+    }
+
+    /// Starts the first of these calls; the rest follows once it has ended.
+    fn start(&mut self, now: Nanos, endpoint: EndpointId, until: Nanos, mut parts: VecDeque<Vec<Member>>) {
+        let Some(members) = parts.pop_front() else { return };
+        let call = self.next_call;
         self.next_call += 1;
         let known = self.known.get(&endpoint);
         // An endpoint that is not known any more fails the check before the call is written.
         let (address, zone) =
             known.map_or((SocketAddr::from(([0, 0, 0, 0], 0)), 0), |known| (known.address, known.entry.zone));
-        let until = now.saturating_add(timeout);
+        let mut out = Call {
+            members,
+            rest: parts,
+            endpoint,
+            address,
+            zone,
+            sent: now,
+            until,
+            begun: false,
+            fresh: true,
+            idle_for: Duration::ZERO,
+            call_off: None,
+        };
+        if until <= now {
+            self.out.insert(call, out);
+            return self.settle(now, call, Outcome::NotSent);
+        }
+        let sure = out.members.iter().any(|m| self.held.get(&m.id).is_some_and(|held| held.once));
         let idle = self.calls.idle(endpoint, address, sure);
-        let (begun, fresh, sent) = (false, idle.is_none(), now);
-        let idle_for = idle.as_ref().map_or(Duration::ZERO, |(_, age)| *age);
-        let call_off = None;
-        let out =
-            Call { id, attempt, endpoint, address, zone, sent, until, begun, fresh, idle_for, call_off };
+        if let Some((_, age)) = &idle {
+            (out.fresh, out.idle_for) = (false, *age);
+        }
         self.out.insert(call, out);
         match idle {
             Some((link, _)) => self.connected(now, call, Some(link)),
@@ -736,67 +811,126 @@
             // Noted when an earlier connection was there, which was of no use.
             return self.write(now, call, link);
         }
-        let (id, endpoint, address, zone) = (out.id, out.endpoint, out.address, out.zone);
-        if !self.may_write(now, call) {
-            self.keep(endpoint, address, link);
-            return self.settle(now, call, Outcome::NotSent);
+        if !self.sift(now, call) {
+            return self.not_written(now, call, link);
         }
+        let Some(out) = self.out.get_mut(&call) else { return };
+        let (zone, members) = (out.zone as u32, std::mem::take(&mut out.members));
         // On disk before the first byte: an attempt that the store does not know of could go twice.
-        let done = within(Part::Journal, || self.ledger.begin(id, self.clock.wall(), zone as u32));
-        let Some(seq) = self.noted(done) else {
-            self.keep(endpoint, address, link);
-            return self.settle(now, call, Outcome::NotSent);
-        };
+        let (mut noted, mut unnoted, mut last) = (Vec::new(), Vec::new(), None);
+        for member in members {
+            let done = within(Part::Journal, || self.ledger.begin(member.id, self.clock.wall(), zone));
+            match self.noted(done) {
+                Some(seq) => {
+                    last = Some(seq);
+                    noted.push(member);
+                }
+                None => unnoted.push(member),
+            }
+        }
+        let Some(out) = self.out.get_mut(&call) else { return };
+        out.members = noted;
+        let place = (out.endpoint, out.sent);
+        for member in unnoted {
+            self.message_over(now, place, &member, false, Outcome::NotSent.into(), None);
+        }
+        let Some(seq) = last else { return self.not_written(now, call, link) };
         self.out.entry(call).and_modify(|out| out.begun = true);
         self.once_it_lasts(now, seq, Act::Write { call, link });
     }
 
     /// Connecting takes time, and so does a sync: by now the endpoint may drain, a wait may have been told, or
-    /// the time of the message, or of its key, may have run out.
-    fn may_write(&self, now: Nanos, call: u64) -> bool {
-        self.out.get(&call).is_some_and(|out| {
-            out.until > now
-                && self.known.contains_key(&out.endpoint)
-                && self.held.contains_key(&out.id)
-                && self.control.may_still_send(now, out.id)
-        })
+    /// the time of a message, or of its key, may have run out. Such a message leaves the call; whether any is left.
+    fn sift(&mut self, now: Nanos, call: u64) -> bool {
+        let Some(out) = self.out.get_mut(&call) else { return false };
+        let (place, begun) = ((out.endpoint, out.sent), out.begun);
+        let open = out.until > now && self.known.contains_key(&out.endpoint);
+        let (held, control) = (&self.held, &self.control);
+        let sound = |m: &Member| open && held.contains_key(&m.id) && control.may_still_send(now, m.id);
+        let (stays, leaves) = std::mem::take(&mut out.members).into_iter().partition::<Vec<_>, _>(sound);
+        out.members = stays;
+        let left = !out.members.is_empty();
+        for member in leaves {
+            self.message_over(now, place, &member, begun, Outcome::NotSent.into(), None);
+        }
+        left
+    }
+
+    /// A call of which nothing is written; its connection may serve another.
+    fn not_written(&mut self, now: Nanos, call: u64, link: Link) {
+        let Some(out) = self.out.get(&call) else { return };
+        let (endpoint, address) = (out.endpoint, out.address);
+        self.keep(endpoint, address, link);
+        self.settle(now, call, Outcome::NotSent);
     }
 
-    /// Writes a call whose attempt is noted.
+    /// Writes a call whose attempts are noted.
     fn write(&mut self, now: Nanos, call: u64, link: Link) {
-        let sound = self.may_write(now, call);
+        if !self.sift(now, call) {
+            return self.not_written(now, call, link);
+        }
         let Some(out) = self.out.get_mut(&call) else { return };
-        let (endpoint, address) = (out.endpoint, out.address);
         // A connection that was in use just now is not stale, and a message that may go again needs no proof that it
         // never ran where a new one breaks.
         let stale = !out.fresh && out.idle_for >= JUST_USED;
-        let Some(held) = self.held.get(&out.id).filter(|_| sound) else {
-            self.keep(endpoint, address, link);
-            return self.settle(now, call, Outcome::NotSent);
-        };
+        let held: Vec<&Held> = out.members.iter().filter_map(|m| self.held.get(&m.id)).collect();
         let within = Duration::from_nanos(out.until - now);
-        let request = request(address, &held.reference, held.key.as_ref(), held.body.clone(), within);
+        let (request, references) = match held[..] {
+            [held] => {
+                let (key, body) = (held.key.as_ref(), held.body.clone());
+                (request(out.address, &held.reference, key, body, within), Vec::new())
+            }
+            _ => {
+                let items: Option<Vec<String>> =
+                    held.iter().map(|h| batch::item(&h.reference, h.key.as_deref(), &h.body)).collect();
+                let references = held.iter().map(|held| held.reference.clone()).collect();
+                (items.and_then(|items| request_of_several(out.address, &items, within)), references)
+            }
+        };
+        let proof = stale || held.iter().any(|held| held.once);
         let Some(request) = request else { return self.settle(now, call, Outcome::NotSent) };
         let (call_off, called_off) = oneshot::channel();
         out.call_off = Some(call_off);
-        let proof = held.once || stale;
-        self.calls.send(call, link, request, self.clock.instant(out.until), proof, called_off);
+        let until = self.clock.instant(out.until);
+        self.calls.send(call, link, request, until, proof, called_off, references);
     }
 
     fn ended(&mut self, now: Nanos, call: u64, ended: Ended) {
-        let Ended { outcome, over, report, link } = ended;
+        let Ended { fate, wait, report, link } = ended;
         let Some(out) = self.out.remove(&call) else { return };
         if let Some(link) = link {
             self.keep(out.endpoint, out.address, link);
         }
-        if outcome == Outcome::Reset && !out.fresh && now.saturating_sub(out.sent) < AT_ONCE {
+        if fate.is(Outcome::Reset) && !out.fresh && now.saturating_sub(out.sent) < AT_ONCE {
             self.calls.was_given_up(out.endpoint, out.idle_for);
         }
         // A connection that was reset says nothing of the others: each is looked at before it is used.
-        if outcome == Outcome::TimedOut {
+        if fate.is(Outcome::TimedOut) {
             self.calls.forget(out.endpoint);
         }
-        let Call { id, attempt, endpoint, sent, begun, .. } = out;
+        let Call { members, rest, endpoint, sent, until, begun, .. } = out;
+        if let Some(wait) = wait {
+            self.control.on_event(now, Event::ToldToWait { endpoint, wait });
+        }
+        for (place, member) in members.iter().enumerate() {
+            // One report came, whatever the number of messages.
+            let report = report.filter(|_| place == 0);
+            self.message_over(now, (endpoint, sent), member, begun, fate.of(place), report);
+        }
+        self.start(now, endpoint, until, rest);
+    }
+
+    /// The attempt of one message is over.
+    fn message_over(
+        &mut self,
+        now: Nanos,
+        (endpoint, sent): (EndpointId, Nanos),
+        member: &Member,
+        begun: bool,
+        end: End,
+        report: Option<Report>,
+    ) {
+        let (Member { id, attempt }, End { outcome, over }) = (*member, end);
         let answered = self.held.get(&id).is_none_or(|held| held.answer.is_some());
         if over {
             // An endpoint may also say that a message is over of which it has had nothing.
@@ -819,7 +953,7 @@
 
     /// The outcome of a call of which nothing was written.
     fn settle(&mut self, now: Nanos, call: u64, outcome: Outcome) {
-        self.ended(now, call, Ended { outcome, over: false, report: None, link: None });
+        self.ended(now, call, Ended::without_answer(outcome));
         // Guards against an outcome that is told but not acted on until something else happens.
         self.wake = Some(now);
     }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -1,5 +1,6 @@
 //! The millpost dispatcher: takes messages from clients, and delivers them to partners' endpoints.
 
+mod batch;
 mod calls;
 mod config;
 mod discovery;
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -41,6 +41,10 @@
 pub struct Options {
     pub disk_mb: f64,
     pub hold: usize,
+    /// Calls that may be out at once.
+    pub slots: usize,
+    /// Messages in one call, at most.
+    pub bundle: usize,
     /// Settings of the store, if any.
     pub store: Option<&'static str>,
     /// Writes to a file fail beyond so many bytes, until `make_room`.
@@ -49,7 +53,7 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Options { disk_mb: 3.0, hold: 300, store: None, file_bytes: None }
+        Options { disk_mb: 3.0, hold: 300, slots: 16, bundle: 1, store: None, file_bytes: None }
     }
 }
 
@@ -66,8 +70,9 @@
             in_order: false,
         };
         let service = Service {
-            slots: 16,
+            slots: options.slots,
             hold: options.hold,
+            bundle: options.bundle,
             disk_mb: options.disk_mb,
             sockets: 256,
             keepalive_ms: 60_000,
--- a/src/api.rs
+++ b/src/api.rs
@@ -295,6 +295,13 @@
         /// Load report, if one came.
         report: Option<Report>,
     },
+    /// An endpoint asked for a wait in an answer that turned no message away.
+    ToldToWait {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How long, from now.
+        wait: Nanos,
+    },
     /// The client has withdrawn the message; nothing more is owed for it.
     Withdrawn {
         /// The message.
--- a/src/control.rs
+++ b/src/control.rs
@@ -427,6 +427,13 @@
                 self.heard(endpoint, report);
                 self.attempt_over(now, id, outcome, took, closed);
             }
+            Event::ToldToWait { endpoint, wait } => {
+                let Some(id) = self.endpoints.get(&endpoint).map(|e| e.lane) else { return };
+                let Some(lane) = self.lanes.get_mut(&id) else { return };
+                lane.wait_until = lane.wait_until.max(now.saturating_add(wait));
+                lane.news = News::Grave;
+                self.note_news(id);
+            }
             Event::Withdrawn { id } => self.end(id),
             Event::Probed { endpoint, outcome, took, report } => {
                 self.heard(endpoint, report);
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -92,6 +92,8 @@
     pub weights: String,
     /// Longest wait that refused clients heed, milliseconds.
     pub max_retry_after_ms: u64,
+    /// Messages in one call, at most.
+    pub bundle: usize,
     /// The classes.
     pub classes: Vec<Class>,
 }
@@ -124,6 +126,7 @@
             sockets: 1_024,
             weights: "nominal".to_owned(),
             max_retry_after_ms: 2_000,
+            bundle: 1,
             classes: vec![
                 class("loan-status", Effect::Safe, 0.5),
                 class("loan-report", Effect::Keyed, 0.3),
@@ -149,7 +152,7 @@
         }).collect();
         json!({
             "slotNo": me, "nInstances": of, "periodNs": ns(self.tick_ms), "areas": ["z"], "kinds": ["k"],
-            "profiles": classes, "familyInfo": {"workers": self.slots}, "weightKind": self.weights,
+            "profiles": classes, "familyInfo": {"workers": self.slots, "bundleMax": [self.bundle]}, "weightKind": self.weights,
             "limits": {"tryLimit": self.tries, "openCap": self.hold, "connectTimeoutNs": ns(self.connect_ms),
                        "keepaliveNs": ns(self.keepalive_ms), "retryAfter": true,
                        "maxRetryAfterNs": ns(self.max_retry_after_ms)},
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -552,3 +552,20 @@
     let (much, none) = (gone_with(1.0), gone_with(0.0));
     assert!(much > 3 * none, "{much} with all of it left, {none} with none");
 }
+
+#[test]
+fn a_wait_told_beside_deliveries_holds_for_every_message_and_is_kept_at_once() {
+    let mut bench = Bench::new(settings(), vec![entry(1, 1, 1), entry(2, 1, 1)]);
+    bench.take(1, 0, 1);
+    assert_eq!(sent(&bench.decide()), [1]);
+    bench.now += 50 * MS;
+    bench.tell(Event::ToldToWait { endpoint: 1, wait: 3 * S });
+    bench.over(1, 0, 1, Outcome::Served, 50 * MS);
+    assert!(bench.control.has_grave_news(), "it outlasts a restart");
+    bench.take(2, 0, 1);
+    assert_eq!(sent(&bench.decide()), []);
+    assert!(!bench.control.may_still_send(bench.now, 2));
+    let until = bench.now + 3 * S;
+    let sends = bench.sends(20 * S);
+    assert!(matches!(sends[..], [(at, 2), ..] if at >= until), "{sends:?} before {until}");
+}
