--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,359 @@
+//! What a dispatcher knows of its messages and calls, and what follows from each thing that happens: a state machine
+//! without I/O, clock or randomness of its own, round the decision module.
+//!
+//! The caller tells a [`Core`] what happened and when ([`Moment`]); the core puts what is to be done into a queue of
+//! [`Effect`]s, which the caller carries out in their order. What may only be done once a write lasts is handed out
+//! as a [`Behind`]: see [`shelf`].
+//!
+//! Invariants kept here: a message has one final answer; it has one attempt out at most, and that attempt belongs to
+//! one call; a call is written only after each of its attempts was noted, and only while every check that the module
+//! would make still holds; what is answered in the journal is told to the platform until that has taken it.
+
+mod call;
+mod faults;
+mod message;
+pub mod shelf;
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use bytes::Bytes;
+use millpost::api::{Action, EndpointId, Entry, Event, MsgId, Nanos, Settings};
+use millpost::{Control, Dice, Lesson};
+use millpost_store::ledger::Answer;
+
+use call::Call;
+pub use call::{End, Ended, Fate, LONGEST_BODY, room};
+pub use faults::Fault;
+use message::Held;
+pub use message::{Handed, Verdict};
+pub use shelf::{Behind, Change, Ready, Shelf};
+
+/// A call, as the core numbers it.
+pub type CallId = u64;
+/// Whoever waits for the answer to a message that was handed in, as the caller numbers them.
+pub type ReplyId = u64;
+
+/// When something happens: by the module's clock, which never goes back, and by the wall clock, which the journal
+/// goes by. Both in nanoseconds; the wall clock's is taken never to be set back either.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Moment {
+    /// By the module's clock.
+    pub now: Nanos,
+    /// By the wall clock, since 1970.
+    pub wall: Nanos,
+}
+
+impl Moment {
+    /// A time of the module's clock as the wall clock would show it.
+    pub fn to_wall(self, at: Nanos) -> Nanos {
+        self.wall.saturating_add(at).saturating_sub(self.now)
+    }
+    /// A time of the wall clock as the module's clock would show it.
+    pub fn at_wall(self, at: Nanos) -> Nanos {
+        self.now.saturating_add(at).saturating_sub(self.wall)
+    }
+}
+
+/// A message as it is written in a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Carried {
+    /// Its id at its client.
+    pub reference: String,
+    /// Its idempotency key.
+    pub key: Option<Bytes>,
+    /// What is to be delivered.
+    pub body: Bytes,
+}
+
+/// Something to be done. Effects are carried out in their order, each before the next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Write this to the journal. What stands behind it goes on a [`Shelf`] with the number of the write; where the
+    /// write fails, [`Core::not_written`] is told.
+    Append(Change, Option<Behind>),
+    /// Nothing is to be written; this waits for all that was written so far.
+    After(Behind),
+    /// Answer a client.
+    Reply {
+        /// Which.
+        reply: ReplyId,
+        /// What to say.
+        verdict: Verdict,
+        /// The message that it takes on: whether the client was still there is told by [`Core::replied`].
+        taken: Option<MsgId>,
+    },
+    /// Find a connection for a call: one that is kept, unless `fresh`, or a new one. Ends in
+    /// [`Core::connected`] or [`Core::unreachable`].
+    Connect {
+        /// The call.
+        call: CallId,
+        /// Where to.
+        endpoint: EndpointId,
+        /// The call carries a message that does not survive a reset: no connection that may have been given up.
+        sure: bool,
+        /// Only a new one will do.
+        fresh: bool,
+        /// No longer than this.
+        until: Nanos,
+    },
+    /// Write a call on the connection that was found. Ends in [`Core::ended`], or in [`Core::unsent`] where the
+    /// connection was gone before the last byte.
+    Write {
+        /// The call.
+        call: CallId,
+        /// It carries a message that does not survive a reset.
+        sure: bool,
+        /// When it is given up.
+        until: Nanos,
+        /// One message, or several in one body.
+        messages: Vec<Carried>,
+    },
+    /// Nothing will be written: the connection that was found may serve another call.
+    Release {
+        /// The call.
+        call: CallId,
+    },
+    /// Call off a call that is out; it ends in [`Core::ended`] all the same.
+    CallOff {
+        /// The call.
+        call: CallId,
+    },
+    /// Probe an endpoint.
+    Probe {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// Send a note to all other dispatchers.
+    Note {
+        /// What to say.
+        bytes: Vec<u8>,
+    },
+    /// Tell the platform how a message ended, until it has taken that: see [`Core::noticed`].
+    Notice {
+        /// The message.
+        id: MsgId,
+        /// Its id at its client.
+        reference: String,
+        /// How it ended.
+        answer: Answer,
+    },
+    /// Keep what was learnt of destinations, before anything that follows.
+    Learn(Vec<Lesson>),
+}
+
+/// After SIGTERM clients go on coming for a while; an idle process stays at least so long.
+const LEAST_STAY: Nanos = 1_000_000_000;
+/// A final answer is kept for so long after the message's time is up: its client may ask once more.
+const KEEP_ANSWER: Nanos = 10_000_000_000;
+
+/// What one dispatcher knows of its messages and calls.
+#[derive(Clone, Debug)]
+pub struct Core {
+    settings: Settings,
+    control: Control,
+    held: BTreeMap<MsgId, Held>,
+    by_reference: BTreeMap<String, MsgId>,
+    next_message: MsgId,
+    /// Messages that have no final answer yet.
+    open: usize,
+    /// Final answers that could not be written yet: their notices wait.
+    unwritten: VecDeque<(MsgId, Answer)>,
+    calls: BTreeMap<CallId, Call>,
+    next_call: CallId,
+    endpoints: BTreeMap<EndpointId, Entry>,
+    wake: Option<Nanos>,
+    /// When the process may end if it is idle, and when it ends.
+    stop: Option<(Nanos, Nanos)>,
+    effects: VecDeque<Effect>,
+    #[cfg(feature = "faults")]
+    planted: Option<Fault>,
+}
+
+impl Core {
+    /// A dispatcher that owes nothing. Messages are numbered from `next_message` on.
+    pub fn new(settings: Settings, seed: u64, next_message: MsgId) -> Self {
+        Core {
+            control: Control::new(settings.clone(), seed),
+            settings,
+            held: BTreeMap::new(),
+            by_reference: BTreeMap::new(),
+            next_message,
+            open: 0,
+            unwritten: VecDeque::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            endpoints: BTreeMap::new(),
+            wake: None,
+            stop: None,
+            effects: VecDeque::new(),
+            #[cfg(feature = "faults")]
+            planted: None,
+        }
+    }
+
+    /// The next thing to be done.
+    pub fn effect(&mut self) -> Option<Effect> {
+        self.effects.pop_front()
+    }
+
+    /// Something that concerns no message of one's own: a probe's end, a note, the list.
+    pub fn on_event(&mut self, at: Moment, event: Event) {
+        self.control.on_event(at.now, event);
+    }
+
+    /// The list of endpoints, or changes of it; `whole` where what is missing from it is gone.
+    pub fn listed(&mut self, at: Moment, whole: bool, entries: Vec<Entry>) {
+        if whole {
+            self.endpoints.clear();
+        }
+        for entry in &entries {
+            if entry.state == millpost::api::State::Gone {
+                self.endpoints.remove(&entry.endpoint);
+            } else {
+                self.endpoints.insert(entry.endpoint, *entry);
+            }
+        }
+        if self.has(Fault::DrainUntold) && !whole {
+            return;
+        }
+        self.control.on_event(at.now, Event::Listed { whole, entries });
+    }
+
+    /// What was learnt before a restart.
+    pub fn recall(&mut self, at: Moment, lesson: &Lesson, age: Nanos) {
+        if self.has(Fault::ForgetWaits) {
+            return;
+        }
+        self.control.recall(at.now, lesson.dest, lesson.route, age, &lesson.bytes);
+    }
+
+    /// The process ends after this time.
+    pub fn stop(&mut self, at: Moment, after: Nanos) {
+        let end = at.now.saturating_add(after);
+        self.stop = Some((at.now.saturating_add(LEAST_STAY), end));
+        self.control.on_event(at.now, Event::Stopping { at: end });
+    }
+
+    /// The process has been told to end, and may.
+    pub fn done(&self, now: Nanos) -> bool {
+        let idle = self.held.is_empty() && self.calls.is_empty();
+        self.stop.is_some_and(|(least, most)| now >= most || idle && now >= least)
+    }
+
+    /// When [`Self::decide`] is to be called next, if nothing happens.
+    pub fn wake(&self) -> Option<Nanos> {
+        self.wake
+    }
+
+    /// Something is on its way to an end that nothing but time will bring on: it is looked after often.
+    pub fn restless(&self) -> bool {
+        self.stop.is_some() || !self.unwritten.is_empty()
+    }
+
+    /// Calls that are out or being connected.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Messages that are owed something: their end, or its notice.
+    pub fn owed(&self) -> usize {
+        self.held.len()
+    }
+
+    /// One round: the module decides on all that was told since the last.
+    pub fn decide(&mut self, at: Moment) {
+        let mut actions = Vec::new();
+        self.wake = self.wake.filter(|wake| *wake > at.now);
+        self.control.on_event(at.now, Event::Wake);
+        self.control.decide(at.now, &mut actions);
+        // Sends of one round to one endpoint travel as one call, up to as many as its kind takes.
+        let mut sends: Vec<(EndpointId, Vec<(MsgId, Nanos)>)> = Vec::new();
+        let mut latest: HashMap<EndpointId, usize> = HashMap::new();
+        for action in actions {
+            match action {
+                Action::Send { id, endpoint, timeout } => match latest.get(&endpoint) {
+                    Some(n) if sends[*n].1.len() < self.bundle(endpoint) => sends[*n].1.push((id, timeout)),
+                    _ => {
+                        latest.insert(endpoint, sends.len());
+                        sends.push((endpoint, vec![(id, timeout)]));
+                    }
+                },
+                Action::Refuse { id, wait } => {
+                    self.answer(id, Answer::Refused { wait_ms: wait.div_ceil(1_000_000) });
+                }
+                Action::Fail { id } => self.answer(id, Answer::Failed),
+                Action::Cancel { id, attempt } => self.call_off(id, attempt),
+                Action::Probe { endpoint } => self.effects.push_back(Effect::Probe { endpoint }),
+                Action::Tell { bytes } => self.effects.push_back(Effect::Note { bytes }),
+                // The watch goes on by itself.
+                Action::Subscribe => {}
+                Action::Wake { at } => self.wake = Some(self.wake.map_or(at, |other| other.min(at))),
+            }
+        }
+        for (endpoint, messages) in sends {
+            self.begin(at, endpoint, &messages);
+        }
+        self.learn_grave(at);
+    }
+
+    fn learn_grave(&mut self, at: Moment) {
+        if self.control.has_grave_news() {
+            self.learn(at, true);
+        }
+    }
+
+    /// Has what was learnt kept: all of it, or only what can't wait.
+    pub fn learn(&mut self, at: Moment, grave_only: bool) {
+        let lessons = self.control.learnt(at.now, grave_only);
+        if !lessons.is_empty() {
+            self.effects.push_back(Effect::Learn(lessons));
+        }
+    }
+
+    /// How many messages a call to an endpoint may carry.
+    fn bundle(&self, endpoint: EndpointId) -> usize {
+        let kind = self.endpoints.get(&endpoint).and_then(|entry| self.settings.kinds.get(entry.kind));
+        kind.map_or(1, |kind| kind.bundle.max(1))
+    }
+
+    /// Guards against an outcome that is told but not acted on until something else happens.
+    fn decide_soon(&mut self, at: Moment) {
+        self.wake = Some(at.now);
+    }
+
+    /// What stood behind a write that lasts by now is done.
+    pub fn go_on(&mut self, at: Moment, Ready(act): Ready) {
+        use shelf::Act;
+        match act {
+            Act::Accept { id, class, dest, reply } => self.accept(id, class, dest, reply),
+            Act::Confirm { reply, .. } => self.reply(reply, Verdict::Taken),
+            Act::Write { call } => self.write(at, call),
+            Act::Tell { id, answer } => {
+                self.tell(id, answer);
+                if self.has(Fault::EndBeforeNoticed) {
+                    self.noticed(at, id);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, id: MsgId, answer: Answer) {
+        if let Some(reference) = self.held.get(&id).map(|held| held.reference.clone()) {
+            self.effects.push_back(Effect::Notice { id, reference, answer });
+        }
+    }
+
+    /// Calls that the module takes to be out.
+    pub fn slots_taken(&self) -> usize {
+        self.control.calls_out()
+    }
+
+    /// Other dice for the module from now on; the ones before are given back.
+    pub fn set_dice(&mut self, dice: Dice) -> Dice {
+        self.control.set_dice(dice)
+    }
+
+    fn reply(&mut self, reply: ReplyId, verdict: Verdict) {
+        self.effects.push_back(Effect::Reply { reply, verdict, taken: None });
+    }
+}
--- /dev/null
+++ b/core/src/shelf.rs
@@ -0,0 +1,113 @@
+//! What waits for a write to last. The order *durable, then outward* is kept by the types here: what follows a write
+//! is handed out as a [`Behind`] that nobody can look into, only a [`Shelf`] makes a [`Ready`] of it, and only once
+//! the journal says that the write lasts; and [`crate::Core::go_on`] takes nothing but a `Ready`.
+
+use std::collections::VecDeque;
+
+use millpost::api::{DestId, MsgId, Nanos};
+use millpost_store::Seq;
+use millpost_store::ledger::{Answer, Final, Taken};
+
+use crate::{CallId, ReplyId};
+
+/// A change of what must last. Times are the wall clock's.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A message is taken on.
+    Take {
+        /// Its number.
+        id: MsgId,
+        /// The message.
+        taken: Taken,
+    },
+    /// An attempt is about to begin.
+    Begin {
+        /// The message.
+        id: MsgId,
+        /// When.
+        at: Nanos,
+        /// The zone that it goes to.
+        zone: u32,
+    },
+    /// The attempt that was out is over, without delivery.
+    Outcome {
+        /// The message.
+        id: MsgId,
+        /// It had no effect.
+        never_ran: bool,
+    },
+    /// The final answer is decided, and its notice owed.
+    Answer {
+        /// The message.
+        id: MsgId,
+        /// What it says.
+        answer: Answer,
+    },
+    /// Nothing more is owed.
+    End {
+        /// The message.
+        id: MsgId,
+        /// How it ended, under which reference, and until when that is kept.
+        end: Option<(String, Final, Nanos)>,
+    },
+}
+
+/// What may be done only once what was written before it lasts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Act {
+    /// Tell a client that its message is taken on, and the module of it.
+    Accept { id: MsgId, class: usize, dest: DestId, reply: ReplyId },
+    /// Tell a client that its message had been taken on before.
+    Confirm { dest: DestId, reply: ReplyId },
+    /// Write a call whose attempts are noted.
+    Write { call: CallId },
+    /// Tell the platform of an end.
+    Tell { id: MsgId, answer: Answer },
+}
+
+/// What stands behind a write: given to a [`Shelf`] with the number of the write, or back to
+/// [`crate::Core::not_written`] where the write failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[must_use = "what stands behind a write is owed"]
+pub struct Behind(pub(crate) Act);
+
+/// What stood behind a write that lasts.
+#[derive(Debug)]
+#[must_use = "what stood behind a write is owed"]
+pub struct Ready(pub(crate) Act);
+
+/// What waits for a write to last, in the order of the writes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Shelf {
+    waiting: VecDeque<(Seq, Behind)>,
+}
+
+impl Shelf {
+    /// Keeps what stands behind the write of this number.
+    pub fn put(&mut self, seq: Seq, behind: Behind) {
+        self.waiting.push_back((seq, behind));
+    }
+
+    /// The next that may be done, in the order of the writes. `lasts` is the journal's word on a write.
+    pub fn next(&mut self, lasts: impl Fn(Seq) -> bool) -> Option<Ready> {
+        let (_, Behind(act)) = self.waiting.pop_front_if(|(seq, _)| lasts(*seq))?;
+        Some(Ready(act))
+    }
+
+    /// Takes out what clients wait for and does not last yet: the disk refuses, and they are told to come again.
+    pub fn clients(&mut self, lasts: impl Fn(Seq) -> bool) -> Vec<Behind> {
+        let mut taken = Vec::new();
+        for (seq, Behind(act)) in std::mem::take(&mut self.waiting) {
+            match act {
+                Act::Accept { .. } | Act::Confirm { .. } if !lasts(seq) => taken.push(Behind(act)),
+                act => self.waiting.push_back((seq, Behind(act))),
+            }
+        }
+        taken
+    }
+
+    /// Nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- a/dispatcher/src/batch.rs
+++ b/dispatcher/src/batch.rs
@@ -10,9 +10,6 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-/// The body of a call holds no more, as any other: bytes.
-pub const LONGEST: usize = 64 * 1024;
-
 #[derive(Serialize)]
 struct Item<'a> {
     id: &'a str,
@@ -27,14 +24,6 @@
     serde_json::to_string(&Item { id: reference, key, body: STANDARD.encode(body) }).ok()
 }
 
-/// How much room a message takes in the body of a call, its comma included: bytes, and never too few.
-pub fn room(reference: &str, key: Option<&[u8]>, body: &[u8]) -> usize {
-    // An escaped character takes six bytes at most.
-    let text = 6 * (reference.len() + key.map_or(0, <[u8]>::len));
-    let encoded = base64::encoded_len(body.len(), true).unwrap_or(usize::MAX);
-    encoded.saturating_add(text).saturating_add(r#"{"id":"","key":"","body":""},"#.len())
-}
-
 /// The body of a call with these messages.
 pub fn body(items: &[String]) -> Bytes {
     Bytes::from(format!("[{}]", items.join(",")))
@@ -82,6 +71,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use millpost_core::Carried;
 
     #[test]
     fn a_call_holds_each_message_unchanged_and_no_more_than_was_reckoned() {
@@ -91,7 +81,9 @@
             [("r1", Some(b"k"), b"\x00\xff"), (odd, None, b""), ("r3", Some(odd.as_bytes()), &[7; 1_000])];
         let items: Vec<String> = messages.iter().map(|(r, k, b)| item(r, *k, b).expect("text")).collect();
         for ((reference, key, body), item) in messages.iter().zip(&items) {
-            assert!(item.len() < room(reference, *key, body), "{item}");
+            let own = |bytes: &[u8]| Bytes::copy_from_slice(bytes);
+            let carried = Carried { reference: (*reference).to_owned(), key: key.map(own), body: own(body) };
+            assert!(item.len() < millpost_core::room(&carried), "{item}");
         }
         let read: Vec<serde_json::Value> = serde_json::from_slice(&body(&items)).expect("a list");
         assert_eq!(read.len(), 3);
--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -9,11 +9,11 @@
 use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use millpost::api::{EndpointId, Nanos, Outcome, Report};
+use millpost_core::{CallId, Carried, End, Ended, Fate};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::batch;
-use crate::driver::Input;
 use crate::link::{Error, Link};
 use crate::meter::{Part, metered};
 
@@ -28,59 +28,16 @@
 /// The ends of several messages come in the body of an answer, which may take so long.
 const ENDS_WITHIN: Duration = Duration::from_millis(500);
 
-/// How the call of one message ended.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct End {
-    pub outcome: Outcome,
-    /// The message is over: delivered, or the endpoint says so.
-    pub over: bool,
-}
-
-impl From<Outcome> for End {
-    fn from(outcome: Outcome) -> Self {
-        End { outcome, over: false }
-    }
-}
-
-/// How a call ended for the messages in it.
-#[derive(Debug, PartialEq)]
-pub enum Fate {
-    /// All fared alike.
-    All(End),
-    /// One end for each, in their order.
-    Each(Vec<End>),
-}
-
-impl Fate {
-    /// The end of the message at this place in the call.
-    pub fn of(&self, place: usize) -> End {
-        match self {
-            Fate::All(end) => *end,
-            // An answer gives each an end; one that it did not would have proven nothing.
-            Fate::Each(ends) => ends.get(place).copied().unwrap_or(Outcome::Reset.into()),
-        }
-    }
-    /// Whether it ended so for all.
-    pub fn is(&self, outcome: Outcome) -> bool {
-        matches!(self, Fate::All(end) if end.outcome == outcome)
-    }
-}
-
-/// How a call ended.
-pub struct Ended {
-    pub fate: Fate,
-    /// A wait that an answer told though it turned away no message.
-    pub wait: Option<Nanos>,
-    pub report: Option<Report>,
-    /// The connection, if it can be used again.
-    pub link: Option<Link>,
-}
-
-impl Ended {
-    /// An end without an answer, which costs the connection.
-    pub fn without_answer(outcome: Outcome) -> Self {
-        Ended { fate: Fate::All(outcome.into()), wait: None, report: None, link: None }
-    }
+/// What is told of calls and probes.
+pub enum Event {
+    /// The connection for a call is there, or did not come up.
+    Connected { call: CallId, link: Option<Link> },
+    /// The connection of a call was gone before its last byte was written.
+    Unsent { call: CallId },
+    /// A call is over; its connection, if that can be used again.
+    Ended { call: CallId, ended: Ended, link: Option<Link> },
+    /// A probe is over.
+    Probed { endpoint: EndpointId, took: Duration, ended: Ended, link: Option<Link> },
 }
 
 /// An endpoint may give connections up much sooner than it says, without a word: each is then reset at its next
@@ -93,8 +50,28 @@
     since: Instant,
 }
 
+/// The connection of a call.
+struct Carrier {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    since: Instant,
+    /// Until the call is written.
+    link: Option<Link>,
+    /// It was opened for the call.
+    fresh: bool,
+    /// How long a kept one had stood idle.
+    idle_for: Duration,
+    call_off: Option<oneshot::Sender<()>>,
+}
+
+/// A connection that is reset so soon after a request was lost before it, more likely than under it.
+const AT_ONCE: Duration = Duration::from_millis(10);
+/// A kept connection that was used so lately has not been given up since.
+const JUST_USED: Duration = Duration::from_millis(50);
+
 /// Starts calls and keeps idle connections.
-pub struct Calls {
+pub struct Calls<I> {
+    carriers: HashMap<CallId, Carrier>,
     idle: HashMap<EndpointId, Vec<Idle>>,
     /// The idle time from which on an endpoint's connections seem to be given up, and when that was seen.
     given_up: HashMap<EndpointId, (Duration, Instant)>,
@@ -102,18 +79,19 @@
     most: usize,
     reuse_within: Duration,
     connect_within: Duration,
-    told: mpsc::Sender<Input>,
+    told: mpsc::Sender<I>,
 }
 
-impl Calls {
+impl<I: From<Event> + Send + 'static> Calls<I> {
     /// Keeps `most` idle connections at most; endpoints close theirs after `keepalive`.
-    pub fn new(most: usize, keepalive: Nanos, connect: Nanos, told: mpsc::Sender<Input>) -> Self {
+    pub fn new(most: usize, keepalive: Nanos, connect: Nanos, told: mpsc::Sender<I>) -> Self {
         // An idle connection that the endpoint may be closing is not reused: a request that crosses the end
         // counts as a reset, which an unsafe message does not survive.
         let keepalive = Duration::from_nanos(keepalive);
         let reuse_within = keepalive - keepalive / 8;
         let connect_within = Duration::from_nanos(connect);
         Calls {
+            carriers: HashMap::new(),
             idle: HashMap::new(),
             given_up: HashMap::new(),
             count: 0,
@@ -125,7 +103,7 @@
     }
 
     /// A connection that had stood idle for so long was of no use at its next request.
-    pub fn was_given_up(&mut self, endpoint: EndpointId, age: Duration) {
+    fn was_given_up(&mut self, endpoint: EndpointId, age: Duration) {
         let age = self.reuse_within(endpoint).min(age * 3 / 4);
         self.given_up.insert(endpoint, (age, Instant::now()));
     }
@@ -138,12 +116,7 @@
     /// The idle connection that was used last, and for how long it has stood idle. For a message that does not
     /// survive a reset none that the endpoint may have given up; any other may try it, since a new connection
     /// costs more than a second attempt.
-    pub fn idle(
-        &mut self,
-        endpoint: EndpointId,
-        address: SocketAddr,
-        sure: bool,
-    ) -> Option<(Link, Duration)> {
+    fn idle(&mut self, endpoint: EndpointId, address: SocketAddr, sure: bool) -> Option<(Link, Duration)> {
         let within = if sure { self.reuse_within(endpoint) } else { self.reuse_within };
         let idle = self.idle.get_mut(&endpoint)?;
         while let Some(kept) = idle.pop_if(|kept| !sure || kept.since.elapsed() < within) {
@@ -156,6 +129,7 @@
         None
     }
 
+    /// Keeps a connection for the next call.
     pub fn keep(&mut self, endpoint: EndpointId, address: SocketAddr, link: Link) {
         if self.count >= self.most {
             self.sweep();
@@ -169,7 +143,7 @@
     /// Closes the idle connections to an endpoint that did not answer. A machine that is cut off leaves its
     /// connections open and silent, and a call on one may have run for all that is known; a new connection
     /// that does not come up proves that it has not, and an unsafe message lives on.
-    pub fn forget(&mut self, endpoint: EndpointId) {
+    fn forget(&mut self, endpoint: EndpointId) {
         self.count -= self.idle.remove(&endpoint).map_or(0, |idle| idle.len());
     }
 
@@ -189,21 +163,131 @@
         self.count = self.idle.values().map(Vec::len).sum();
     }
 
-    /// Opens a connection for a call; the driver hears of it before anything is sent.
-    pub fn connect(&self, call: u64, address: SocketAddr, within: Duration) {
+    /// Finds a connection for a call, a kept one if there is any and it need not be `fresh`. Whether it is there
+    /// already; else [`Event::Connected`] tells.
+    pub fn connect(
+        &mut self,
+        call: CallId,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        sure: bool,
+        fresh: bool,
+        within: Duration,
+    ) -> bool {
+        let kept = if fresh { None } else { self.idle(endpoint, address, sure) };
+        let carrier = self.carriers.entry(call).or_insert_with(|| Carrier {
+            endpoint,
+            address,
+            since: Instant::now(),
+            link: None,
+            fresh: false,
+            idle_for: Duration::ZERO,
+            call_off: None,
+        });
+        if let Some((link, age)) = kept {
+            (carrier.link, carrier.idle_for) = (Some(link), age);
+            return true;
+        }
+        (carrier.fresh, carrier.address) = (true, address);
         let (told, within) = (self.told.clone(), within.min(self.connect_within));
         tokio::spawn(metered(Part::Calls, async move {
             let link = timeout(within, Link::open(address)).await.ok().and_then(Result::ok);
-            let _ = told.send(Input::Connected { call, link }).await;
+            let _ = told.send(Event::Connected { call, link }.into()).await;
         }));
+        false
+    }
+
+    /// The connection for a call has come up, or has not. Whether it is there.
+    pub fn connected(&mut self, call: CallId, link: Option<Link>) -> bool {
+        let up = link.is_some();
+        if let (true, Some(carrier)) = (up, self.carriers.get_mut(&call)) {
+            carrier.link = link;
+        } else if let Some(carrier) = self.carriers.remove(&call) {
+            self.forget(carrier.endpoint);
+        }
+        up
+    }
+
+    /// Nothing is written on the connection of a call: it may serve another, if any goes there.
+    pub fn release(&mut self, call: CallId, ready: impl Fn(EndpointId) -> bool) {
+        if let Some(Carrier { endpoint, address, link: Some(link), .. }) = self.carriers.remove(&call)
+            && ready(endpoint)
+        {
+            self.keep(endpoint, address, link);
+        }
+    }
+
+    /// The connection of a call was gone before its last byte. Whether it was a new one.
+    pub fn unsent(&mut self, call: CallId) -> bool {
+        let Some(carrier) = self.carriers.get(&call) else { return true };
+        let (endpoint, idle_for, fresh) = (carrier.endpoint, carrier.idle_for, carrier.fresh);
+        if fresh {
+            self.carriers.remove(&call);
+        } else {
+            self.was_given_up(endpoint, idle_for);
+        }
+        fresh
+    }
+
+    /// A call is over; its connection is kept if it can be used again.
+    pub fn over(
+        &mut self,
+        call: CallId,
+        fate: &Fate,
+        link: Option<Link>,
+        ready: impl Fn(EndpointId) -> bool,
+    ) {
+        let Some(carrier) = self.carriers.remove(&call) else { return };
+        let Carrier { endpoint, address, since, fresh, idle_for, .. } = carrier;
+        if let Some(link) = link.filter(|_| ready(endpoint)) {
+            self.keep(endpoint, address, link);
+        }
+        if fate.is(Outcome::Reset) && !fresh && since.elapsed() < AT_ONCE {
+            self.was_given_up(endpoint, idle_for);
+        }
+        // A connection that was reset says nothing of the others: each is looked at before it is used.
+        if fate.is(Outcome::TimedOut) {
+            self.forget(endpoint);
+        }
+    }
+
+    /// Calls off a call that is out.
+    pub fn call_off(&mut self, call: CallId) {
+        if let Some(call_off) = self.carriers.get_mut(&call).and_then(|c| c.call_off.take()) {
+            let _ = call_off.send(());
+        }
+    }
+
+    /// Writes a call on the connection that was found for it. Whether it can be written at all.
+    pub fn write(
+        &mut self,
+        call: CallId,
+        messages: Vec<Carried>,
+        sure: bool,
+        until: Instant,
+        within: Duration,
+    ) -> bool {
+        let Some(carrier) = self.carriers.get_mut(&call) else { return false };
+        // A connection that was in use just now is not stale, and a message that may go again needs no proof that it
+        // never ran where a new one breaks.
+        let proof = sure || !carrier.fresh && carrier.idle_for >= JUST_USED;
+        let (request, references) = requested(carrier.address, messages, within);
+        let (Some(request), Some(link)) = (request, carrier.link.take()) else {
+            self.carriers.remove(&call);
+            return false;
+        };
+        let (call_off, called_off) = oneshot::channel();
+        carrier.call_off = Some(call_off);
+        self.send(call, link, request, until, proof, called_off, references);
+        true
     }
 
     /// Sends a call and waits for its end. Dropping the sender of `called_off` does nothing; using it ends
     /// the call.
     #[expect(clippy::too_many_arguments, reason = "each is a part of one request")]
-    pub fn send(
+    fn send(
         &self,
-        call: u64,
+        call: CallId,
         mut link: Link,
         request: Request<Full<Bytes>>,
         until: Instant,
@@ -236,15 +320,15 @@
                 // Whatever ended it: an endpoint begins a call with its last byte.
                 Ok(Err(Error::NotSent | Error::Cut)) => {
                     link.close().await;
-                    let _ = told.send(Input::Unsent { call }).await;
+                    let _ = told.send(Event::Unsent { call }.into()).await;
                     return;
                 }
                 // Whatever else is wrong with an answer, a first line of 200 is true; for several messages it is what
                 // follows that tells.
                 Ok(Err(_)) | Err(_) if link.status() == Some(200) && references.is_empty() => {
                     link.close().await;
-                    let served = End { outcome: Outcome::Served, over: true };
-                    Ended { fate: Fate::All(served), ..Ended::without_answer(Outcome::Served) }
+                    let served = Fate::All(End { outcome: Outcome::Served, over: true });
+                    Ended { fate: served, wait: None, report: None }.into()
                 }
                 Ok(Err(_)) => broken(link, Outcome::Reset).await,
                 Err(outcome) => {
@@ -252,7 +336,8 @@
                     broken(link, outcome).await
                 }
             };
-            let _ = told.send(Input::Ended { call, ended }).await;
+            let Over { ended, link } = ended;
+            let _ = told.send(Event::Ended { call, ended, link }.into()).await;
         }));
     }
 
@@ -274,24 +359,37 @@
             };
             let ended = match timeout(within, exchange).await {
                 Ok(Ok(ended)) => ended,
-                Ok(Err(outcome)) => Ended::without_answer(outcome),
-                Err(_) => Ended::without_answer(Outcome::TimedOut),
+                Ok(Err(outcome)) => Ended::without_answer(outcome).into(),
+                Err(_) => Ended::without_answer(Outcome::TimedOut).into(),
             };
-            let _ = told.send(Input::Probed { endpoint, took: began.elapsed(), ended }).await;
+            let (took, Over { ended, link }) = (began.elapsed(), ended);
+            let _ = told.send(Event::Probed { endpoint, took, ended, link }.into()).await;
         }));
     }
 }
 
+/// How an exchange ended, and its connection, if that can be used again.
+struct Over {
+    ended: Ended,
+    link: Option<Link>,
+}
+
+impl From<Ended> for Over {
+    fn from(ended: Ended) -> Self {
+        Over { ended, link: None }
+    }
+}
+
 /// The connection is closed before the outcome is told: no other attempt may go while it is open.
-async fn broken(link: Link, outcome: Outcome) -> Ended {
+async fn broken(link: Link, outcome: Outcome) -> Over {
     link.close().await;
-    Ended::without_answer(outcome)
+    Ended::without_answer(outcome).into()
 }
 
 /// Reads the rest of an answer. A first line of 200 is true whatever follows, to a call with one message; any other
 /// answer counts only as a whole. One that breaks off or has no end is spoilt, and proves nothing: the call may have
 /// run. What comes behind a whole answer belongs to nobody, and only costs the connection.
-async fn finish(mut link: Link, answer: Response<hyper::body::Incoming>, references: &[String]) -> Ended {
+async fn finish(mut link: Link, answer: Response<hyper::body::Incoming>, references: &[String]) -> Over {
     let (head, body) = answer.into_parts();
     let told = wait(&head.headers);
     // With a wait told little time may pass; without, there is more to lose by an answer that is not read.
@@ -302,7 +400,8 @@
     let several = !references.is_empty();
     if !whole && (several || head.status != StatusCode::OK) {
         let wait = told.filter(|_| several);
-        return Ended { wait, ..broken(link, Outcome::Reset).await };
+        let broken = broken(link, Outcome::Reset).await;
+        return Over { ended: Ended { wait, ..broken.ended }, ..broken };
     }
     let fate = match body.filter(|_| several && head.status == StatusCode::OK) {
         Some(body) => Fate::Each(ends(&body, references, told)),
@@ -312,11 +411,12 @@
     // Whoever was refused tells of it already.
     let wait = told.filter(|_| matches!(fate, Fate::Each(_)));
     let report = head.headers.get("Srv-Load").and_then(|v| v.to_str().ok()).and_then(report);
+    let ended = Ended { fate, wait, report };
     if whole && timeout(BODY_WITHIN, link.rested()).await.unwrap_or(false) {
-        return Ended { fate, wait, report, link: Some(link) };
+        return Over { ended, link: Some(link) };
     }
     link.close().await;
-    Ended { fate, wait, report, link: None }
+    ended.into()
 }
 
 /// What the answer to a call with several messages says of each.
@@ -382,8 +482,24 @@
     seen.then_some(report)
 }
 
+/// The request of a call, and the messages in it, where there are several.
+fn requested(
+    address: SocketAddr,
+    messages: Vec<Carried>,
+    within: Duration,
+) -> (Option<Request<Full<Bytes>>>, Vec<String>) {
+    if let [Carried { reference, key, body }] = &messages[..] {
+        return (request(address, reference, key.as_ref(), body.clone(), within), Vec::new());
+    }
+    let items: Option<Vec<String>> =
+        messages.iter().map(|m| batch::item(&m.reference, m.key.as_deref(), &m.body)).collect();
+    let request = head("/hook/batch", address, within).header("Content-Type", "application/json");
+    let request = items.and_then(|items| request.body(Full::new(batch::body(&items))).ok());
+    (request, messages.into_iter().map(|m| m.reference).collect())
+}
+
 /// The request of a call with one message.
-pub fn request(
+fn request(
     address: SocketAddr,
     reference: &str,
     key: Option<&Bytes>,
@@ -398,16 +514,6 @@
     request.body(Full::new(body)).ok()
 }
 
-/// The request of a call with several messages, each as [`batch::item`] gives it.
-pub fn request_of_several(
-    address: SocketAddr,
-    items: &[String],
-    within: Duration,
-) -> Option<Request<Full<Bytes>>> {
-    let request = head("/hook/batch", address, within).header("Content-Type", "application/json");
-    request.body(Full::new(batch::body(items))).ok()
-}
-
 fn head(path: &str, address: SocketAddr, within: Duration) -> hyper::http::request::Builder {
     Request::post(path)
         .header("Host", address.to_string())
@@ -467,7 +573,7 @@
             }
             for _ in 0..8 {
                 match inputs.recv().await {
-                    Some(Input::Ended { ended, .. }) => assert_eq!(ended.fate.of(0).outcome, Outcome::Served),
+                    Some(Event::Ended { ended, .. }) => assert_eq!(ended.fate.of(0).outcome, Outcome::Served),
                     _ => panic!("not the end of a call"),
                 }
             }
@@ -480,7 +586,7 @@
         let address = listener.local_addr().expect("an address");
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         runtime.block_on(async {
-            let (told, _inputs) = mpsc::channel(1);
+            let (told, _inputs) = mpsc::channel::<Event>(1);
             let hour = 3_600_000_000_000;
             let mut calls = Calls::new(8, hour, hour, told);
             for endpoint in [1, 2] {
--- a/dispatcher/src/discovery.rs
+++ b/dispatcher/src/discovery.rs
@@ -11,7 +11,6 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::driver::Input;
 use crate::link::{Agent, Error};
 
 /// How long a watch waits for news. What a silent discovery has to tell counts as told soon after the wait
@@ -94,7 +93,7 @@
 
 /// Watches for ever. Its own task and connection: nothing else holds it up. An agent that has told nothing yet
 /// is asked for the whole list, since its versions need not be those of another.
-pub async fn watch(mut agent: Agent, told: mpsc::Sender<Input>) {
+pub async fn watch<I: From<List>>(mut agent: Agent, told: mpsc::Sender<I>) {
     let mut index = None;
     loop {
         let (path, within) = match index {
@@ -118,7 +117,7 @@
         match list {
             Ok(list) => {
                 index = Some(list.index);
-                if told.send(Input::Listed(list)).await.is_err() {
+                if told.send(list.into()).await.is_err() {
                     return;
                 }
             }
--- a/dispatcher/src/intake.rs
+++ b/dispatcher/src/intake.rs
@@ -15,13 +15,13 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use millpost::api::{Effect, Nanos, Settings};
+use millpost_core::{Handed, Verdict};
 use millpost_settings::Shape;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::driver::Input;
 use crate::meter::{Part, metered};
 use crate::room::{Room, Seat};
 
@@ -41,30 +41,12 @@
 /// Deadlines are cut to this.
 const LONGEST_DEADLINE: f64 = 86_400.0;
 
-/// A message as a client hands it in.
-#[derive(Debug)]
-pub struct Handed {
-    pub reference: String,
-    pub class: usize,
-    pub dest: u64,
-    /// Counted from `came`: the deadline runs from the client's send, also while the body is on its way.
-    pub time_left: Nanos,
+/// A message that a client hands in, and where its answer goes.
+pub struct Asked {
+    pub handed: Handed,
+    /// Its time runs from here: the deadline counts from the client's send, also while the body is on its way.
     pub came: Instant,
-    pub key: Option<Bytes>,
-    pub body: Bytes,
-}
-
-/// What the driver says to it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Verdict {
-    /// Taken on.
-    Taken,
-    /// Refused: handing it in again is harmless.
-    Refused { wait: Nanos },
-    /// Its destination does not exist.
-    Unheard,
-    /// It was here before, and was given up then: nothing is promised.
-    Failed,
+    pub reply: oneshot::Sender<Verdict>,
 }
 
 /// How far the end of the process has come.
@@ -83,20 +65,20 @@
     keyed: bool,
 }
 
-struct Intake {
+struct Intake<I> {
     classes: Vec<Class>,
-    told: mpsc::Sender<Input>,
+    told: mpsc::Sender<I>,
     phase: watch::Receiver<Phase>,
 }
 
 /// Serves clients on `listener`, `most` connections at once, until the phase is `Closing` and every connection has
 /// ended. A client that comes later is refused its connection, and so knows that its message is not here.
-pub async fn serve(
+pub async fn serve<I: From<Asked> + Send + 'static>(
     listener: TcpListener,
     most: usize,
     settings: &Settings,
     shape: &Shape,
-    told: mpsc::Sender<Input>,
+    told: mpsc::Sender<I>,
     mut phase: watch::Receiver<Phase>,
 ) {
     let names = shape.class_names.iter().cloned();
@@ -136,7 +118,11 @@
     room.empty().await;
 }
 
-async fn connection(stream: TcpStream, intake: Arc<Intake>, seat: Arc<Seat>) {
+async fn connection<I: From<Asked> + Send + 'static>(
+    stream: TcpStream,
+    intake: Arc<Intake<I>>,
+    seat: Arc<Seat>,
+) {
     let _ = stream.set_nodelay(true);
     let mut phase = intake.phase.clone();
     let service = service_fn(move |request| {
@@ -189,7 +175,7 @@
     response
 }
 
-impl Intake {
+impl<I: From<Asked>> Intake<I> {
     async fn answer(&self, request: Request<Incoming>, seat: &Seat) -> Response<Full<Bytes>> {
         let mut response = match self.take(request, seat).await {
             Ok(Verdict::Taken) => plain(StatusCode::ACCEPTED),
@@ -249,11 +235,12 @@
         })?;
         seat.answering();
         let Fields { reference, dest, time_left, key } = fields;
-        let handed = Handed { reference, class, dest, time_left, came, key, body: body.to_bytes() };
+        let handed = Handed { reference, class, dest, time_left, key, body: body.to_bytes() };
         let (reply, verdict) = oneshot::channel();
+        let asked = Asked { handed, came, reply };
         // No driver any more: the process is about to end, and has not taken the message.
         let gone = StatusCode::SERVICE_UNAVAILABLE;
-        self.told.send(Input::Handed(handed, reply)).await.map_err(|_| gone)?;
+        self.told.send(asked.into()).await.map_err(|_| gone)?;
         verdict.await.map_err(|_| gone)
     }
 }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod calls;
+mod clock;
 mod config;
 mod discovery;
 mod driver;
@@ -11,7 +12,9 @@
 mod notices;
 mod options;
 mod peers;
+mod record;
 mod room;
+mod roster;
 mod written;
 
 use std::io;
@@ -27,8 +30,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
+use clock::wall_now;
 use config::Config;
-use driver::{Driver, Input, Parts, wall_now};
+use driver::{Driver, Input, Parts};
 use intake::Phase;
 use options::{Asked, Options};
 
--- a/dispatcher/src/notices.rs
+++ b/dispatcher/src/notices.rs
@@ -10,7 +10,6 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::driver::Input;
 use crate::link::{Agent, Error};
 
 /// Lines in one request, at most.
@@ -25,6 +24,9 @@
     pub answer: Answer,
 }
 
+/// Messages whose notices the platform has taken.
+pub struct Taken(pub Vec<u64>);
+
 #[derive(Serialize)]
 struct Line<'a> {
     #[serde(rename = "ref")]
@@ -49,7 +51,7 @@
 
 /// Sends what comes, in batches, each again until it is answered 204. Then the driver hears of it.
 /// A batch that was on its way when the address changed goes to the new one: told twice does no harm.
-pub async fn send(mut agent: Agent, mut due: mpsc::Receiver<Notice>, told: mpsc::Sender<Input>) {
+pub async fn send<I: From<Taken>>(mut agent: Agent, mut due: mpsc::Receiver<Notice>, told: mpsc::Sender<I>) {
     let mut batch = Vec::new();
     loop {
         if batch.is_empty() {
@@ -64,8 +66,8 @@
         let Ok(request) = request else { return };
         match agent.ask(request, WITHIN, 4096).await {
             Ok((StatusCode::NO_CONTENT, _)) => {
-                let ids = batch.drain(..).map(|n| n.id).collect();
-                if told.send(Input::Noticed(ids)).await.is_err() {
+                let ids = Taken(batch.drain(..).map(|n| n.id).collect());
+                if told.send(ids.into()).await.is_err() {
                     return;
                 }
             }
--- a/dispatcher/src/peers.rs
+++ b/dispatcher/src/peers.rs
@@ -8,10 +8,14 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::driver::Input;
-
 const LONGEST: usize = 256;
 
+/// A note, and the number of the dispatcher that it came from.
+pub struct Note {
+    pub from: usize,
+    pub bytes: Vec<u8>,
+}
+
 /// Sends notes to all other dispatchers.
 pub struct Peers {
     socket: Arc<UdpSocket>,
@@ -20,11 +24,11 @@
 
 impl Peers {
     /// Listens, and hands on each note with the number of its sender.
-    pub async fn open(
+    pub async fn open<I: From<Note> + Send + 'static>(
         listen: SocketAddr,
         peers: Vec<SocketAddr>,
         all: SocketAddr,
-        told: mpsc::Sender<Input>,
+        told: mpsc::Sender<I>,
     ) -> std::io::Result<Self> {
         let socket = Arc::new(UdpSocket::bind(listen).await?);
         let receiver = socket.clone();
@@ -38,9 +42,9 @@
                 };
                 let Some(from) = peers.iter().position(|p| *p == sender) else { continue };
                 if length <= LONGEST {
-                    let note = Input::Note { from, bytes: buffer[..length].to_vec() };
+                    let note = Note { from, bytes: buffer[..length].to_vec() };
                     // A note may be lost: a full queue loses it too.
-                    let _ = told.try_send(note);
+                    let _ = told.try_send(note.into());
                 }
             }
         });
--- /dev/null
+++ b/dispatcher/src/record.rs
@@ -0,0 +1,148 @@
+//! The store as the driver uses it: one change after the other, what waits for them to last, and the one sync that is
+//! under way for all that waits by then.
+
+use millpost::Lesson;
+use millpost::api::Nanos;
+use millpost_core::{Behind, Change, Moment, Ready, Shelf};
+use millpost_store::ledger::Final;
+use millpost_store::{Disk, Error, Folder, Ledger, Seq, SyncJob, Synced};
+
+use crate::meter::{Part, within};
+
+/// Writes work again once none has failed for so long.
+const QUIET: Nanos = 5_000_000_000;
+/// After a failed sync the next one.
+const SYNC_AGAIN: Nanos = 100_000_000;
+
+pub struct Record {
+    ledger: Ledger<Disk>,
+    shelf: Shelf,
+    /// When a write last failed, and the number that the next frame had then.
+    failing: Option<(Nanos, Seq)>,
+    /// A sync is under way, or may be tried again at this time.
+    syncing: bool,
+    sync_at: Nanos,
+}
+
+impl Record {
+    pub fn new(ledger: Ledger<Disk>) -> Self {
+        Record { ledger, shelf: Shelf::default(), failing: None, syncing: false, sync_at: 0 }
+    }
+
+    /// The tables.
+    pub fn ledger(&self) -> &Ledger<Disk> {
+        &self.ledger
+    }
+
+    /// Writes a change; the number of its frame.
+    pub fn append(&mut self, at: Moment, change: &Change) -> Option<Seq> {
+        let ledger = &mut self.ledger;
+        let done = within(Part::Journal, || match change {
+            Change::Take { id, taken } => ledger.take_as(*id, at.wall, taken),
+            Change::Begin { id, at, zone } => ledger.begin(*id, *at, *zone),
+            Change::Outcome { id, never_ran } => ledger.outcome(*id, *never_ran),
+            Change::Answer { id, answer } => ledger.answer(*id, *answer),
+            Change::End { id, end } => {
+                ledger.end(*id, end.as_ref().map(|(reference, end, until)| (&reference[..], *end, *until)))
+            }
+        });
+        self.noted(at, done)
+    }
+
+    /// How a message of this reference ended, where that is still kept.
+    pub fn final_answer(&self, reference: &str) -> Option<Final> {
+        within(Part::Journal, || self.ledger.final_answer(reference))
+    }
+
+    /// Keeps what stands behind the write of this number, or behind all so far.
+    pub fn put(&mut self, seq: Option<Seq>, behind: Behind) {
+        let last = self.ledger.store().next_seq() - 1;
+        self.shelf.put(seq.unwrap_or(last), behind);
+    }
+
+    /// The next that no longer waits.
+    pub fn ready(&mut self) -> Option<Ready> {
+        self.shelf.next(|seq| self.ledger.lasts(seq))
+    }
+
+    /// Something waits for a write to last.
+    pub fn waits(&self) -> bool {
+        !self.shelf.is_empty()
+    }
+
+    /// Keeps lessons.
+    pub fn learn(&mut self, at: Moment, lessons: Vec<Lesson>) {
+        let lessons = lessons.into_iter().map(|lesson| (lesson.dest, lesson.route, Some(lesson.bytes)));
+        let done = within(Part::Journal, || self.ledger.learn(at.wall, lessons));
+        self.noted(at, done);
+    }
+
+    /// Drops the lessons of these destinations and routes.
+    pub fn forget_lessons(&mut self, at: Moment, old: Vec<(u64, Option<u64>)>) {
+        let old = old.into_iter().map(|(dest, route)| (dest, route, None));
+        let done = self.ledger.learn(at.wall, old);
+        self.noted(at, done);
+    }
+
+    /// Notes the list of endpoints, or changes of it.
+    pub fn list(
+        &mut self,
+        at: Moment,
+        source: &str,
+        index: u64,
+        now: &[millpost_store::ledger::Listed],
+        gone: &[String],
+    ) {
+        let done = self.ledger.list(source, index, now, gone);
+        self.noted(at, done);
+    }
+
+    /// About once a second: compacts a little, and says once that writes work again.
+    pub fn tidy(&mut self, at: Moment) {
+        within(Part::Journal, || self.ledger.tidy(at.wall));
+        // Frames have been written since the last failure, which is a while ago: neither an idle call nor a write
+        // that found room between two that did not ends the trouble.
+        let next = self.ledger.store().next_seq();
+        if self.failing.is_some_and(|(since, seq)| next > seq && at.now.saturating_sub(since) > QUIET) {
+            self.failing = None;
+            eprintln!("store: writes work again");
+        }
+    }
+
+    /// The sync that is to be run now, if any: it ends in `synced`.
+    pub fn sync_job(&mut self, at: Moment) -> Option<SyncJob> {
+        if self.syncing || at.now < self.sync_at {
+            return None;
+        }
+        let job = self.ledger.sync_job();
+        let job = self.noted(at, job).flatten();
+        self.syncing |= job.is_some();
+        job
+    }
+
+    /// A sync is over. What clients wait for and will not last is given back.
+    pub fn synced(&mut self, at: Moment, synced: Synced) -> Vec<Behind> {
+        self.syncing = false;
+        let done = self.ledger.synced(synced);
+        if self.noted(at, done).is_some() {
+            return Vec::new();
+        }
+        self.sync_at = at.now.saturating_add(SYNC_AGAIN);
+        self.shelf.clients(|seq| self.ledger.lasts(seq))
+    }
+
+    /// What came of a write. That writes fail is said once, and once that they work again.
+    fn noted<T>(&mut self, at: Moment, done: Result<T, Error>) -> Option<T> {
+        if let Err(e) = &done {
+            let before = self.failing.replace((at.now, self.ledger.store().next_seq()));
+            match e {
+                _ if before.is_some() => {}
+                Error::Full => {
+                    eprintln!("store: {}: the store is full", self.ledger.store().folder().show(""));
+                }
+                e => eprintln!("store: {e}"),
+            }
+        }
+        done.ok()
+    }
+}
--- /dev/null
+++ b/dispatcher/src/roster.rs
@@ -0,0 +1,167 @@
+//! Who is in the list of endpoints: their names, their numbers, and where they listen. The list is noted in the store
+//! for the next start.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+
+use millpost::api::{EndpointId, Entry, State};
+use millpost_core::Moment;
+use millpost_settings::Shape;
+use millpost_store::ledger::Listed;
+
+use crate::discovery::{Endpoint, List, Status};
+use crate::record::Record;
+
+struct Known {
+    address: SocketAddr,
+    entry: Entry,
+}
+
+pub struct Roster {
+    shape: Shape,
+    /// The list's weights mean something.
+    rated: bool,
+    /// Whose list it is.
+    source: String,
+    names: HashMap<String, EndpointId>,
+    known: HashMap<EndpointId, Known>,
+    next: EndpointId,
+}
+
+impl Roster {
+    pub fn new(shape: Shape, rated: bool, source: SocketAddr) -> Self {
+        Roster {
+            shape,
+            rated,
+            source: source.to_string(),
+            names: HashMap::new(),
+            known: HashMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Where an endpoint listens.
+    pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        self.known.get(&endpoint).map(|known| known.address)
+    }
+
+    /// It takes new work.
+    pub fn ready(&self, endpoint: EndpointId) -> bool {
+        self.known.get(&endpoint).is_some_and(|known| known.entry.state == State::Ready)
+    }
+
+    /// The list of the configuration, or the one that was noted last, if that is newer.
+    pub fn newest(&mut self, record: &Record, known: List) -> List {
+        let known = List { snapshot: true, ..known };
+        let Some((source, index, noted)) = record.ledger().listed() else { return known };
+        for e in &noted {
+            // Numbers that lessons of routes go by.
+            self.names.insert(e.name.clone(), e.id);
+            self.next = self.next.max(e.id);
+        }
+        if source != self.source || index < known.index {
+            return known;
+        }
+        let endpoints = noted.into_iter().filter_map(|e| {
+            Some(Endpoint {
+                address: e.address.parse().ok()?,
+                name: e.name,
+                zone: e.zone,
+                kind: e.kind,
+                group: e.dest,
+                status: if e.in_service { Status::InService } else { Status::Terminating },
+                weight: e.weight,
+            })
+        });
+        List { snapshot: true, index, endpoints: endpoints.collect(), unreadable: Vec::new() }
+    }
+
+    /// Takes in what discovery says, and notes it for the next start: what it means for the module.
+    pub fn listed(&mut self, at: Moment, record: &mut Record, list: List) -> (bool, Vec<Entry>) {
+        let (index, snapshot) = (list.index, list.snapshot);
+        let mut gone = Vec::new();
+        let mut told: Vec<Listed> = Vec::new();
+        for e in &list.endpoints {
+            if e.status == Status::Terminated {
+                gone.push(e.name.clone());
+                continue;
+            }
+            told.push(Listed {
+                name: e.name.clone(),
+                id: 0,
+                address: e.address.to_string(),
+                zone: e.zone.clone(),
+                kind: e.kind.clone(),
+                dest: e.group,
+                in_service: e.status == Status::InService,
+                weight: e.weight,
+            });
+        }
+        let unreadable = list.unreadable.clone();
+        let entries = self.take_in(list);
+        for e in &mut told {
+            e.id = self.names.get(&e.name).copied().unwrap_or(0);
+        }
+        // Looked through as a whole only where names may be missing.
+        let noted =
+            Some(()).filter(|()| snapshot || !unreadable.is_empty()).and_then(|()| record.ledger().listed());
+        let named: HashSet<String> = told.iter().map(|e| e.name.clone()).collect();
+        for e in noted.map(|(_, _, all)| all).unwrap_or_default() {
+            if unreadable.contains(&e.name) {
+                told.push(Listed { in_service: false, ..e });
+            } else if snapshot && !named.contains(&e.name) {
+                gone.push(e.name);
+            }
+        }
+        record.list(at, &self.source, index, &told, &gone);
+        (snapshot, entries)
+    }
+
+    fn take_in(&mut self, list: List) -> Vec<Entry> {
+        let position = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0);
+        let mut entries = Vec::with_capacity(list.endpoints.len());
+        let mut seen = HashSet::new();
+        for e in list.endpoints {
+            let next = &mut self.next;
+            let endpoint = *self.names.entry(e.name.clone()).or_insert_with(|| {
+                *next += 1;
+                *next
+            });
+            seen.insert(endpoint);
+            let state = match e.status {
+                Status::InService => State::Ready,
+                Status::Terminating | Status::Unknown => State::Draining,
+                Status::Terminated => State::Gone,
+            };
+            let entry = Entry {
+                endpoint,
+                zone: position(&self.shape.zone_names, &e.zone),
+                kind: position(&self.shape.kind_names, &e.kind),
+                dest: e.group,
+                state,
+                weight: e.weight.filter(|w| self.rated && w.is_finite()).unwrap_or(0.0),
+            };
+            if state == State::Gone {
+                self.names.remove(&e.name);
+                self.known.remove(&endpoint);
+            } else {
+                self.known.insert(endpoint, Known { address: e.address, entry });
+            }
+            entries.push(entry);
+        }
+        // What is said of these can't be read, and may be a drain: nothing new goes there.
+        for name in list.unreadable {
+            let Some(endpoint) = self.names.get(&name) else { continue };
+            seen.insert(*endpoint);
+            if let Some(known) = self.known.get_mut(endpoint) {
+                known.entry.state = State::Draining;
+                entries.push(known.entry);
+            }
+        }
+        if list.snapshot {
+            self.names.retain(|_, endpoint| seen.contains(endpoint));
+            self.known.retain(|endpoint, _| seen.contains(endpoint));
+        }
+        entries
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,12 +8,13 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
-use rand_core::{RngCore, SeedableRng};
-use rand_pcg::Pcg64Mcg;
+use rand_core::RngCore;
 
 use crate::agenda::{Agenda, Timers};
 use crate::api::*;
+use crate::dice::Dice;
 
+mod inspect;
 mod learnt;
 pub use learnt::Lesson;
 use learnt::News;
@@ -44,7 +45,7 @@
 type LaneId = (DestId, Option<EndpointId>);
 
 /// A token bucket: the pace and the cold budget are each one.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     tokens: f64,
     at: Nanos,
@@ -60,7 +61,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct Lane {
     /// Lowest latency of the running and of the previous span.
     floors: [Option<Nanos>; 2],
@@ -110,6 +111,7 @@
     news: News,
 }
 
+#[derive(Clone, Debug)]
 struct Endpoint {
     lane: LaneId,
     zone: usize,
@@ -122,13 +124,14 @@
 }
 
 /// An attempt that is out.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 struct Out {
     endpoint: EndpointId,
     call: u64,
     sent: Nanos,
 }
 
+#[derive(Clone, Debug)]
 struct Msg {
     class: usize,
     key: Option<u64>,
@@ -171,16 +174,17 @@
 
 impl Eq for Rank {}
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct KeyLine {
     line: VecDeque<MsgId>,
     rest_until: Nanos,
 }
 
 /// The decisions of one dispatcher.
+#[derive(Clone, Debug)]
 pub struct Control {
     set: Settings,
-    rng: Pcg64Mcg,
+    rng: Dice,
     t1: Nanos,
     msgs: BTreeMap<MsgId, Msg>,
     /// What falls due when.
@@ -385,7 +389,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND as Nanos);
         Control {
-            rng: Pcg64Mcg::seed_from_u64(seed),
+            rng: Dice::seeded(seed),
             t1: (aim / 4).max(1),
             msgs: BTreeMap::new(),
             agenda: Agenda::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,5 +74,7 @@
 pub mod api;
 mod codec;
 mod control;
+mod dice;
 
 pub use control::{Control, Lesson, doubled_time, retry_probability};
+pub use dice::Dice;
--- a/store/src/ledger.rs
+++ b/store/src/ledger.rs
@@ -168,14 +168,16 @@
 }
 
 impl History {
-    pub(crate) fn begin(&mut self, at: Nanos, zone: u32) {
+    /// An attempt begins.
+    pub fn begin(&mut self, at: Nanos, zone: u32) {
         if self.attempts == 0 {
             self.first_sent = at;
         }
         self.attempts += 1;
         self.out = Some((at, zone));
     }
-    pub(crate) fn over(&mut self, never_ran: bool) {
+    /// The attempt that was out is over.
+    pub fn over(&mut self, never_ran: bool) {
         let out = self.out.take();
         if !never_ran {
             self.may_have_run = self.may_have_run.or(out);
@@ -514,16 +516,30 @@
     /// # Errors
     /// [`Error::Full`] where it would take room that is promised already; else as for [`Store::apply`].
     pub fn take(&mut self, now: Nanos, taken: &Taken) -> Result<(u64, Seq), Error> {
-        let (id, key) = (self.next, self.next.to_be_bytes());
+        let id = self.next;
+        self.take_as(id, now, taken).map(|seq| (id, seq))
+    }
+
+    /// The number of the next message.
+    pub fn next_id(&self) -> u64 {
+        self.next
+    }
+
+    /// As [`Self::take`], under a number of the caller's: [`Self::next_id`] or any later one.
+    ///
+    /// # Errors
+    /// As there.
+    pub fn take_as(&mut self, id: u64, now: Nanos, taken: &Taken) -> Result<Seq, Error> {
+        let key = id.to_be_bytes();
         let mut batch = Batch::new();
         batch.put(MESSAGES, &key, &message_value(now, taken)).put(BODIES, &key, &taken.body);
         if !self.store.has_room(batch.bytes().len(), self.promised(1)) {
             return Err(Error::Full);
         }
         let seq = self.store.apply(&batch)?;
-        self.next += 1;
+        self.next = self.next.max(id + 1);
         self.kept.insert(id, Kept { at: now, history: History::default(), told: false });
-        Ok((id, seq))
+        Ok(seq)
     }
 
     fn tell(&mut self, id: u64, change: impl FnOnce(&mut History), drop_body: bool) -> Result<Seq, Error> {
