Keep a wait with the outcome that told it, not with the next round

Found by exploring orders of events: a partner asks for a wait, the process dies before its next round (up to 1 ms later), and after the start a call is written within the wait. Trace: hand in, decide, connect, 429 with a wait, crash, start, decide, connect. The lessons that can't wait were kept at the end of a round only (lib.rs, decide).

Change: they are kept when a call ends. Tests of the core on its own come with this; the one for this order fails without it.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -259,6 +259,8 @@
             let report = report.filter(|_| place == 0);
             self.message_over(at, (endpoint, sent), member, begun, fate.of(place), report);
         }
+        // A wait or a failure outlasts a crash from here on, and not only from the next round.
+        self.learn_grave(at);
         self.start(at, endpoint, until, rest);
     }
 
--- /dev/null
+++ b/core/tests/life.rs
@@ -0,0 +1,232 @@
+//! The core on its own: what it wants done, in which order, for single events. What may come of orders of them is
+//! explored in `explore/`.
+
+use bytes::Bytes;
+use millpost::api::*;
+use millpost_core::{
+    Behind, Carried, Change, Core, Effect, End, Ended, Fate, Handed, Moment, Shelf, Verdict,
+};
+use millpost_store::ledger::{Answer, Found, History, Taken};
+
+const MS: Nanos = 1_000_000;
+
+fn settings(bundle: usize) -> Settings {
+    let class = |effect| Class {
+        aim: 400 * MS,
+        deadline: 20_000 * MS,
+        worth: 1.0,
+        late_worth: 0.5,
+        effect,
+        in_order: false,
+    };
+    Settings {
+        me: 0,
+        dispatchers: 1,
+        classes: vec![class(Effect_::Safe), class(Effect_::Unsafe)],
+        tenants: vec![],
+        over_share_worth: 1.0,
+        kinds: vec![Kind { bundle, apart: false }],
+        late: Late::Even,
+        slots: 4,
+        hold: 100,
+        try_limit: 6,
+        tick: 5 * MS,
+        connect_timeout: 1_000 * MS,
+        keepalive: 5_000 * MS,
+        streams: 1,
+        max_retry_after: 2_000 * MS,
+        allow: Allow { probes: false, notes: false, cancel: false, retry_after: true },
+        rules: Rules {
+            answer_grace: 20 * MS,
+            drain_grace: 500 * MS,
+            cold_from: 0.25,
+            cold: 12_000 * MS,
+            fall_multiple: 1.5,
+            fall: 2_000 * MS,
+            key_rest: 0,
+        },
+        weights: Weights::Unknown,
+        subscribe: false,
+    }
+}
+
+use millpost::api::Effect as Effect_;
+
+fn at(ms: u64) -> Moment {
+    // The two clocks are an hour apart: nothing may mix them up.
+    Moment { now: ms * MS, wall: (ms + 3_600_000) * MS }
+}
+
+fn handed(reference: &str, class: usize, body: usize) -> Handed {
+    let body = Bytes::from(vec![7; body]);
+    Handed { reference: reference.to_owned(), class, dest: 7, time_left: 20_000 * MS, key: None, body }
+}
+
+/// A core with one endpoint, and a shelf that is asked by hand.
+struct Bench {
+    core: Core,
+    shelf: Shelf,
+    written: u64,
+}
+
+impl Bench {
+    fn new(bundle: usize) -> Self {
+        let mut core = Core::new(settings(bundle), 1, 1);
+        let entry = Entry { endpoint: 1, zone: 0, kind: 0, dest: 7, state: State::Ready, weight: 0.0 };
+        core.listed(at(0), true, vec![entry]);
+        Bench { core, shelf: Shelf::default(), written: 0 }
+    }
+    /// All effects that are wanted now; writes go well, and last at once where `lasts`.
+    fn effects(&mut self, now: Moment, lasts: bool) -> Vec<Effect> {
+        let mut all = Vec::new();
+        loop {
+            while let Some(effect) = self.core.effect() {
+                match effect.clone() {
+                    Effect::Append(_, behind) => {
+                        self.written += 1;
+                        behind.into_iter().for_each(|behind| self.shelf.put(self.written, behind));
+                    }
+                    Effect::After(behind) => self.shelf.put(self.written, behind),
+                    Effect::Reply { taken: Some(id), .. } => self.core.replied(now, id, true),
+                    _ => {}
+                }
+                all.push(effect);
+            }
+            let Some(ready) = self.shelf.next(|_| lasts) else { return all };
+            self.core.go_on(now, ready);
+        }
+    }
+    fn take(&mut self, now: Moment, reference: &str, class: usize, body: usize) {
+        self.core.handed(now, handed(reference, class, body), None, 0);
+        self.effects(now, true);
+    }
+    /// Decides, and gives the calls that are to be connected.
+    fn connects(&mut self, now: Moment) -> Vec<u64> {
+        self.core.decide(now);
+        let calls = |effect| if let Effect::Connect { call, .. } = effect { Some(call) } else { None };
+        self.effects(now, true).into_iter().filter_map(calls).collect()
+    }
+}
+
+fn messages(effects: &[Effect]) -> Vec<&[Carried]> {
+    let of =
+        |effect| if let &Effect::Write { ref messages, .. } = effect { Some(&messages[..]) } else { None };
+    effects.iter().filter_map(of).collect()
+}
+
+#[test]
+fn nobody_hears_202_and_no_byte_goes_out_before_the_write_lasts() {
+    let mut bench = Bench::new(1);
+    bench.core.handed(at(0), handed("r", 1, 3), None, 5);
+    let before = bench.effects(at(0), false);
+    assert!(matches!(before[..], [Effect::Append(Change::Take { id: 1, .. }, Some(_))]), "{before:?}");
+    let after = bench.effects(at(0), true);
+    let told = Effect::Reply { reply: 5, verdict: Verdict::Taken, taken: Some(1) };
+    assert_eq!(after, [told]);
+    let [call] = bench.connects(at(1))[..] else { panic!("one call") };
+    bench.core.connected(at(2), call);
+    let before = bench.effects(at(2), false);
+    let begun = |e: &Effect| matches!(e, Effect::Append(Change::Begin { id: 1, .. }, None));
+    assert!(before.iter().any(begun) && messages(&before).is_empty(), "{before:?}");
+    assert_eq!(messages(&bench.effects(at(3), true)).len(), 1);
+}
+
+#[test]
+fn an_answer_is_told_once_it_is_written_and_written_again_until_it_is() {
+    let mut bench = Bench::new(1);
+    bench.take(at(0), "r", 1, 0);
+    let [call] = bench.connects(at(1))[..] else { panic!("one call") };
+    bench.core.connected(at(2), call);
+    bench.effects(at(2), true);
+    bench.core.ended(at(9), call, Ended::without_answer(Outcome::Reset));
+    bench.core.decide(at(10));
+    let mut wanted: Vec<(Change, Option<Behind>)> = Vec::new();
+    while let Some(effect) = bench.core.effect() {
+        if let Effect::Append(change, behind) = effect {
+            wanted.push((change, behind));
+        }
+    }
+    let (change, behind) = wanted.pop().expect("the answer");
+    assert!(
+        matches!(change, Change::Answer { id: 1, answer: Answer::Failed }),
+        "it may have run: {change:?}"
+    );
+    bench.core.not_written(at(10), &change, behind);
+    assert!(bench.core.restless());
+    bench.core.tend();
+    let effects = bench.effects(at(30), true);
+    let notice = Effect::Notice { id: 1, reference: "r".to_owned(), answer: Answer::Failed };
+    assert_eq!(effects.last(), Some(&notice), "{effects:?}");
+    assert!(!bench.core.restless());
+    bench.core.noticed(at(40), 1);
+    assert_eq!(bench.core.owed(), 0);
+}
+
+#[test]
+fn what_is_too_much_for_one_call_follows_on_the_same_slot() {
+    let mut bench = Bench::new(4);
+    for n in 0..4 {
+        bench.take(at(0), &format!("r{n}"), 1, 20_000);
+    }
+    let [mut call] = bench.connects(at(1))[..] else { panic!("one call") };
+    let mut sizes = Vec::new();
+    loop {
+        bench.core.connected(at(2), call);
+        let effects = bench.effects(at(2), true);
+        sizes.extend(messages(&effects).iter().map(|all| all.len()));
+        assert_eq!(bench.core.calls(), 1);
+        let served = End { outcome: Outcome::Served, over: true };
+        bench.core.ended(at(3), call, Ended { fate: Fate::All(served), wait: None, report: None });
+        let next = bench.effects(at(3), true).into_iter().find_map(|e| match e {
+            Effect::Connect { call, .. } => Some(call),
+            _ => None,
+        });
+        let Some(next) = next else { break };
+        call = next;
+    }
+    assert_eq!((sizes, bench.core.owed(), bench.core.slots_taken()), (vec![2, 2], 0, 0));
+}
+
+#[test]
+fn a_message_that_was_out_when_the_process_ended_may_have_run() {
+    let taken = |class| Taken {
+        reference: format!("r{class}"),
+        class,
+        dest: 7,
+        deadline: at(20_000).wall,
+        key: None,
+        body: Bytes::new(),
+    };
+    let out =
+        History { attempts: 1, first_sent: at(0).wall, out: Some((at(0).wall, 0)), ..History::default() };
+    let found = |id, class, history| Found { id, taken: taken(class), body_lost: false, at: 0, history };
+    let mut bench = Bench::new(1);
+    bench.core.restore(at(10), found(4, 1, out));
+    bench.core.restore(at(10), found(5, 2, History::default()));
+    bench.core.decide(at(11));
+    let effects = bench.effects(at(11), true);
+    for (id, reference) in [(4, "r1"), (5, "r2")] {
+        let notice = Effect::Notice { id, reference: reference.to_owned(), answer: Answer::Failed };
+        assert!(effects.contains(&notice), "unsafe and out, or of no class that is known: {effects:?}");
+    }
+    bench.core.handed(at(12), handed("new", 0, 0), None, 0);
+    let effects = bench.effects(at(12), true);
+    assert!(
+        matches!(effects[0], Effect::Append(Change::Take { id: 6, .. }, _)),
+        "no number twice: {effects:?}"
+    );
+}
+
+/// Found by exploration: the wait was kept with the next round only.
+#[test]
+fn a_wait_is_kept_with_the_outcome_that_told_it() {
+    let mut bench = Bench::new(1);
+    bench.take(at(0), "r", 0, 0);
+    let [call] = bench.connects(at(1))[..] else { panic!("one call") };
+    bench.core.connected(at(2), call);
+    bench.effects(at(2), true);
+    let wait = Fate::All(Outcome::Full(Some(300 * MS)).into());
+    bench.core.ended(at(3), call, Ended { fate: wait, wait: None, report: None });
+    let effects = bench.effects(at(3), true);
+    assert!(effects.iter().any(|e| matches!(e, Effect::Learn(_))), "{effects:?}");
+}
