Let what is settled take no wake-up away that the module asked for

Found by exploring orders of events: two messages for one destination, the second is told a wait while the first still connects; the first is settled as not sent, and then neither is ever decided on again until something else happens. Both missed their time. The loop set its one wake-up to now when a call was settled (driver.rs, settle, since the first version) and dropped it with the next round; the module had asked for a later one and does not ask twice.

Change: that something was settled is a mark of its own beside the wake-up. The test of the core fails without it.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -267,7 +267,7 @@
     /// The outcome of a call of which nothing was written.
     fn settle(&mut self, at: Moment, call: CallId, outcome: Outcome) {
         self.ended(at, call, Ended::without_answer(outcome));
-        self.decide_soon(at);
+        self.soon = true;
     }
 
     /// The attempt of one message is over.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -161,7 +161,10 @@
     calls: BTreeMap<CallId, Call>,
     next_call: CallId,
     endpoints: BTreeMap<EndpointId, Entry>,
+    /// When the module asked to be woken. It does not ask again for what it has asked for, so nothing else is kept here.
     wake: Option<Nanos>,
+    /// Something was settled that the module is to act on in the next round, though nothing else may happen.
+    soon: bool,
     /// When the process may end if it is idle, and when it ends.
     stop: Option<(Nanos, Nanos)>,
     effects: VecDeque<Effect>,
@@ -184,6 +187,7 @@
             next_call: 0,
             endpoints: BTreeMap::new(),
             wake: None,
+            soon: false,
             stop: None,
             effects: VecDeque::new(),
             #[cfg(feature = "faults")]
@@ -242,7 +246,7 @@
 
     /// When [`Self::decide`] is to be called next, if nothing happens.
     pub fn wake(&self) -> Option<Nanos> {
-        self.wake
+        if self.soon { Some(0) } else { self.wake }
     }
 
     /// Something is on its way to an end that nothing but time will bring on: it is looked after often.
@@ -263,7 +267,7 @@
     /// One round: the module decides on all that was told since the last.
     pub fn decide(&mut self, at: Moment) {
         let mut actions = Vec::new();
-        self.wake = self.wake.filter(|wake| *wake > at.now);
+        (self.wake, self.soon) = (self.wake.filter(|wake| *wake > at.now), false);
         self.control.on_event(at.now, Event::Wake);
         self.control.decide(at.now, &mut actions);
         // Sends of one round to one endpoint travel as one call, up to as many as its kind takes.
@@ -316,11 +320,6 @@
         kind.map_or(1, |kind| kind.bundle.max(1))
     }
 
-    /// Guards against an outcome that is told but not acted on until something else happens.
-    fn decide_soon(&mut self, at: Moment) {
-        self.wake = Some(at.now);
-    }
-
     /// What stood behind a write that lasts by now is done.
     pub fn go_on(&mut self, at: Moment, Ready(act): Ready) {
         use shelf::Act;
--- a/core/tests/life.rs
+++ b/core/tests/life.rs
@@ -230,3 +230,27 @@
     let effects = bench.effects(at(3), true);
     assert!(effects.iter().any(|e| matches!(e, Effect::Learn(_))), "{effects:?}");
 }
+
+/// The module does not ask twice for the same wake-up. Found by exploration: a settled call took its place, and with
+/// nothing else going on a message stayed without its end.
+#[test]
+fn what_is_settled_costs_no_wake_up_that_was_asked_for() {
+    let mut bench = Bench::new(1);
+    bench.take(at(0), "r0", 1, 0);
+    bench.take(at(0), "r1", 0, 0);
+    let [one, two] = bench.connects(at(1))[..] else { panic!("two calls") };
+    bench.core.connected(at(2), two);
+    bench.effects(at(2), true);
+    let wait = Fate::All(Outcome::Full(Some(300 * MS)).into());
+    bench.core.ended(at(3), two, Ended { fate: wait, wait: None, report: None });
+    bench.core.decide(at(4));
+    bench.effects(at(4), true);
+    let asked = bench.core.wake();
+    // The wait holds for the other call too: nothing of it is written, and it is settled.
+    bench.core.connected(at(5), one);
+    assert!(messages(&bench.effects(at(5), true)).is_empty());
+    assert!(bench.core.wake().is_some_and(|wake| wake <= at(5).now), "acted on in the next round");
+    bench.core.decide(at(6));
+    bench.effects(at(6), true);
+    assert!(bench.core.wake().is_some_and(|wake| Some(wake) <= asked), "{:?} {asked:?}", bench.core.wake());
+}
