Release the connection of a call whose attempts could not be noted

Found by exploring orders of events with synced writes that fail: the last message leaves its call, the module counts the slot as free, and the empty call keeps its connection until the sync that would have come before its writing. The slots counted and the calls that were there differed meanwhile.

Change: a call that is empty is settled at once. The test of the core fails without it.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -197,11 +197,16 @@
 
     /// The attempt of a message could not be noted: it leaves its call.
     pub(crate) fn unnoted(&mut self, at: Moment, id: MsgId) {
-        let holds = |out: &&mut Call| out.members.iter().any(|member| member.id == id);
-        let Some(out) = self.calls.values_mut().find(holds) else { return };
+        let holds = |(_, out): &(&CallId, &mut Call)| out.members.iter().any(|member| member.id == id);
+        let Some((call, out)) = self.calls.iter_mut().find(holds) else { return };
         let Some(place) = out.members.iter().position(|member| member.id == id) else { return };
         let (member, sender) = (out.members.remove(place), (out.endpoint, out.sent));
+        let (call, empty) = (*call, out.members.is_empty());
         self.message_over(at, sender, member, false, Outcome::NotSent.into(), None);
+        // Not held until what was to follow its notes finds it empty: that may take a sync.
+        if empty {
+            self.release(at, call);
+        }
     }
 
     /// Connecting takes time, and so does a sync: by now the endpoint may drain, a wait may have been told, or
--- a/core/tests/life.rs
+++ b/core/tests/life.rs
@@ -254,3 +254,27 @@
     bench.effects(at(6), true);
     assert!(bench.core.wake().is_some_and(|wake| Some(wake) <= asked), "{:?} {asked:?}", bench.core.wake());
 }
+
+#[test]
+fn an_attempt_that_cannot_be_noted_leaves_its_call_and_an_empty_call_its_connection() {
+    let mut bench = Bench::new(4);
+    bench.take(at(0), "r0", 1, 0);
+    bench.take(at(0), "r1", 1, 0);
+    let [call] = bench.connects(at(1))[..] else { panic!("one call for both") };
+    bench.core.connected(at(2), call);
+    let mut released = false;
+    while let Some(effect) = bench.core.effect() {
+        match effect {
+            Effect::Append(change @ Change::Begin { .. }, behind) => {
+                bench.core.not_written(at(2), &change, behind);
+            }
+            Effect::After(behind) => bench.shelf.put(9, behind),
+            Effect::Release { .. } => released = true,
+            other => assert!(!matches!(other, Effect::Write { .. }), "{other:?}"),
+        }
+    }
+    assert!(released, "not held until a sync");
+    assert_eq!((bench.core.calls(), bench.core.slots_taken()), (0, 0));
+    // What was to follow the notes finds nothing to do.
+    assert!(messages(&bench.effects(at(3), true)).is_empty());
+}
