--- a/explore/src/cases.rs
+++ b/explore/src/cases.rs
@@ -148,6 +148,7 @@
         one("a wait and a drain", Bounds { waits: 1, drains: 1, ..CALM }),
         one("a wait and a break", Bounds { waits: 1, breaks: 1, ..CALM }),
         one("a drain and a break", Bounds { drains: 1, breaks: 1, ..CALM }),
+        one("a wait, a drain and a break", Bounds { waits: 1, drains: 1, breaks: 1, ..CALM }),
         one("two crashes", Bounds { crashes: 2, ..CALM }),
         one("two crashes and a break", Bounds { crashes: 2, breaks: 1, ..CALM }),
         one("an unheard notice, two crashes", Bounds { crashes: 2, unheard: 1, ..CALM }),
