--- a/explore/src/cases.rs
+++ b/explore/src/cases.rs
@@ -7,7 +7,8 @@
 use stateright::{Checker, HasDiscoveries, Model};
 
 use crate::model::Small;
-use crate::world::{Bounds, Kindness, Step, World};
+use crate::step::{Bounds, Kindness, Step};
+use crate::world::World;
 
 /// A world to be explored.
 #[derive(Clone, Debug)]
--- a/explore/src/lib.rs
+++ b/explore/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod cases;
 mod journal;
 pub mod model;
+pub mod step;
 pub mod trace;
 pub mod world;
--- a/explore/src/model.rs
+++ b/explore/src/model.rs
@@ -2,7 +2,8 @@
 
 use stateright::{Model, Property};
 
-use crate::world::{Bounds, Happening, Kindness, Step, World, property};
+use crate::step::{Bounds, Happening, Kindness, Step};
+use crate::world::{World, property};
 use millpost_core::Fault;
 
 /// What is explored.
@@ -49,30 +50,24 @@
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
-        fn holds(name: &'static str) -> Property<Small> {
-            // One function for each name: a property's condition can't hold on to anything.
-            macro_rules! each {
-                ($($property:ident),*) => {
-                    match name {
-                        $(property::$property => Property::always(name, |_: &Small, w: &World| {
-                            w.breach != Some(property::$property)
-                        }),)*
-                        _ => Property::always(name, |_: &Small, w: &World| w.breach.is_none()),
-                    }
-                };
-            }
-            each!(
-                ONE_ANSWER,
-                ONE_OUT,
-                ONE_EFFECT,
-                NO_TRAFFIC_IN_WAIT,
-                NO_WORK_AFTER_DRAIN,
-                TRUE_REFUSAL,
-                NOTICE_SENT,
-                SLOTS,
-                ANSWER_STANDS
-            )
+        // A function for each name: a property's condition can't hold on to anything.
+        macro_rules! all {
+            ($($name:ident),*) => {
+                vec![$(Property::always(property::$name, |_: &Small, world: &World| {
+                    world.breach != Some(property::$name)
+                })),*]
+            };
         }
-        property::ALL.map(holds).into()
+        all!(
+            ONE_ANSWER,
+            ONE_OUT,
+            ONE_EFFECT,
+            NO_TRAFFIC_IN_WAIT,
+            NO_WORK_AFTER_DRAIN,
+            TRUE_REFUSAL,
+            NOTICE_SENT,
+            SLOTS,
+            ANSWER_STANDS
+        )
     }
 }
--- a/explore/src/trace.rs
+++ b/explore/src/trace.rs
@@ -2,7 +2,8 @@
 
 use std::fmt::Write;
 
-use crate::world::{Happening, Reply, Step, World};
+use crate::step::{Happening, Reply, Step};
+use crate::world::World;
 
 const LANES: [&str; 5] = ["client", "dispatcher", "partner", "discovery", "platform"];
 const CLIENT: usize = 0;
