Keep every wake-up that the module asked for, not only the earliest

Cause: the core kept one time. The module asks for a wake-up only when it is earlier than all that it has asked for, or when the last one has fired, and takes earlier requests to stand. Where a wake-up fired up to a tick before its time, the next request was for a later time; the core kept the earlier of the two, let it pass, and nothing was left. A message that waited for the end of a wait, with nothing else going on, could miss its time without an answer.

Change: a set of times, each of which stands until it has passed. The test of the core fails on the code before.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -275,7 +275,7 @@
     fn settle(&mut self, at: Moment, call: CallId, outcome: Outcome) {
         self.ended(at, call, Ended::without_answer(outcome));
         if self.has(Fault::LoseWake) {
-            self.wake = Some(at.now);
+            self.wakes = [at.now].into();
         } else {
             self.soon = true;
         }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,7 +14,7 @@
 mod message;
 pub mod shelf;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::fmt;
 use std::sync::Arc;
 
@@ -163,8 +163,9 @@
     calls: BTreeMap<CallId, Call>,
     next_call: CallId,
     endpoints: BTreeMap<EndpointId, Entry>,
-    /// When the module asked to be woken. It does not ask again for what it has asked for, so nothing else is kept here.
-    wake: Option<Nanos>,
+    /// When the module asked to be woken. It does not ask again for what it has asked for: each stands until it has
+    /// passed.
+    wakes: BTreeSet<Nanos>,
     /// Something was settled that the module is to act on in the next round, though nothing else may happen.
     soon: bool,
     /// When the process may end if it is idle, and when it ends.
@@ -188,7 +189,7 @@
             calls: BTreeMap::new(),
             next_call: 0,
             endpoints: BTreeMap::new(),
-            wake: None,
+            wakes: BTreeSet::new(),
             soon: false,
             stop: None,
             effects: VecDeque::new(),
@@ -248,7 +249,7 @@
 
     /// When [`Self::decide`] is to be called next, if nothing happens.
     pub fn wake(&self) -> Option<Nanos> {
-        if self.soon { Some(0) } else { self.wake }
+        if self.soon { Some(0) } else { self.wakes.first().copied() }
     }
 
     /// Something is on its way to an end that nothing but time will bring on: it is looked after often.
@@ -269,7 +270,8 @@
     /// One round: the module decides on all that was told since the last.
     pub fn decide(&mut self, at: Moment) {
         let mut actions = Vec::new();
-        (self.wake, self.soon) = (self.wake.filter(|wake| *wake > at.now), false);
+        self.wakes.retain(|wake| *wake > at.now);
+        self.soon = false;
         self.control.on_event(at.now, Event::Wake);
         self.control.decide(at.now, &mut actions);
         // Sends of one round to one endpoint travel as one call, up to as many as its kind takes.
@@ -293,7 +295,7 @@
                 Action::Tell { bytes } => self.effects.push_back(Effect::Note { bytes }),
                 // The watch goes on by itself.
                 Action::Subscribe => {}
-                Action::Wake { at } => self.wake = Some(self.wake.map_or(at, |other| other.min(at))),
+                Action::Wake { at } => drop(self.wakes.insert(at)),
             }
         }
         for (endpoint, messages) in sends {
@@ -364,6 +366,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let messages = (&self.held, self.next_message, self.open, &self.unwritten);
         let calls = (&self.calls, self.next_call, &self.endpoints, &self.effects);
-        (messages, calls, self.wake, self.soon, self.stop, &self.control).fmt(f)
+        (messages, calls, &self.wakes, self.soon, self.stop, &self.control).fmt(f)
     }
 }
--- a/core/tests/life.rs
+++ b/core/tests/life.rs
@@ -279,3 +279,23 @@
         "no number twice: {effects:?}"
     );
 }
+
+/// The module does not ask again for a wake-up that it has asked for: each stands until it has passed, also when an
+/// earlier one comes first. Found by exploration.
+#[test]
+fn of_two_wake_ups_the_later_one_stands_too() {
+    let mut bench = Bench::new(1);
+    bench.take(at(0), "r", 0, 3);
+    let [call] = bench.connects(at(0))[..] else { panic!("one call") };
+    bench.core.connected(at(0), call);
+    bench.effects(at(0), true);
+    let first = bench.core.wake().expect("the call may stay silent");
+    // Just before that the partner asks for a wait, and the module for a wake-up at its end.
+    let before = Moment { now: first - MS, wall: first - MS };
+    let full = Outcome::Full(Some(10_000 * MS));
+    bench.core.ended(before, call, Ended::without_answer(full));
+    bench.core.decide(before);
+    let when = Moment { now: first, wall: first };
+    bench.core.decide(when);
+    assert!(bench.core.wake().is_some_and(|next| next > first), "nothing would bring the message on its way");
+}
