--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -7,6 +7,7 @@
 
 use millpost::api::{EndpointId, Event, MsgId, Nanos, Outcome, Report, State};
 use millpost_store::ledger::Final;
+use serde::Serialize;
 
 use crate::shelf::Act;
 use crate::{Behind, CallId, Carried, Change, Core, Effect, Fault, Moment};
@@ -69,14 +70,14 @@
 }
 
 /// The attempt of a message in a call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize)]
 pub(crate) struct Member {
     id: MsgId,
     attempt: u32,
 }
 
 /// A call that the module has asked for and that has no outcome yet.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub(crate) struct Call {
     /// The messages in it: one, or several where the kind of endpoint takes that.
     members: Vec<Member>,
--- a/core/src/faults.rs
+++ b/core/src/faults.rs
@@ -1,7 +1,7 @@
 //! Faults that the exploration plants, to show that it would find them. Without the feature `faults` none can be.
 
 /// A mistake that the core could make.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
 pub enum Fault {
     /// A client hears 202 before its message lasts.
     TellBeforeTaking,
@@ -37,11 +37,17 @@
     LoseWake,
     /// A wait that was told is kept with the next round only. (A real fault once.)
     LearnLate,
+    /// Of two wake-ups that were asked for only the earlier one is kept. (A real fault once.)
+    OneWake,
+    /// The module is not told what a message is about.
+    ForgetOrder,
+    /// A start does not let keys rest of which an attempt may still run. (A real fault once.)
+    ForgetRests,
 }
 
 impl Fault {
     /// All of them.
-    pub const ALL: [Fault; 17] = [
+    pub const ALL: [Fault; 20] = [
         Fault::TellBeforeTaking,
         Fault::WriteBeforeNoting,
         Fault::ForgetOut,
@@ -59,6 +65,9 @@
         Fault::EndUnwritten,
         Fault::LoseWake,
         Fault::LearnLate,
+        Fault::OneWake,
+        Fault::ForgetOrder,
+        Fault::ForgetRests,
     ];
 }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -22,6 +22,7 @@
 use millpost::api::{Action, EndpointId, Entry, Event, MsgId, Nanos, Settings};
 use millpost::{Control, Dice, Lesson};
 use millpost_store::ledger::Answer;
+use serde::{Serialize, Serializer};
 
 use call::Call;
 pub use call::{End, Ended, Fate, LONGEST_BODY, room};
@@ -226,6 +227,13 @@
         self.control.on_event(at.now, Event::Listed { whole, entries });
     }
 
+    /// The process is not the first on its journal: what it sent before it died may still run.
+    pub fn resume(&mut self, at: Moment) {
+        if self.next_message > 1 && !self.has(Fault::ForgetRests) {
+            self.control.on_event(at.now, Event::Resumed);
+        }
+    }
+
     /// What was learnt before a restart.
     pub fn recall(&mut self, at: Moment, lesson: &Lesson, age: Nanos) {
         if self.has(Fault::ForgetWaits) {
@@ -295,7 +303,14 @@
                 Action::Tell { bytes } => self.effects.push_back(Effect::Note { bytes }),
                 // The watch goes on by itself.
                 Action::Subscribe => {}
-                Action::Wake { at } => drop(self.wakes.insert(at)),
+                Action::Wake { at } => {
+                    if self.has(Fault::OneWake) {
+                        let least = self.wakes.first().map_or(at, |other| at.min(*other));
+                        self.wakes = BTreeSet::from([least]);
+                    } else {
+                        self.wakes.insert(at);
+                    }
+                }
             }
         }
         for (endpoint, messages) in sends {
@@ -328,7 +343,7 @@
     pub fn go_on(&mut self, at: Moment, Ready(act): Ready) {
         use shelf::Act;
         match act {
-            Act::Accept { id, class, dest, reply } => self.accept(id, class, dest, reply),
+            Act::Accept { id, class, dest, order, reply } => self.accept(id, class, dest, order, reply),
             Act::Confirm { reply, .. } => self.reply(reply, Verdict::Taken),
             Act::Write { call } => self.write(at, call),
             Act::Tell { id, answer } => {
@@ -356,12 +371,43 @@
         self.control.set_dice(dice)
     }
 
+    /// Drops what was learnt and nobody was given yet. For exploring what comes where no start will ask for it.
+    pub fn forget_lessons(&mut self, at: Moment) {
+        drop(self.control.learnt(at.now, false));
+    }
+
+    /// Blanks what is not read before it is set anew, where no load report is ever heard: see
+    /// [`Control::blank_unread`].
+    pub fn blank_unread(&mut self, at: Moment) {
+        self.control.blank_unread(at.now);
+    }
+
+    /// Numbers the calls that are out anew, from 0 on in their order, and says which is which. What follows is the same,
+    /// as a call's number is only compared; whoever knows calls by their numbers takes the new ones.
+    pub fn renumber(&mut self) -> BTreeMap<CallId, CallId> {
+        self.control.renumber();
+        let new: BTreeMap<CallId, CallId> = self.calls.keys().copied().zip(0..).collect();
+        self.calls =
+            std::mem::take(&mut self.calls).into_iter().map(|(call, out)| (new[&call], out)).collect();
+        self.next_call = new.len() as CallId;
+        new
+    }
+
     fn reply(&mut self, reply: ReplyId, verdict: Verdict) {
         self.effects.push_back(Effect::Reply { reply, verdict, taken: None });
     }
 }
 
-/// All that what it does hangs on but for the settings: two cores of the same settings that are written alike do alike.
+/// All that what it does hangs on but for the settings and the effects that were not taken yet: two cores of the same
+/// settings that are written alike do alike.
+impl Serialize for Core {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        let messages = (&self.held, self.next_message, self.open, &self.unwritten);
+        let calls = (&self.calls, self.next_call, &self.endpoints);
+        (messages, calls, &self.wakes, self.soon, self.stop, &self.control).serialize(to)
+    }
+}
+
 impl fmt::Debug for Core {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let messages = (&self.held, self.next_message, self.open, &self.unwritten);
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use millpost::api::{DestId, Effect as Repeats, Event, MsgId, Nanos};
 use millpost_store::ledger::{Answer, Final, Found, History, Taken};
+use serde::Serialize;
 
 use crate::shelf::Act;
 use crate::{Behind, Carried, Change, Core, Effect, Fault, KEEP_ANSWER, Moment, ReplyId};
@@ -23,6 +24,8 @@
     pub time_left: Nanos,
     /// Its idempotency key.
     pub key: Option<Bytes>,
+    /// What it is about: in a class that keeps an order, messages about the same go one at a time.
+    pub order: Option<u64>,
     /// What is to be delivered.
     pub body: Bytes,
 }
@@ -44,7 +47,7 @@
 }
 
 /// A message that is owed its end.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub(crate) struct Held {
     pub reference: String,
     pub key: Option<Bytes>,
@@ -56,8 +59,8 @@
     pub once: bool,
     /// The final answer, once it has been given: its notice is owed.
     pub answer: Option<Answer>,
-    /// Its class and destination, while its client is being told that it is taken on.
-    pub told_of: Option<(usize, DestId)>,
+    /// Its class, destination and order key, while its client is being told that it is taken on.
+    pub told_of: Option<(usize, DestId, Option<u64>)>,
 }
 
 impl Held {
@@ -98,7 +101,7 @@
         if self.open >= self.settings.hold || self.held.len() >= 4 * self.settings.hold {
             return self.refuse(at, handed.dest, reply);
         }
-        let Handed { reference, class, dest, time_left, key, body } = handed;
+        let Handed { reference, class, dest, time_left, key, order, body } = handed;
         let deadline = at.to_wall(at.now.saturating_add(time_left));
         let id = self.next_message;
         self.next_message += 1;
@@ -116,10 +119,10 @@
         };
         self.held.insert(id, held);
         if self.has(Fault::TellBeforeTaking) {
-            self.accept(id, class, dest, reply);
+            self.accept(id, class, dest, order, reply);
         }
-        let taken = Taken { reference, class: class as u32, dest, deadline, key, body };
-        let behind = Behind(Act::Accept { id, class, dest, reply });
+        let taken = Taken { reference, class: class as u32, dest, deadline, key, order, body };
+        let behind = Behind(Act::Accept { id, class, dest, order, reply });
         self.effects.push_back(Effect::Append(Change::Take { id, taken }, Some(behind)));
     }
 
@@ -130,9 +133,16 @@
     }
 
     /// The message lasts: its client hears so, then the module.
-    pub(crate) fn accept(&mut self, id: MsgId, class: usize, dest: DestId, reply: ReplyId) {
+    pub(crate) fn accept(
+        &mut self,
+        id: MsgId,
+        class: usize,
+        dest: DestId,
+        order: Option<u64>,
+        reply: ReplyId,
+    ) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        held.told_of = Some((class, dest));
+        held.told_of = Some((class, dest, order));
         self.effects.push_back(Effect::Reply { reply, verdict: Verdict::Taken, taken: Some(id) });
     }
 
@@ -140,19 +150,20 @@
     /// it may be on its way elsewhere.
     pub fn replied(&mut self, at: Moment, id: MsgId, heard: bool) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        let Some((class, dest)) = held.told_of.take() else { return };
+        let Some((class, dest, order)) = held.told_of.take() else { return };
         if !heard {
             return self.over(at, id, None);
         }
         let time_left = at.at_wall(held.deadline).saturating_sub(at.now);
-        let event = Event::Message { id, class, tenant: None, key: None, dest, time_left };
+        let key = order.filter(|_| !self.has(Fault::ForgetOrder));
+        let event = Event::Message { id, class, tenant: None, key, dest, time_left };
         self.control.on_event(at.now, event);
     }
 
     /// Takes up a message of the journal again. Whether it may still be sent is for the module to say.
     pub fn restore(&mut self, at: Moment, found: Found) {
         let Found { id, taken, body_lost, history, .. } = found;
-        let Taken { reference, class, dest, deadline, key, body } = taken;
+        let Taken { reference, class, dest, deadline, key, order, body } = taken;
         self.next_message = self.next_message.max(id + 1);
         self.by_reference.insert(reference.clone(), id);
         // A class that the settings don't know any more can't be judged: the message is given up.
@@ -185,7 +196,7 @@
             Event::Restored {
                 id,
                 class: class as usize,
-                key: None,
+                key: order,
                 dest,
                 deadline: at.at_wall(deadline),
                 attempts: history.attempts,
--- a/core/src/shelf.rs
+++ b/core/src/shelf.rs
@@ -2,11 +2,12 @@
 //! is handed out as a [`Behind`] that nobody can look into, only a [`Shelf`] makes a [`Ready`] of it, and only once
 //! the journal says that the write lasts; and [`crate::Core::go_on`] takes nothing but a `Ready`.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use millpost::api::{DestId, MsgId, Nanos};
 use millpost_store::Seq;
 use millpost_store::ledger::{Answer, Final, Taken};
+use serde::Serialize;
 
 use crate::{CallId, ReplyId};
 
@@ -53,10 +54,10 @@
 }
 
 /// What may be done only once what was written before it lasts.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub(crate) enum Act {
     /// Tell a client that its message is taken on, and the module of it.
-    Accept { id: MsgId, class: usize, dest: DestId, reply: ReplyId },
+    Accept { id: MsgId, class: usize, dest: DestId, order: Option<u64>, reply: ReplyId },
     /// Tell a client that its message had been taken on before.
     Confirm { dest: DestId, reply: ReplyId },
     /// Write a call whose attempts are noted.
@@ -67,7 +68,7 @@
 
 /// What stands behind a write: given to a [`Shelf`] with the number of the write, or back to
 /// [`crate::Core::not_written`] where the write failed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 #[must_use = "what stands behind a write is owed"]
 pub struct Behind(pub(crate) Act);
 
@@ -77,7 +78,7 @@
 pub struct Ready(pub(crate) Act);
 
 /// What waits for a write to last, in the order of the writes.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Shelf {
     waiting: VecDeque<(Seq, Behind)>,
 }
@@ -106,6 +107,17 @@
         taken
     }
 
+    /// Calls get other numbers, by [`crate::Core::renumber`], and writes are counted from `base` on.
+    pub fn renumber(&mut self, new: &BTreeMap<CallId, CallId>, base: Seq) {
+        for (seq, Behind(act)) in &mut self.waiting {
+            *seq = seq.saturating_sub(base);
+            if let Act::Write { call } = act {
+                // One that is over by now stays one that nobody knows.
+                *call = new.get(call).copied().unwrap_or(CallId::MAX);
+            }
+        }
+    }
+
     /// Nothing waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
--- a/core/tests/life.rs
+++ b/core/tests/life.rs
@@ -59,7 +59,15 @@
 
 fn handed(reference: &str, class: usize, body: usize) -> Handed {
     let body = Bytes::from(vec![7; body]);
-    Handed { reference: reference.to_owned(), class, dest: 7, time_left: 20_000 * MS, key: None, body }
+    Handed {
+        reference: reference.to_owned(),
+        class,
+        dest: 7,
+        time_left: 20_000 * MS,
+        key: None,
+        order: None,
+        body,
+    }
 }
 
 /// A core with one endpoint, and a shelf that is asked by hand.
@@ -258,6 +266,7 @@
         dest: 7,
         deadline: at(20_000).wall,
         key: None,
+        order: None,
         body: Bytes::new(),
     };
     let out =
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -133,6 +133,7 @@
         let known = driver.roster.newest(&driver.record, known);
         driver.listed(at, known);
         driver.recall(at);
+        driver.core.resume(at);
         for found in found {
             driver.core.restore(at, found);
         }
--- a/dispatcher/src/intake.rs
+++ b/dispatcher/src/intake.rs
@@ -21,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::meter::{Part, metered};
 use crate::room::{Room, Seat};
@@ -234,8 +235,8 @@
             if e.is::<LengthLimitError>() { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST }
         })?;
         seat.answering();
-        let Fields { reference, dest, time_left, key } = fields;
-        let handed = Handed { reference, class, dest, time_left, key, body: body.to_bytes() };
+        let Fields { reference, dest, time_left, key, order } = fields;
+        let handed = Handed { reference, class, dest, time_left, key, order, body: body.to_bytes() };
         let (reply, verdict) = oneshot::channel();
         let asked = Asked { handed, came, reply };
         // No driver any more: the process is about to end, and has not taken the message.
@@ -245,11 +246,15 @@
     }
 }
 
+/// What a message is about, in a class that keeps an order; any text. Messages without one wait for no other.
+const ORDER_KEY: &str = "Req-Order-Key";
+
 struct Fields {
     reference: String,
     dest: u64,
     time_left: Nanos,
     key: Option<Bytes>,
+    order: Option<u64>,
 }
 
 impl Fields {
@@ -275,6 +280,11 @@
         if key.as_ref().is_some_and(|k| k.is_empty() || k.len() > LONGEST_KEY) {
             return None;
         }
-        Some(Fields { reference, dest, time_left, key })
+        // Two that hash alike only wait for each other.
+        let order = one(ORDER_KEY).map(|about| xxh3_64(about.as_bytes()));
+        if order.is_none() && headers.contains_key(ORDER_KEY) {
+            return None;
+        }
+        Some(Fields { reference, dest, time_left, key, order })
     }
 }
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -58,7 +58,8 @@
 }
 
 impl Node {
-    /// Classes: `/safe`, `/keyed` (for 30 s) and `/unsafe`. T1 is 50 ms.
+    /// Classes: `/safe`, `/keyed` (for 30 s), `/unsafe`, and `/ordered` and `/ordered-once`, which keep an order.
+    /// T1 is 50 ms, and a key rests for 300 ms.
     pub fn start(discovery: &Discovery, known: &[String], options: Options) -> Self {
         let class = |name: &str, effect| Class {
             name: name.to_owned(),
@@ -78,10 +79,13 @@
             keepalive_ms: 60_000,
             weights: "unknown".to_owned(),
             max_retry_after_ms: 0,
+            key_rest_ms: 300,
             classes: vec![
                 class("safe", Effect::Safe),
                 class("keyed", Effect::Keyed),
                 class("unsafe", Effect::Unsafe),
+                Class { in_order: true, ..class("ordered", Effect::Safe) },
+                Class { in_order: true, ..class("ordered-once", Effect::Unsafe) },
             ],
             ..Service::default()
         };
--- a/explore/src/cases.rs
+++ b/explore/src/cases.rs
@@ -1,43 +1,25 @@
 //! What is explored: small worlds, each with a few things that may go wrong. The union of them is what is claimed; the
-//! product of all in one is larger than a machine.
-
-use std::time::{Duration, Instant};
+//! product of all with a message of each class in one is larger than a machine, and is explored as far as so many steps
+//! off a calm day.
 
 use millpost_core::Fault;
-use stateright::{Checker, HasDiscoveries, Model};
+use serde::{Deserialize, Serialize};
 
-use crate::model::Small;
+use crate::search::{Explored, Limits, Way, play, search};
 use crate::step::{Bounds, Kindness, Step};
 use crate::world::World;
 
 /// A world to be explored.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Case {
     /// What goes wrong in it.
-    pub name: &'static str,
+    pub name: String,
     /// What the world may do, and how often.
     pub bounds: Bounds,
     /// The messages, in the order of their handing in.
     pub classes: Vec<Kindness>,
-}
-
-/// A way through states: each with the step that was taken from it, the last without.
-pub type Way = Vec<(World, Option<Step>)>;
-
-/// What came of exploring one.
-pub struct Explored {
-    /// States that differ.
-    pub unique: usize,
-    /// Steps that were taken.
-    pub steps: usize,
-    /// Length of the longest shortest way to a state.
-    pub depth: usize,
-    /// No state was left unexplored: the frontier is empty.
-    pub exhausted: bool,
-    /// How long it took.
-    pub took: Duration,
-    /// A property that does not hold, and a shortest way there.
-    pub breach: Option<(&'static str, Way)>,
+    /// Steps off a calm day on any one way; all, where there is no bound.
+    pub deviations: Option<u8>,
 }
 
 /// Nothing goes wrong but one crash.
@@ -57,128 +39,130 @@
     leaves: 0,
     failing: 0,
     unheard: 0,
+    lates: 0,
 };
 
-const CLASSES: [(Kindness, [&str; 9]); 3] = [
-    (
-        Kindness::Safe,
-        [
-            "safe, a wait",
-            "safe, a break",
-            "safe, a drain",
-            "safe, an endpoint lost",
-            "safe, handed in again",
-            "safe, its client leaves",
-            "safe, a write fails",
-            "safe, a notice unheard",
-            "safe, a refusal or an error",
-        ],
-    ),
-    (
-        Kindness::Keyed,
-        [
-            "keyed, a wait",
-            "keyed, a break",
-            "keyed, a drain",
-            "keyed, an endpoint lost",
-            "keyed, handed in again",
-            "keyed, its client leaves",
-            "keyed, a write fails",
-            "keyed, a notice unheard",
-            "keyed, a refusal or an error",
-        ],
-    ),
-    (
-        Kindness::Unsafe,
-        [
-            "unsafe, a wait",
-            "unsafe, a break",
-            "unsafe, a drain",
-            "unsafe, an endpoint lost",
-            "unsafe, handed in again",
-            "unsafe, its client leaves",
-            "unsafe, a write fails",
-            "unsafe, a notice unheard",
-            "unsafe, a refusal or an error",
-        ],
-    ),
+/// One of each that the product asks for: a crash, a wait, a drain, an endpoint lost and back, a break at any byte.
+pub const ALL: Bounds = Bounds { waits: 1, drains: 1, losses: 1, breaks: 1, ..CALM };
+
+const CLASSES: [(&str, &[Kindness]); 5] = [
+    ("safe", &[Kindness::Safe]),
+    ("keyed", &[Kindness::Keyed]),
+    ("unsafe", &[Kindness::Unsafe]),
+    ("in order", &[Kindness::InOrder]),
+    ("in order, once", &[Kindness::InOrderOnce]),
 ];
 
-/// One message, one crash, one thing that goes wrong: for each class and each thing. About a minute on one core.
+const TWO: [Kindness; 2] = [Kindness::Unsafe, Kindness::Keyed];
+/// One message of each class.
+const EACH: [Kindness; 4] = [Kindness::Unsafe, Kindness::Keyed, Kindness::Safe, Kindness::InOrder];
+
+fn case(name: impl Into<String>, classes: &[Kindness], bounds: Bounds) -> Case {
+    Case { name: name.into(), bounds, classes: classes.to_vec(), deviations: None }
+}
+
+/// One thing that goes wrong beside a crash, by name.
+fn troubles() -> [(&'static str, Bounds); 10] {
+    [
+        ("a wait", Bounds { waits: 1, ..CALM }),
+        ("a break", Bounds { breaks: 1, ..CALM }),
+        ("a drain", Bounds { drains: 1, ..CALM }),
+        ("an endpoint lost", Bounds { losses: 1, ..CALM }),
+        ("handed in again", Bounds { again: 1, ..CALM }),
+        ("its client leaves", Bounds { leaves: 1, ..CALM }),
+        ("a write fails", Bounds { failing: 1, ..CALM }),
+        ("a notice unheard", Bounds { unheard: 1, ..CALM }),
+        ("a refusal or an error", Bounds { refusals: 1, ..CALM }),
+        ("a late effect", Bounds { lates: 1, ..CALM }),
+    ]
+}
+
+/// One message, one crash, one thing that goes wrong: for each class and each thing; and pairs of messages. Seconds.
 pub fn small() -> Vec<Case> {
     let mut all = Vec::new();
-    for (class, names) in CLASSES {
-        let bounds = [
-            Bounds { waits: 1, ..CALM },
-            Bounds { breaks: 1, ..CALM },
-            Bounds { drains: 1, ..CALM },
-            Bounds { losses: 1, ..CALM },
-            Bounds { again: 1, ..CALM },
-            Bounds { leaves: 1, ..CALM },
-            Bounds { failing: 1, ..CALM },
-            Bounds { unheard: 1, ..CALM },
-            Bounds { refusals: 1, ..CALM },
-        ];
-        all.extend(names.into_iter().zip(bounds).map(|(name, bounds)| Case {
-            name,
-            bounds,
-            classes: vec![class],
-        }));
+    for (class, kinds) in &CLASSES[..3] {
+        all.extend(troubles().map(|(name, bounds)| case(format!("{class}, {name}"), kinds, bounds)));
     }
     let synced = Bounds { synced: true, ..CALM };
-    let unsafe_one = |name, bounds| Case { name, bounds, classes: vec![Kindness::Unsafe] };
-    all.push(unsafe_one("synced writes, a wait", Bounds { waits: 1, ..synced }));
-    all.push(unsafe_one(
-        "synced writes, handed in again, its client leaves",
-        Bounds { again: 1, leaves: 1, ..synced },
-    ));
-    all.push(unsafe_one("synced writes, a write fails", Bounds { failing: 1, ..synced }));
-    let still = Bounds { crashes: 0, waits: 1, ..CALM };
-    let classes = vec![Kindness::Unsafe, Kindness::Safe];
-    all.push(Case { name: "two messages, a wait, no crash", bounds: still, classes: classes.clone() });
-    all.push(Case { name: "the same in one call", bounds: Bounds { bundle: 2, ..still }, classes });
+    let once = &[Kindness::Unsafe][..];
+    all.push(case("synced writes, a wait", once, Bounds { waits: 1, ..synced }));
+    let left = Bounds { again: 1, leaves: 1, ..synced };
+    all.push(case("synced writes, handed in again, its client leaves", once, left));
+    all.push(case("synced writes, a write fails", once, Bounds { failing: 1, ..synced }));
+    let (still, two) = (Bounds { crashes: 0, waits: 1, ..CALM }, [Kindness::Unsafe, Kindness::Safe]);
+    all.push(case("two messages, a wait, no crash", &two, still));
+    all.push(case("the same in one call", &two, Bounds { bundle: 2, ..still }));
+    let wait = case("two messages, a crash and a wait, five steps off", &TWO, Bounds { waits: 1, ..CALM });
+    all.push(Case { deviations: Some(5), ..wait });
+    let one_each = Bounds { tries: 1, ..CALM };
+    for (class, kinds) in &CLASSES[3..] {
+        let two = [kinds[0]; 2];
+        all.push(case(format!("two {class}, a late effect"), &two, Bounds { lates: 1, ..one_each }));
+        let late = Bounds { crashes: 0, breaks: 1, lates: 1, ..CALM };
+        all.push(case(format!("two {class}, a break, a late effect, no crash"), &two, late));
+    }
+    all.push(Case { deviations: Some(2), ..case("one of each class, all, two steps off", &EACH, ALL) });
     all
 }
 
-/// Two things that go wrong together, and two messages: minutes on two cores.
+/// All that goes wrong in one world for each class, and with a message of each class as far as a machine goes. Minutes.
 pub fn large() -> Vec<Case> {
-    let one = |name, bounds| Case { name, bounds, classes: vec![Kindness::Unsafe] };
+    let mut all = Vec::new();
+    for (class, kinds) in CLASSES {
+        all.push(case(format!("{class}, all in one world"), kinds, ALL));
+    }
+    let once = &[Kindness::Unsafe][..];
+    all.push(case("two crashes and a break", once, Bounds { crashes: 2, breaks: 1, ..CALM }));
+    all.push(case("an unheard notice, two crashes", once, Bounds { crashes: 2, unheard: 1, ..CALM }));
+    all.push(case("a break, a late effect, a wait", once, Bounds { breaks: 1, lates: 1, waits: 1, ..CALM }));
     let still = Bounds { crashes: 0, ..CALM };
-    let two = |name, bounds| Case { name, bounds, classes: vec![Kindness::Unsafe, Kindness::Keyed] };
-    vec![
-        one("a wait and a drain", Bounds { waits: 1, drains: 1, ..CALM }),
-        one("a wait and a break", Bounds { waits: 1, breaks: 1, ..CALM }),
-        one("a drain and a break", Bounds { drains: 1, breaks: 1, ..CALM }),
-        one("a wait, a drain and a break", Bounds { waits: 1, drains: 1, breaks: 1, ..CALM }),
-        one("two crashes", Bounds { crashes: 2, ..CALM }),
-        one("two crashes and a break", Bounds { crashes: 2, breaks: 1, ..CALM }),
-        one("an unheard notice, two crashes", Bounds { crashes: 2, unheard: 1, ..CALM }),
-        two("two messages, no crash", still),
-        two("two messages in one call, no crash", Bounds { bundle: 2, ..still }),
-        two("two messages, one slot, no crash", Bounds { slots: 1, ..still }),
-    ]
+    all.push(case("two messages, a crash", &TWO, CALM));
+    all.push(case("two messages, a wait, a break, no crash", &TWO, Bounds { waits: 1, breaks: 1, ..still }));
+    all.push(case("two messages in one call, no crash", &TWO, Bounds { bundle: 2, ..still }));
+    all.push(case("two messages, one slot, no crash", &TWO, Bounds { slots: 1, ..still }));
+    all.push(case(
+        "two in order, once: a crash, a break, a late effect",
+        &[Kindness::InOrderOnce; 2],
+        Bounds { breaks: 1, lates: 1, ..CALM },
+    ));
+    all.push(Case { deviations: Some(3), ..case("one of each class, all, three steps off", &EACH, ALL) });
+    all
 }
 
 impl Case {
-    /// Explores all of it, or until a property does not hold, or no time is left.
-    pub fn explore(&self, fault: Option<Fault>, threads: usize, within: Duration) -> Explored {
-        let began = Instant::now();
-        let small = Small { bounds: self.bounds, classes: self.classes.clone(), fault };
-        let checker =
-            small.checker().threads(threads).finish_when(HasDiscoveries::Any).timeout(within).spawn_bfs();
-        let checker = checker.join();
-        let breach = checker
-            .discoveries()
-            .into_iter()
-            .min_by_key(|(name, path)| (path.clone().into_states().len(), *name));
-        let took = began.elapsed();
-        Explored {
-            unique: checker.unique_state_count(),
-            steps: checker.state_count(),
-            depth: checker.max_depth(),
-            exhausted: breach.is_none() && took < within,
-            took,
-            breach: breach.map(|(name, path)| (name, path.into_vec())),
-        }
+    /// Nothing has happened in it yet.
+    pub fn start(&self, fault: Option<Fault>) -> World {
+        World::new(self.bounds, &self.classes, fault)
+    }
+
+    /// Explores all of it, or until a property does not hold, or a limit is met.
+    pub fn explore(&self, fault: Option<Fault>, limits: &Limits) -> Explored {
+        search(self.start(fault), &Limits { deviations: self.deviations, ..*limits })
+    }
+}
+
+/// A way that led to a breach once, to be played again.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// What did not hold.
+    pub breach: String,
+    /// The fault that was planted, or the one that a real fault is planted as since it was mended.
+    pub fault: Option<Fault>,
+    /// Where.
+    pub case: Case,
+    /// The steps.
+    pub steps: Vec<Step>,
+}
+
+impl Kept {
+    /// What a search has found, to be kept.
+    pub fn new(case: &Case, fault: Option<Fault>, breach: &str, way: &Way) -> Self {
+        let steps = way.iter().filter_map(|(_, step)| *step).collect();
+        Kept { breach: breach.to_owned(), fault, case: case.clone(), steps }
+    }
+
+    /// Plays it with the fault, or without.
+    pub fn play(&self, with_fault: bool) -> Way {
+        play(&self.case.start(self.fault.filter(|_| with_fault)), &self.steps)
     }
 }
--- a/explore/src/journal.rs
+++ b/explore/src/journal.rs
@@ -7,9 +7,10 @@
 use millpost_core::Change;
 use millpost_store::Seq;
 use millpost_store::ledger::{Final, Found, History, Taken};
+use serde::Serialize;
 
 /// What a start finds.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 struct Tables {
     messages: BTreeMap<MsgId, (Taken, History)>,
     ends: BTreeMap<String, Final>,
@@ -18,10 +19,11 @@
 }
 
 /// A journal whose writes last at once, or only from the next sync on.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Journal {
     now: Tables,
-    lasting: Tables,
+    /// What a crash leaves, where that is less.
+    lasting: Option<Box<Tables>>,
     written: Seq,
     lasts: Seq,
     synced: bool,
@@ -34,10 +36,9 @@
 impl Journal {
     /// An empty one; with `synced` a crash takes what no sync came after.
     pub fn new(synced: bool) -> Self {
-        let tables = Tables { next: 1, ..Tables::default() };
         Journal {
-            now: tables.clone(),
-            lasting: tables,
+            now: Tables { next: 1, ..Tables::default() },
+            lasting: None,
             written: 0,
             lasts: 0,
             synced,
@@ -52,6 +53,7 @@
             self.has_failed = true;
             return None;
         }
+        self.change();
         let tables = &mut self.now;
         match change {
             Change::Take { id, taken } => {
@@ -71,6 +73,13 @@
         Some(self.wrote())
     }
 
+    /// Before a change: what lasts is kept aside.
+    fn change(&mut self) {
+        if self.synced && self.lasting.is_none() {
+            self.lasting = Some(Box::new(self.now.clone()));
+        }
+    }
+
     fn wrote(&mut self) -> Seq {
         self.written += 1;
         if !self.synced {
@@ -81,16 +90,15 @@
 
     /// Keeps a lesson.
     pub fn learn(&mut self, wall: Nanos, dest: DestId, route: Option<EndpointId>, bytes: Vec<u8>) {
+        self.change();
         self.now.lessons.insert((dest, route), (wall, bytes));
         self.wrote();
     }
 
     /// All that was written lasts.
     pub fn sync(&mut self) {
-        if self.lasts < self.written {
-            self.lasting = self.now.clone();
-            self.lasts = self.written;
-        }
+        self.lasting = None;
+        self.lasts = self.written;
     }
 
     /// Something does not last yet.
@@ -110,11 +118,34 @@
 
     /// What does not last is gone.
     pub fn crash(&mut self) {
-        self.now = self.lasting.clone();
+        if let Some(lasting) = self.lasting.take() {
+            self.now = *lasting;
+        }
         self.written = self.lasts;
         self.fails_next = false;
     }
 
+    /// Forgets all lessons.
+    pub fn drop_lessons(&mut self) {
+        self.now.lessons.clear();
+        self.lasting.iter_mut().for_each(|lasting| lasting.lessons.clear());
+    }
+
+    /// Counts writes from the last that lasts on: only what came before what is asked. How many that leaves out.
+    pub fn recount(&mut self) -> Seq {
+        let base = std::mem::take(&mut self.lasts);
+        self.written -= base;
+        base
+    }
+
+    /// No start comes any more that would read it: only the ends are kept, and these only where one may be asked for.
+    pub fn forget(&mut self, ends_too: bool) {
+        let ends = if ends_too { BTreeMap::new() } else { std::mem::take(&mut self.now.ends) };
+        self.now = Tables { ends, next: 1, ..Tables::default() };
+        self.lasting = None;
+        self.has_failed = false;
+    }
+
     /// How a message of this reference ended.
     pub fn end(&self, reference: &str) -> Option<Final> {
         self.now.ends.get(reference).copied()
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -1,4 +1,4 @@
-//! The command: explores the cases, or shows that planted faults are found.
+//! The command: explores the cases, shows that planted faults are found, or plays a kept way again.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -6,7 +6,8 @@
 
 use clap::{Parser, Subcommand};
 use millpost_core::Fault;
-use millpost_explore::cases::{Case, Explored, Way, large, small};
+use millpost_explore::cases::{Case, Kept, large, small};
+use millpost_explore::search::{Explored, Limits, Way};
 use millpost_explore::trace;
 
 /// Explores every order of events in small worlds round the real core and the real decision module.
@@ -15,52 +16,86 @@
 struct Asked {
     #[command(subcommand)]
     what: What,
-    /// Threads that search.
+    /// Threads that search; what is found does not hang on them.
     #[arg(long, default_value_t = 2, global = true)]
     threads: usize,
     /// Seconds for each case; what was not explored by then is said.
     #[arg(long, default_value_t = 120, global = true)]
     seconds: u64,
+    /// States for each case, at most: a state takes some 90 bytes, one of the frontier some thousands.
+    #[arg(long, default_value_t = 40_000_000, global = true)]
+    states: usize,
+    /// Only cases whose name has this in it.
+    #[arg(long, default_value = "", global = true)]
+    only: String,
+    /// Steps off a calm day on any one way, for every case.
+    #[arg(long, global = true)]
+    deviations: Option<u8>,
     /// Where the way to a breach is drawn, as SVG.
     #[arg(long, global = true)]
     svg: Option<PathBuf>,
+    /// Where the way to a breach is kept, as JSON: `replay` plays it again.
+    #[arg(long, global = true)]
+    keep: Option<PathBuf>,
 }
 
 #[derive(Subcommand)]
 enum What {
     /// One message, one crash, one thing that goes wrong.
     Small,
-    /// These, and two things that go wrong together, and two messages.
+    /// All that goes wrong in one world for each class, and a message of each class as far as it goes.
     Large,
     /// Each planted fault must be found in one of the small cases.
-    Faults,
+    Faults {
+        /// Only faults whose name has this in it.
+        #[arg(long, default_value = "")]
+        fault: String,
+    },
+    /// Plays a kept way again: exit code 1 if the breach is still there.
+    Replay {
+        /// The file that `--keep` wrote.
+        file: PathBuf,
+        /// With the fault planted that it was found with.
+        #[arg(long)]
+        planted: bool,
+    },
 }
 
 fn main() -> ExitCode {
     let asked = Asked::parse();
     let began = Instant::now();
-    let good = match asked.what {
+    let good = match &asked.what {
         What::Small => cases(&asked, &small()),
-        What::Large => cases(&asked, &[small(), large()].concat()),
-        What::Faults => faults(&asked),
+        What::Large => cases(&asked, &large()),
+        What::Faults { fault } => faults(&asked, fault),
+        What::Replay { file, planted } => match replay(&asked, file, *planted) {
+            Ok(good) => good,
+            Err(why) => {
+                eprintln!("millpost-explore: {}: {why}", file.display());
+                return ExitCode::from(2);
+            }
+        },
     };
     println!("{:.1} s", began.elapsed().as_secs_f64());
     if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 fn explore(asked: &Asked, case: &Case, fault: Option<Fault>) -> Explored {
-    case.explore(fault, asked.threads, Duration::from_secs(asked.seconds))
+    let within = Duration::from_secs(asked.seconds);
+    let limits = Limits { threads: asked.threads, within, states: asked.states, deviations: None };
+    let deviations = asked.deviations.or(case.deviations);
+    Case { deviations, ..case.clone() }.explore(fault, &limits)
 }
 
 fn cases(asked: &Asked, all: &[Case]) -> bool {
-    let (mut good, mut states) = (true, 0);
+    let (mut good, mut states, mut count) = (true, 0, 0);
     println!("{:<52} {:>9} {:>9} {:>5} {:>7}  frontier", "case", "states", "steps", "depth", "s");
-    for case in all {
+    for case in all.iter().filter(|case| case.name.contains(&asked.only)) {
         let found = explore(asked, case, None);
         let frontier = match (&found.breach, found.exhausted) {
             (Some((name, _)), _) => format!("BREACH: {name}"),
             (None, true) => "empty".to_owned(),
-            (None, false) => "NOT EMPTY: no time left".to_owned(),
+            (None, false) => "NOT EMPTY: a limit was met".to_owned(),
         };
         let Explored { unique, steps, depth, took, .. } = found;
         println!(
@@ -68,37 +103,59 @@
             case.name,
             took.as_secs_f64()
         );
-        if let Some((_, way)) = &found.breach {
-            show(asked, way);
+        if let Some((name, way)) = &found.breach {
+            show(asked, way, &Kept::new(case, None, name, way));
         }
         good &= found.exhausted;
         states += unique;
+        count += 1;
     }
-    println!("{states} states in {} cases", all.len());
+    println!("{states} states in {count} cases");
     good
 }
 
-fn show(asked: &Asked, way: &Way) {
+fn show(asked: &Asked, way: &Way, kept: &Kept) {
     print!("{}", trace::text(way));
-    if let Some(file) = &asked.svg
-        && let Err(e) = std::fs::write(file, trace::svg(way))
-    {
-        eprintln!("{}: {e}", file.display());
-    }
+    let write = |file: &Option<PathBuf>, text: String| {
+        if let Some(file) = file
+            && let Err(e) = std::fs::write(file, text)
+        {
+            eprintln!("{}: {e}", file.display());
+        }
+    };
+    write(&asked.svg, trace::svg(way));
+    write(&asked.keep, serde_json::to_string_pretty(kept).unwrap_or_default() + "\n");
+}
+
+fn replay(asked: &Asked, file: &PathBuf, planted: bool) -> Result<bool, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| e.to_string())?;
+    let kept: Kept = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+    let way = kept.play(planted);
+    show(asked, &way, &kept);
+    Ok(way.last().is_none_or(|(world, _)| world.breach.is_none()))
 }
 
-fn faults(asked: &Asked) -> bool {
+fn faults(asked: &Asked, which: &str) -> bool {
     let mut good = true;
     println!("{:<20} {:<68} {:>5} {:>8} {:>6}  in the case", "fault", "found by", "depth", "states", "s");
-    for fault in Fault::ALL {
+    for fault in Fault::ALL.into_iter().filter(|fault| format!("{fault:?}").contains(which)) {
         let began = Instant::now();
-        let hit = small().into_iter().find_map(|case| {
+        let cases = small().into_iter().filter(|case| case.name.contains(&asked.only));
+        let hit = cases.into_iter().find_map(|case| {
             let found = explore(asked, &case, Some(fault));
             let (name, way) = found.breach?;
+            if let Some(file) = &asked.keep {
+                let file = file.with_file_name(format!("{fault:?}.json"));
+                let kept = Kept::new(&case, Some(fault), name, &way);
+                let text = serde_json::to_string_pretty(&kept).unwrap_or_default() + "\n";
+                if let Err(e) = std::fs::write(&file, text) {
+                    eprintln!("{}: {e}", file.display());
+                }
+            }
             Some((name, way.len() - 1, found.unique, case.name))
         });
         let (took, fault) = (began.elapsed().as_secs_f64(), format!("{fault:?}"));
-        match hit {
+        match &hit {
             Some((name, depth, states, case)) => {
                 println!("{fault:<20} {name:<68} {depth:>5} {states:>8} {took:>6.1}  {case}");
             }
--- a/explore/src/trace.rs
+++ b/explore/src/trace.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use crate::step::{Happening, Reply, Step};
+use crate::step::{Crash, Happening, Ran, Reply, Step};
 use crate::world::World;
 
 const LANES: [&str; 5] = ["client", "dispatcher", "partner", "discovery", "platform"];
@@ -12,6 +12,14 @@
 const DISCOVERY: usize = 3;
 const PLATFORM: usize = 4;
 
+fn fate(ran: Ran) -> &'static str {
+    match ran {
+        Ran::Never => "it never ran",
+        Ran::Before => "it ran",
+        Ran::Still => "it still runs",
+    }
+}
+
 /// What a step shows: from which lane to which, and its words.
 fn arrow(step: &Step) -> (usize, usize, String) {
     let (from, to, mut words) = match step.what {
@@ -26,18 +34,20 @@
             (CORE, PARTNER, format!("call {call}: no connection"))
         }
         Some(Happening::GiveUp { call, ran }) => {
-            (CORE, PARTNER, format!("call {call}: given up, {}", if ran { "it ran" } else { "it never ran" }))
+            (CORE, PARTNER, format!("call {call}: given up, {}", fate(ran)))
+        }
+        Some(Happening::Late { place }) => {
+            (PARTNER, PARTNER, format!("call that was over ({place}) takes effect"))
         }
         Some(Happening::Partner { call, reply }) => {
             let said = match reply {
-                Reply::Served => "200",
-                Reply::Error { ran: true } => "500, it ran",
-                Reply::Error { ran: false } => "500, it never ran",
-                Reply::Full => "503",
-                Reply::Wait => "429, come back later",
-                Reply::BreakBefore => "breaks before the last byte",
-                Reply::BreakAfter { ran: true } => "breaks, it ran",
-                Reply::BreakAfter { ran: false } => "breaks, it never ran",
+                Reply::Served => "200".to_owned(),
+                Reply::Error { ran: true } => "500, it ran".to_owned(),
+                Reply::Error { ran: false } => "500, it never ran".to_owned(),
+                Reply::Full => "503".to_owned(),
+                Reply::Wait => "429, come back later".to_owned(),
+                Reply::BreakBefore => "breaks before the last byte".to_owned(),
+                Reply::BreakAfter { ran } => format!("breaks, {}", fate(ran)),
             };
             (PARTNER, CORE, format!("call {call}: {said}"))
         }
@@ -50,13 +60,19 @@
         }
         Some(Happening::Sync) => (CORE, CORE, "what was written lasts".to_owned()),
         Some(Happening::FailNext) => (CORE, CORE, "the next write will fail".to_owned()),
-        Some(Happening::Decide { bits: 0 }) => (CORE, CORE, "decides".to_owned()),
-        Some(Happening::Decide { bits }) => (CORE, CORE, format!("decides, draws {bits:b}")),
+        Some(Happening::Decide) => (CORE, CORE, "decides".to_owned()),
         Some(Happening::Time) => (CORE, CORE, "time passes".to_owned()),
     };
-    if let Some((after, ran)) = step.crash {
+    if step.bits > 0 {
+        let _ = write!(words, ", draws {:b}", step.bits);
+    }
+    if let Some(crash) = step.crash {
         let sep = if words.is_empty() { "" } else { "; " };
-        let _ = write!(words, "{sep}CRASH after {after} effects, calls that ran {ran:b}; starts again");
+        let _ = write!(words, "{sep}CRASH after {} effects", crash.after);
+        for place in (0..Crash::MOST).filter(|place| crash.of(*place) != Ran::Never) {
+            let _ = write!(words, ", call {place} of those out: {}", fate(crash.of(place)));
+        }
+        words.push_str("; starts again");
     }
     (from, to, words)
 }
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -5,8 +5,6 @@
 //! explored, and nothing lies between two moments at which anybody looks.
 
 use std::collections::BTreeMap;
-use std::fmt::Write;
-use std::hash::{Hash, Hasher};
 
 use bytes::Bytes;
 use millpost::api::{
@@ -16,9 +14,14 @@
 use millpost::{Dice, Lesson};
 use millpost_core::{CallId, Core, Effect, End, Ended, Fate, Fault, Handed, Moment, Shelf, Verdict};
 use millpost_store::ledger::{Answer, Found};
+use serde::Serialize;
 
 use crate::journal::Journal;
-use crate::step::{Bounds, Happening, Kindness, Reply, Step};
+use crate::property;
+use crate::step::{Bounds, Crash, Happening, Kindness, Ran, Reply, Step};
+
+mod expand;
+mod same;
 
 /// One T1 of the module: a quarter of the least aim.
 pub const T1: Nanos = 100_000_000;
@@ -29,13 +32,19 @@
 /// A wait that a partner asks for.
 const WAIT: Nanos = 3 * T1;
 const DRAIN_GRACE: Nanos = T1 / 2;
+/// After an attempt that may still be running its key rests so long; it does not run for longer.
+const SETTLED: Nanos = T1 / 2;
 /// The only destination.
 const DEST: u64 = 7;
+/// What all messages in order are about.
+const ABOUT: u64 = 5;
 
 /// A message in this world.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 struct Message {
     kind: Kindness,
+    /// Its number at the dispatcher, once it is taken on: messages in order go by it.
+    id: Option<MsgId>,
     /// It has been handed in, and its time is up then.
     deadline: Option<Nanos>,
     /// Its client heard that it is taken on.
@@ -53,7 +62,7 @@
     noticed: bool,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 enum Stage {
     Connecting,
     Connected,
@@ -61,7 +70,7 @@
 }
 
 /// A call in this world.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 struct Flight {
     endpoint: EndpointId,
     until: Nanos,
@@ -71,8 +80,18 @@
     stage: Stage,
 }
 
+/// A call that was over and still runs.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+struct Running {
+    message: usize,
+    /// When it was written.
+    began: Nanos,
+    /// It takes effect before that or not at all.
+    until: Nanos,
+}
+
 /// The state of everything.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct World {
     now: Nanos,
     core: Core,
@@ -86,61 +105,17 @@
     /// Endpoints that drain or are gone, since when; and whether gone.
     away: BTreeMap<EndpointId, (Nanos, bool)>,
     waits_until: Nanos,
+    /// Calls that were over and still run.
+    running: Vec<Running>,
     left: Bounds,
-    replies: u64,
     /// Messages whose replies are out, by number; whether the client has left.
     asked: BTreeMap<u64, (usize, bool)>,
+    #[serde(skip)]
     fault: Option<Fault>,
     /// The first property that does not hold.
     pub breach: Option<&'static str>,
 }
 
-/// The properties, by their names; `docs/properties.md` says more of each.
-pub mod property {
-    /// The platform is told one end of a message, and none of one that was delivered.
-    pub const ONE_ANSWER: &str = "one final answer";
-    /// While a call with a message is out, no other with it is written.
-    pub const ONE_OUT: &str = "never two attempts of one message out at once";
-    /// An unsafe message takes effect once at most; a keyed one once for each life of its key.
-    pub const ONE_EFFECT: &str = "no second effect where the class forbids it";
-    /// From a wait to its end no call is written, also after a crash.
-    pub const NO_TRAFFIC_IN_WAIT: &str = "no traffic during a wait";
-    /// Nothing is written to an endpoint the grace after its drain was told.
-    pub const NO_WORK_AFTER_DRAIN: &str = "no new work after a drain";
-    /// An unsafe message that is refused never took effect, before or after.
-    pub const TRUE_REFUSAL: &str = "what is refused never ran";
-    /// A message whose client heard 202 is delivered, or its end is told in time.
-    pub const NOTICE_SENT: &str = "every message that was taken on ends in its time, also across a crash";
-    /// The module counts as many calls as there are.
-    pub const SLOTS: &str = "the slots counted equal the calls out";
-    /// Once the platform was told of an end, or a delivery was heard, nothing more is written.
-    pub const ANSWER_STANDS: &str = "nothing is sent once the platform was told of an end";
-}
-
-/// Feeds what is written into a hasher.
-struct Into<'a, H>(&'a mut H);
-
-impl<H: Hasher> Write for Into<'_, H> {
-    fn write_str(&mut self, text: &str) -> std::fmt::Result {
-        self.0.write(text.as_bytes());
-        Ok(())
-    }
-}
-
-/// Two worlds are the same where all that is in them is, to the last bit of each number.
-impl Hash for World {
-    fn hash<H: Hasher>(&self, state: &mut H) {
-        // Writing into a hasher does not fail.
-        let _ = write!(Into(state), "{self:?}");
-    }
-}
-
-impl PartialEq for World {
-    fn eq(&self, other: &Self) -> bool {
-        format!("{self:?}") == format!("{other:?}")
-    }
-}
-
 fn settings(bounds: &Bounds, messages: &[Message]) -> Settings {
     let class = |kindness: &Kindness| Class {
         aim: AIM,
@@ -148,11 +123,11 @@
         worth: 1.0,
         late_worth: 0.5,
         effect: match kindness {
-            Kindness::Safe => Repeats::Safe,
+            Kindness::Safe | Kindness::InOrder => Repeats::Safe,
             Kindness::Keyed => Repeats::Keyed { window: WINDOW, zone_only: false },
-            Kindness::Unsafe => Repeats::Unsafe,
+            Kindness::Unsafe | Kindness::InOrderOnce => Repeats::Unsafe,
         },
-        in_order: false,
+        in_order: kindness.in_order(),
     };
     Settings {
         me: 0,
@@ -178,7 +153,7 @@
             cold: 3 * T1,
             fall_multiple: 1.5,
             fall: 2 * T1,
-            key_rest: 0,
+            key_rest: SETTLED,
         },
         weights: Weights::Unknown,
         subscribe: false,
@@ -203,6 +178,7 @@
         let journal = Journal::new(bounds.synced);
         let message = |kind: &Kindness| Message {
             kind: *kind,
+            id: None,
             deadline: None,
             taken: false,
             refused: false,
@@ -224,8 +200,8 @@
             notices: Vec::new(),
             away: BTreeMap::new(),
             waits_until: 0,
+            running: Vec::new(),
             left: bounds,
-            replies: 0,
             asked: BTreeMap::new(),
             fault,
             breach: None,
@@ -253,6 +229,7 @@
         for (dest, route, wall, bytes) in lessons {
             self.core.recall(at, &Lesson { dest, route, bytes }, at.wall - wall);
         }
+        self.core.resume(at);
         let found: Vec<Found> = self.journal.found();
         found.into_iter().for_each(|found| self.core.restore(at, found));
         self.news = true;
@@ -266,111 +243,14 @@
     /// All that was to come has come to its end.
     pub fn over(&self) -> bool {
         let done = |m: &Message| m.refused || m.delivered || m.noticed;
-        self.messages.iter().all(done) && self.flights.is_empty() && self.core.owed() == 0
+        let quiet = self.flights.is_empty() && self.running.is_empty();
+        self.messages.iter().all(done) && quiet && self.core.owed() == 0
     }
 
     fn due(&self) -> bool {
         self.news || self.core.wake().is_some_and(|wake| wake <= self.now)
     }
 
-    /// What may happen now.
-    pub fn happenings(&self) -> Vec<Happening> {
-        let mut all = Vec::new();
-        // Whoever gives up at a time does so before it has passed.
-        let overdue = self.journal.pending() || self.flights.values().any(|flight| flight.until <= self.now);
-        if self.breach.is_some() || self.over() {
-            return all;
-        }
-        if self.messages.iter().any(|m| m.deadline.is_none()) {
-            all.push(Happening::HandIn { left: false });
-            if self.left.leaves > 0 {
-                all.push(Happening::HandIn { left: true });
-            }
-        }
-        if self.left.again > 0 {
-            let handed =
-                (0..self.messages.len()).filter(|n| self.messages[*n].deadline.is_some_and(|d| d > self.now));
-            all.extend(handed.map(|message| Happening::Again { message }));
-        }
-        for (call, flight) in &self.flights {
-            let call = *call;
-            match &flight.stage {
-                Stage::Connecting => {
-                    if flight.until > self.now {
-                        all.push(Happening::Connect { call, up: true });
-                    }
-                    if self.left.breaks > 0 || flight.until <= self.now {
-                        all.push(Happening::Connect { call, up: false });
-                    }
-                }
-                Stage::Connected => {}
-                Stage::Out(_) if flight.until <= self.now => {
-                    all.extend([true, false].map(|ran| Happening::GiveUp { call, ran }));
-                }
-                Stage::Out(_) => {
-                    let mut replies = vec![Reply::Served];
-                    if self.left.refusals > 0 {
-                        replies.extend([
-                            Reply::Full,
-                            Reply::Error { ran: true },
-                            Reply::Error { ran: false },
-                        ]);
-                    }
-                    if self.left.waits > 0 {
-                        replies.push(Reply::Wait);
-                    }
-                    if self.left.breaks > 0 {
-                        let after = [true, false].map(|ran| Reply::BreakAfter { ran });
-                        replies.extend([Reply::BreakBefore].into_iter().chain(after));
-                    }
-                    all.extend(replies.into_iter().map(|reply| Happening::Partner { call, reply }));
-                }
-            }
-        }
-        for endpoint in 1..=self.left.endpoints {
-            match self.away.get(&endpoint) {
-                None => {
-                    all.extend((self.left.drains > 0).then_some(Happening::Drain { endpoint }));
-                    all.extend((self.left.losses > 0).then_some(Happening::Lose { endpoint }));
-                }
-                Some((_, true)) => all.push(Happening::Return { endpoint }),
-                Some(_) => {}
-            }
-        }
-        for place in 0..self.notices.len() {
-            all.push(Happening::Notice { place, heard: true });
-            if self.left.unheard > 0 {
-                all.push(Happening::Notice { place, heard: false });
-            }
-        }
-        if self.journal.pending() {
-            all.push(Happening::Sync);
-        }
-        if self.left.failing > 0 && !self.journal.fails_next {
-            all.push(Happening::FailNext);
-        }
-        if self.due() {
-            all.extend(self.draws().into_iter().map(|bits| Happening::Decide { bits }));
-        } else if !overdue && self.next().is_some() {
-            all.push(Happening::Time);
-        }
-        all
-    }
-
-    /// Each way in which the draws of a round may fall.
-    fn draws(&self) -> Vec<u32> {
-        let (mut all, mut open) = (Vec::new(), vec![(0_u32, 0_u32)]);
-        while let Some((bits, told)) = open.pop() {
-            let mut core = self.core.clone();
-            core.set_dice(Dice::Told { bits, drawn: 0 });
-            core.decide(self.at());
-            let Dice::Told { drawn, .. } = core.set_dice(Dice::Told { bits: 0, drawn: 0 }) else { continue };
-            all.push(bits);
-            open.extend((told..drawn).map(|n| (bits | 1 << n, n + 1)));
-        }
-        all
-    }
-
     /// The next moment at which something is due.
     fn next(&self) -> Option<Nanos> {
         let flights = self.flights.values().map(|flight| flight.until);
@@ -383,48 +263,19 @@
         all.filter(|at| *at > self.now && *at <= horizon).min()
     }
 
-    /// What the world is after a step, and how many effects were carried out.
-    pub fn after(&self, step: Step) -> (World, u8) {
-        let mut world = self.clone();
-        let mut carried = 0;
-        let most = step.crash.map(|(after, _)| after);
-        if let Some(what) = step.what {
-            world.happen(what);
-            carried = world.carry(most);
-        }
-        if let Some((_, ran)) = step.crash {
-            // A wait that died with the process before all was done that follows from it was heard by nobody.
-            if matches!(step.what, Some(Happening::Partner { reply: Reply::Wait, .. })) {
-                world.waits_until = self.waits_until;
-            }
-            world.crash(ran, step.what.is_some());
-        } else {
-            world.look();
+    /// Something happens, and the module's draws fall so; how many there were.
+    fn make(&mut self, what: Happening, bits: u32) -> u32 {
+        self.core.set_dice(Dice::Told { bits, drawn: 0 });
+        self.happen(what);
+        match self.core.set_dice(Dice::Told { bits: 0, drawn: 0 }) {
+            Dice::Told { drawn, .. } => drawn,
+            Dice::Seeded(_) => 0,
         }
-        (world, carried)
-    }
-
-    /// Calls that are out when a crash comes after so many effects, and how many effects there were.
-    pub fn before_crash(&self, what: Happening, after: u8) -> (usize, u8) {
-        let mut world = self.clone();
-        world.happen(what);
-        let carried = world.carry(Some(after));
-        (world.calls_out(), carried)
-    }
-
-    /// Calls that are out, and may have run at a crash.
-    pub fn calls_out(&self) -> usize {
-        self.flights.values().filter(|f| matches!(f.stage, Stage::Out(_))).count()
-    }
-
-    /// Crashes that are left.
-    pub fn may_crash(&self) -> bool {
-        self.left.crashes > 0 && self.breach.is_none()
     }
 
     fn happen(&mut self, what: Happening) {
-        let at = self.at();
-        self.news |= !matches!(what, Happening::Decide { .. } | Happening::Time | Happening::FailNext);
+        let (at, news) = (self.at(), self.news);
+        self.news |= !matches!(what, Happening::Decide | Happening::Time | Happening::FailNext);
         match what {
             Happening::HandIn { left } => {
                 let Some(message) = self.messages.iter().position(|m| m.deadline.is_none()) else { return };
@@ -448,6 +299,12 @@
             }
             Happening::Partner { call, reply } => self.partner(call, reply),
             Happening::GiveUp { call, ran } => self.end(call, ran, Outcome::TimedOut.into()),
+            Happening::Late { place } => {
+                let Running { message, began, .. } = self.running.remove(place);
+                self.effect(message, began);
+                // The dispatcher does not hear of it.
+                self.news = news;
+            }
             Happening::Drain { endpoint } => {
                 self.left.drains -= 1;
                 self.away.insert(endpoint, (self.now, false));
@@ -477,16 +334,16 @@
                 self.left.failing -= 1;
                 self.journal.fails_next = true;
             }
-            Happening::Decide { bits } => {
+            Happening::Decide => {
                 self.news = false;
-                self.core.set_dice(Dice::Told { bits, drawn: 0 });
                 self.core.decide(at);
-                self.core.set_dice(Dice::Told { bits: 0, drawn: 0 });
             }
             Happening::Time => {
                 if let Some(next) = self.next() {
                     self.now = next;
                 }
+                let now = self.now;
+                self.running.retain(|running| running.until > now);
                 self.core.tend();
             }
         }
@@ -494,8 +351,7 @@
 
     fn hand_in(&mut self, message: usize, left: bool) {
         let Some(deadline) = self.messages[message].deadline else { return };
-        let reply = self.replies;
-        self.replies += 1;
+        let reply = (0..).find(|reply| !self.asked.contains_key(reply)).unwrap_or(0);
         self.asked.insert(reply, (message, left));
         let handed = Handed {
             reference: reference(message),
@@ -503,6 +359,7 @@
             dest: DEST,
             time_left: deadline - self.now,
             key: None,
+            order: self.messages[message].kind.in_order().then_some(ABOUT),
             body: Bytes::new(),
         };
         let ended = self.journal.end(&handed.reference);
@@ -512,19 +369,19 @@
     fn partner(&mut self, call: CallId, reply: Reply) {
         let at = self.at();
         match reply {
-            Reply::Served => self.end(call, true, End { outcome: Outcome::Served, over: true }),
+            Reply::Served => self.end(call, Ran::Before, End { outcome: Outcome::Served, over: true }),
             Reply::Error { ran } => {
                 self.left.refusals -= 1;
-                self.end(call, ran, Outcome::Error.into());
+                self.end(call, if ran { Ran::Before } else { Ran::Never }, Outcome::Error.into());
             }
             Reply::Full => {
                 self.left.refusals -= 1;
-                self.end(call, false, Outcome::Full(None).into());
+                self.end(call, Ran::Never, Outcome::Full(None).into());
             }
             Reply::Wait => {
                 self.left.waits -= 1;
                 self.waits_until = self.now + WAIT;
-                self.end(call, false, Outcome::Full(Some(WAIT)).into());
+                self.end(call, Ran::Never, Outcome::Full(Some(WAIT)).into());
             }
             Reply::BreakBefore => {
                 self.left.breaks -= 1;
@@ -543,20 +400,30 @@
     }
 
     /// A call that is out ends: its connection is closed or at rest, then the core hears.
-    fn end(&mut self, call: CallId, ran: bool, end: End) {
+    fn end(&mut self, call: CallId, ran: Ran, end: End) {
         let Some(Flight { stage: Stage::Out(messages), began, .. }) = self.flights.remove(&call) else {
             return;
         };
         for message in messages {
-            if ran {
-                self.effect(message, began);
-            }
+            self.ran(message, began, ran);
             self.messages[message].delivered |= end.over;
         }
         let ended = Ended { fate: Fate::All(end), wait: None, report: None };
         self.core.ended(self.at(), call, ended);
     }
 
+    /// What a call whose answer nobody heard comes to for a message.
+    fn ran(&mut self, message: usize, began: Nanos, ran: Ran) {
+        match ran {
+            Ran::Never => {}
+            Ran::Before => self.effect(message, began),
+            Ran::Still => {
+                self.left.lates = self.left.lates.saturating_sub(1);
+                self.running.push(Running { message, began, until: self.now + SETTLED });
+            }
+        }
+    }
+
     /// A call takes effect for a message. A partner drops a repeat that begins while it remembers the key.
     fn effect(&mut self, message: usize, began: Nanos) {
         let m = &mut self.messages[message];
@@ -565,8 +432,13 @@
         }
         m.effects += 1;
         m.keyed_at = Some(began);
-        let doubled = m.effects > 1 && m.kind != Kindness::Safe;
-        let refused = m.kind == Kindness::Unsafe && matches!(m.told, Some(Answer::Refused { .. }));
+        let doubled = m.effects > 1 && (m.kind.once() || m.kind == Kindness::Keyed);
+        let refused = m.kind.once() && matches!(m.told, Some(Answer::Refused { .. }));
+        let (in_order, id) = (m.kind.in_order(), m.id);
+        let later = |m: &Message| m.kind.in_order() && m.effects > 0 && m.id > id;
+        if in_order && id.is_some() && self.messages.iter().any(later) {
+            self.breach(property::ORDER);
+        }
         if doubled {
             self.breach(property::ONE_EFFECT);
         }
@@ -606,6 +478,9 @@
             Effect::Reply { reply, verdict, taken } => {
                 let Some((message, left)) = self.asked.remove(&reply) else { return };
                 let m = &mut self.messages[message];
+                if let Some(id) = taken.filter(|_| !left) {
+                    m.id = Some(id);
+                }
                 if left {
                     m.refused = true;
                 } else if verdict == Verdict::Taken {
@@ -614,7 +489,7 @@
                     // Told so of one that was taken on, it is the answer that was given before.
                     m.refused |= !m.taken;
                     let refused = matches!(verdict, Verdict::Refused { .. });
-                    if refused && m.kind == Kindness::Unsafe && m.effects > 0 {
+                    if refused && m.kind.once() && m.effects > 0 {
                         self.breach(property::TRUE_REFUSAL);
                     }
                 }
@@ -652,6 +527,13 @@
             self.flights.values().any(with)
         };
         let doubled = messages.iter().any(|n| out(*n));
+        let earlier = |n: usize| {
+            let mine = self.messages[n].id;
+            let open = |m: &Message| m.taken && !m.delivered && m.told.is_none();
+            let before = |m: &Message| m.kind.in_order() && m.id.is_some() && m.id < mine && open(m);
+            self.messages[n].kind.in_order() && self.messages.iter().any(before)
+        };
+        let ordered = !messages.iter().any(|n| earlier(*n));
         let answered =
             messages.iter().any(|n| self.messages[*n].told.is_some() || self.messages[*n].delivered);
         let Some(flight) = self.flights.get_mut(&call) else { return };
@@ -662,6 +544,7 @@
             (answered, property::ANSWER_STANDS),
             (self.now < self.waits_until, property::NO_TRAFFIC_IN_WAIT),
             (late, property::NO_WORK_AFTER_DRAIN),
+            (!ordered, property::ORDER),
         ] {
             if breached {
                 self.breach(property);
@@ -673,7 +556,7 @@
     fn notice(&mut self, id: MsgId, message: usize, answer: Answer) {
         let m = &mut self.messages[message];
         let other = m.told.is_some_and(|before| before != answer) || m.delivered;
-        let ran = m.kind == Kindness::Unsafe && m.effects > 0 && matches!(answer, Answer::Refused { .. });
+        let ran = m.kind.once() && m.effects > 0 && matches!(answer, Answer::Refused { .. });
         m.told = Some(answer);
         self.notices.push((id, message, answer));
         if other {
@@ -684,9 +567,9 @@
         }
     }
 
-    /// The process dies, and starts again at once. What was on its way to it is lost; a call that was out ran or did
-    /// not, by its bit. `midway`: not all was done that follows from what happened last.
-    fn crash(&mut self, ran: u8, midway: bool) {
+    /// The process dies, and starts again at once. What was on its way to it is lost. `midway`: not all was done that
+    /// follows from what happened last.
+    fn crash(&mut self, crash: Crash, midway: bool) {
         self.left.crashes -= 1;
         // Only then may the journal not know of a delivery that was heard. Such a message is owed its end once more: an
         // unsafe one is given up as one that may have run, another may go again.
@@ -696,9 +579,7 @@
             _ => None,
         });
         for (n, (messages, began)) in out.collect::<Vec<_>>().into_iter().enumerate() {
-            if ran >> n & 1 == 1 {
-                messages.into_iter().for_each(|message| self.effect(message, began));
-            }
+            messages.into_iter().for_each(|message| self.ran(message, began, crash.of(n)));
         }
         // Whoever had no answer yet may hand the message in elsewhere.
         for (message, _) in std::mem::take(&mut self.asked).into_values() {
--- a/src/agenda.rs
+++ b/src/agenda.rs
@@ -10,7 +10,7 @@
 use crate::api::{DestId, MsgId, Nanos};
 
 /// Keys with a time each.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, serde::Serialize)]
 pub(crate) struct Timers<K> {
     order: BTreeSet<(Nanos, K)>,
     at: BTreeMap<K, Nanos>,
@@ -55,7 +55,7 @@
 }
 
 /// The agenda of one dispatcher.
-#[derive(Clone, Default, Debug)]
+#[derive(Clone, Default, Debug, serde::Serialize)]
 pub(crate) struct Agenda {
     held: BTreeSet<(DestId, MsgId)>,
     ready: BTreeSet<(DestId, MsgId)>,
--- a/src/api.rs
+++ b/src/api.rs
@@ -199,7 +199,7 @@
 }
 
 /// State of a listed endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
 pub enum State {
     /// Listed; says nothing of its health.
     Ready,
@@ -210,7 +210,7 @@
 }
 
 /// An entry of the list of endpoints.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize)]
 pub struct Entry {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -264,6 +264,9 @@
         /// was out when the process ended is one.
         may_have_run: Option<(Nanos, usize)>,
     },
+    /// The process is not the first on its journal: attempts that went before it started may still run, also
+    /// of messages that nobody remembers.
+    Resumed,
     /// The process ends at this time: what is not answered by then is taken up after the restart.
     Stopping {
         /// When.
--- a/src/control.rs
+++ b/src/control.rs
@@ -46,7 +46,7 @@
 type LaneId = (DestId, Option<EndpointId>);
 
 /// A token bucket: the pace and the cold budget are each one.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
 struct Bucket {
     tokens: f64,
     at: Nanos,
@@ -62,7 +62,7 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, serde::Serialize)]
 struct Lane {
     /// Lowest latency of the running and of the previous span.
     floors: [Option<Nanos>; 2],
@@ -112,7 +112,7 @@
     news: News,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, serde::Serialize)]
 struct Endpoint {
     lane: LaneId,
     zone: usize,
@@ -125,14 +125,14 @@
 }
 
 /// An attempt that is out.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize)]
 struct Out {
     endpoint: EndpointId,
     call: u64,
     sent: Nanos,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, serde::Serialize)]
 struct Msg {
     class: usize,
     key: Option<u64>,
@@ -175,7 +175,7 @@
 
 impl Eq for Rank {}
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, serde::Serialize)]
 struct KeyLine {
     line: VecDeque<MsgId>,
     rest_until: Nanos,
@@ -212,8 +212,9 @@
     /// What the lanes have learnt and nobody was given yet.
     news: BTreeMap<LaneId, News>,
     grave: bool,
-    /// When the process ends.
+    /// When the process ends, and until when attempts from before it may still run.
     stops_at: Nanos,
+    unsure_until: Nanos,
 }
 
 impl Msg {
@@ -410,6 +411,7 @@
             news: BTreeMap::new(),
             grave: false,
             stops_at: NEVER,
+            unsure_until: 0,
             set: Arc::new(settings),
         }
     }
@@ -427,6 +429,7 @@
                 m.wait_for_doubled_time(now, self.t1);
                 self.track(now, id);
             }
+            Event::Resumed => self.unsure_until = now.saturating_add(self.set.rules.key_rest),
             Event::Stopping { at } => self.stops_at = at,
             Event::Outcome { id, endpoint, outcome, took, closed, report, .. } => {
                 self.heard(endpoint, report);
@@ -472,7 +475,12 @@
         let aim_at = deadline.saturating_sub(c.deadline.saturating_sub(c.aim));
         let key = key.filter(|_| c.in_order);
         if let Some(key) = key {
-            self.keys.entry(key).or_default().line.push_back(id);
+            let line = self.keys.entry(key).or_default();
+            line.line.push_back(id);
+            if self.unsure_until > now {
+                line.rest_until = line.rest_until.max(self.unsure_until);
+                self.rests.set(key, line.rest_until);
+            }
         }
         let msg = Msg {
             class,
--- a/src/control/inspect.rs
+++ b/src/control/inspect.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use serde::{Serialize, Serializer};
+
 use super::*;
 
 impl Control {
@@ -22,12 +24,79 @@
 
 /// All that its decisions hang on but for the settings, to the last bit of each number: two modules of the same
 /// settings that are written alike decide alike.
+macro_rules! told {
+    ($control:expr, $tell:expr) => {{
+        let c = $control;
+        let messages = (&c.msgs, &c.agenda, &c.keys, &c.rests, &c.calls, c.next_call);
+        let destinations = (&c.lanes, &c.busy, &c.unlisted, &c.endpoints, &c.leaving, &c.by_dest);
+        let times = (c.subscribe_at, c.subscribe_fails, c.wake_at, c.stops_at, c.unsure_until);
+        $tell(&(&c.rng, messages, destinations, times, &c.news, c.grave))
+    }};
+}
+
 impl fmt::Debug for Control {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let messages = (&self.msgs, &self.agenda, &self.keys, &self.rests, &self.calls, self.next_call);
-        let destinations =
-            (&self.lanes, &self.busy, &self.unlisted, &self.endpoints, &self.leaving, &self.by_dest);
-        let times = (self.subscribe_at, self.subscribe_fails, self.wake_at, self.stops_at);
-        (&self.rng, messages, destinations, times, &self.news, self.grave).fmt(f)
+        told!(self, |all: &dyn fmt::Debug| all.fmt(f))
+    }
+}
+
+impl Serialize for Control {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        told!(self, |all| Serialize::serialize(all, to))
+    }
+}
+
+impl Control {
+    /// Blanks what nothing reads before it is set anew, where no load report is ever heard: two modules that differ in
+    /// this alone decide alike from here on. For telling states apart.
+    ///
+    /// - The pace and the own rate of calls are read only once a limit was reported.
+    /// - A cold budget is read while a destination is in trouble or cold; where it is neither and no failure is under
+    ///   way, the next failure or return sets it.
+    /// - Times of calls out are read while there are any, the time of a failure while it counts.
+    /// - An averaged delay that has drained to nothing stays there until a sample comes.
+    /// - Whether a message that may be repeated freely has run is not asked.
+    pub fn blank_unread(&mut self, now: Nanos) {
+        for lane in self.lanes.values_mut().filter(|lane| lane.limit <= 0.0 && lane.pace <= 0.0) {
+            (lane.sending, lane.paced, lane.eased_at) = (0.0, Bucket::default(), 0);
+            if lane.calls == 0 {
+                (lane.sent_at, lane.quiet_since) = (0, 0);
+            }
+            let cold = lane.cold(now, &self.set.rules);
+            if !cold {
+                lane.back_at = None;
+            }
+            if lane.bad_since.is_none() && !cold {
+                (lane.out_from, lane.cold_budget) = (0, Bucket::default());
+            }
+            if lane.delay_now(now) == 0.0 {
+                (lane.delay, lane.delay_at) = (0.0, 0);
+            }
+            lane.wait_until = if lane.wait_until > now { lane.wait_until } else { 0 };
+        }
+        for e in self.endpoints.values_mut().filter(|e| e.fails == 0) {
+            e.fail_at = 0;
+        }
+        for m in self.msgs.values_mut() {
+            if self.set.classes[m.class].effect == Effect::Safe {
+                m.maybe = None;
+            }
+        }
+    }
+
+    /// Numbers the calls that are out anew, from 0 on in their order. They are told apart and compared, and nothing
+    /// else is done with a call's number: what is decided afterwards is the same.
+    pub fn renumber(&mut self) {
+        let out: Vec<u64> = self.calls.keys().copied().collect();
+        let turns: BTreeSet<u64> = self.lanes.values().map(|lane| lane.turn).collect();
+        // The turns of lanes may be of calls that are over: both are numbered together, to keep their order.
+        let all: BTreeSet<u64> = turns.into_iter().chain(out).collect();
+        let new: BTreeMap<u64, u64> = all.into_iter().zip(0..).collect();
+        for message in self.msgs.values_mut() {
+            message.out.iter_mut().for_each(|out| out.call = new[&out.call]);
+        }
+        self.lanes.values_mut().for_each(|lane| lane.turn = new[&lane.turn]);
+        self.calls = std::mem::take(&mut self.calls).into_iter().map(|(call, n)| (new[&call], n)).collect();
+        self.next_call = new.len() as u64;
     }
 }
--- a/src/control/learnt.rs
+++ b/src/control/learnt.rs
@@ -7,7 +7,7 @@
 const VERSION: u8 = 1;
 
 /// Which lessons the caller should be given, and when.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
 pub(super) enum News {
     #[default]
     None,
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -84,6 +84,8 @@
     pub fall_multiple: f64,
     /// ...for so long, it falls over; milliseconds.
     pub fall_ms: u64,
+    /// A key rests this long after an attempt that may still be running, milliseconds.
+    pub key_rest_ms: u64,
     /// Files of one dispatcher, megabytes.
     pub disk_mb: f64,
     /// Descriptors of one dispatcher.
@@ -122,6 +124,7 @@
             cold_ms: 12_000,
             fall_multiple: 1.5,
             fall_ms: 2_000,
+            key_rest_ms: 0,
             disk_mb: 3.0,
             sockets: 1_024,
             weights: "nominal".to_owned(),
@@ -158,7 +161,7 @@
                        "maxRetryAfterNs": ns(self.max_retry_after_ms)},
             "rules": {"drainGraceNs": ns(self.drain_ms), "graceToAnswerNs": ns(self.grace_ms),
                       "coldFrom": self.cold_from, "coldNs": ns(self.cold_ms), "tipMultiple": self.fall_multiple,
-                      "overloadForNs": ns(self.fall_ms)},
+                      "overloadForNs": ns(self.fall_ms), "settleAfterDoubtNs": ns(self.key_rest_ms)},
         })
     }
 
--- a/store/compare/src/engines.rs
+++ b/store/compare/src/engines.rs
@@ -54,6 +54,7 @@
         dest: n % 50,
         deadline: 1 << 60,
         key: Some(Bytes::from(format!("key-{n:028}"))),
+        order: None,
         body: Bytes::copy_from_slice(body),
     }
 }
@@ -105,7 +106,7 @@
 
 impl Engine for OldJournal {
     fn take(&mut self, n: u64, body: &[u8]) {
-        let Taken { reference, class, dest, deadline, key, body } = message(n, body);
+        let Taken { reference, class, dest, deadline, key, body, .. } = message(n, body);
         let taken = journal::Taken { reference, class, dest, deadline, key, body };
         self.0.take(5, &taken).expect("room");
     }
--- a/store/src/bin/millpost-store.rs
+++ b/store/src/bin/millpost-store.rs
@@ -206,7 +206,7 @@
         let mut record = json!({
             "table": "messages", "id": number(key), "reference": taken.reference, "class": taken.class,
             "destination": taken.dest, "taken_ns": at, "deadline_ns": taken.deadline,
-            "key": taken.key.as_deref().map(String::from_utf8_lossy), "body_bytes": length,
+            "key": taken.key.as_deref().map(String::from_utf8_lossy), "order_key": taken.order, "body_bytes": length,
             "attempts": history.attempts, "may_have_run": attempt_json(history.may_have_run),
             "out": attempt_json(history.out), "answer": history.answer.map(|a| final_json(Final::Answered(a))),
         });
--- a/store/src/journal.rs
+++ b/store/src/journal.rs
@@ -81,7 +81,7 @@
         let key = if self.u32()? == 1 { Some(self.bytes()?) } else { None };
         let body = Bytes::copy_from_slice(&self.bytes()?);
         let key = key.map(|key| Bytes::copy_from_slice(&key));
-        Some((Taken { reference, class, dest, deadline, key, body }, at))
+        Some((Taken { reference, class, dest, deadline, key, order: None, body }, at))
     }
 }
 
--- a/store/src/ledger.rs
+++ b/store/src/ledger.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
+use serde::Serialize;
 
 use crate::folder::Folder;
 use crate::format::{Batch, FRAME_HEAD, PUT_HEAD, Seq};
@@ -49,7 +50,7 @@
 const AT_ONCE: usize = 64;
 
 /// A message as it was handed in.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Taken {
     /// Its id at its client.
     pub reference: String,
@@ -61,12 +62,14 @@
     pub deadline: Nanos,
     /// Its idempotency key.
     pub key: Option<Bytes>,
+    /// What it is about, where its class keeps an order.
+    pub order: Option<u64>,
     /// What is to be delivered.
     pub body: Bytes,
 }
 
 /// What became of a message so far.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct History {
     /// Attempts begun.
     pub attempts: u32,
@@ -81,7 +84,7 @@
 }
 
 /// A final answer that ends a message without delivery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Answer {
     /// Given up, nothing promised.
     Failed,
@@ -93,7 +96,7 @@
 }
 
 /// How a message ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Final {
     /// It was delivered.
     Delivered,
@@ -273,7 +276,9 @@
 fn message_value(at: Nanos, taken: &Taken) -> Vec<u8> {
     let value = Writer::default().u32(taken.class).u64(taken.dest).u64(at).u64(taken.deadline);
     let value = value.bytes(taken.reference.as_bytes()).u32(u32::from(taken.key.is_some()));
-    value.bytes(taken.key.as_deref().unwrap_or_default()).0
+    let value = value.bytes(taken.key.as_deref().unwrap_or_default());
+    // Only where there is one: what an earlier version wrote ends here.
+    taken.order.map_or(value.0.clone(), |order| value.u64(order).0)
 }
 
 /// The message without its body, and when it was taken on.
@@ -282,7 +287,8 @@
     let (class, dest, at, deadline) = (value.u32()?, value.u64()?, value.u64()?, value.u64()?);
     let (reference, has_key) = (value.text()?, value.u32()? > 0);
     let key = Some(Bytes::copy_from_slice(value.bytes()?)).filter(|_| has_key);
-    Some((Taken { reference, class, dest, deadline, key, body: Bytes::new() }, at))
+    let order = if value.0.is_empty() { None } else { Some(value.u64()?) };
+    Some((Taken { reference, class, dest, deadline, key, order, body: Bytes::new() }, at))
 }
 
 fn history_value(history: &History) -> Vec<u8> {
--- a/store/tests/common/mod.rs
+++ b/store/tests/common/mod.rs
@@ -38,6 +38,7 @@
         dest: n % 5,
         deadline: LATER,
         key: n.is_multiple_of(2).then(|| Bytes::from(format!("k{n}"))),
+        order: n.is_multiple_of(3).then_some(n * 7),
         body: Bytes::from(vec![n as u8; body]),
     }
 }
