--- a/explore/src/cases.rs
+++ b/explore/src/cases.rs
@@ -136,7 +136,7 @@
     }
 
     /// Explores all of it, or until a property does not hold, or a limit is met.
-    pub fn explore(&self, fault: Option<Fault>, limits: &Limits) -> Explored {
+    pub fn explore(&self, fault: Option<Fault>, limits: &Limits) -> Explored<World> {
         search(self.start(fault), &Limits { deviations: self.deviations, ..*limits })
     }
 }
@@ -156,13 +156,13 @@
 
 impl Kept {
     /// What a search has found, to be kept.
-    pub fn new(case: &Case, fault: Option<Fault>, breach: &str, way: &Way) -> Self {
+    pub fn new(case: &Case, fault: Option<Fault>, breach: &str, way: &Way<World>) -> Self {
         let steps = way.iter().filter_map(|(_, step)| *step).collect();
         Kept { breach: breach.to_owned(), fault, case: case.clone(), steps }
     }
 
     /// Plays it with the fault, or without.
-    pub fn play(&self, with_fault: bool) -> Way {
+    pub fn play(&self, with_fault: bool) -> Way<World> {
         play(&self.case.start(self.fault.filter(|_| with_fault)), &self.steps)
     }
 }
--- a/explore/src/lib.rs
+++ b/explore/src/lib.rs
@@ -5,6 +5,7 @@
 //! anything. The search is breadth first, so the first trace to a breach is a shortest one.
 
 pub mod cases;
+pub mod hop;
 mod journal;
 pub mod property;
 pub mod search;
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -7,8 +7,14 @@
 use clap::{Parser, Subcommand};
 use millpost_core::Fault;
 use millpost_explore::cases::{Case, Kept, large, small};
-use millpost_explore::search::{Explored, Limits, Way};
+use millpost_explore::hop;
+use millpost_explore::search::{Explored, Limits, State, Way, search};
 use millpost_explore::trace;
+use millpost_explore::world::World;
+
+/// Copying worlds is most of the work, and takes many small pieces of memory.
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 /// Explores every order of events in small worlds round the real core and the real decision module.
 #[derive(Parser)]
@@ -51,6 +57,12 @@
         #[arg(long, default_value = "")]
         fault: String,
     },
+    /// The hop between two sites: links that break and deliver late, and crashes of either side.
+    Hop {
+        /// One message of each kind in one world, too.
+        #[arg(long)]
+        large: bool,
+    },
     /// Plays a kept way again: exit code 1 if the breach is still there.
     Replay {
         /// The file that `--keep` wrote.
@@ -68,6 +80,7 @@
         What::Small => cases(&asked, &small()),
         What::Large => cases(&asked, &large()),
         What::Faults { fault } => faults(&asked, fault),
+        What::Hop { large } => hop(&asked, *large),
         What::Replay { file, planted } => match replay(&asked, file, *planted) {
             Ok(good) => good,
             Err(why) => {
@@ -80,41 +93,74 @@
     if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn explore(asked: &Asked, case: &Case, fault: Option<Fault>) -> Explored {
+fn limits(asked: &Asked) -> Limits {
     let within = Duration::from_secs(asked.seconds);
-    let limits = Limits { threads: asked.threads, within, states: asked.states, deviations: None };
+    Limits { threads: asked.threads, within, states: asked.states, deviations: asked.deviations }
+}
+
+fn explore(asked: &Asked, case: &Case, fault: Option<Fault>) -> Explored<World> {
     let deviations = asked.deviations.or(case.deviations);
-    Case { deviations, ..case.clone() }.explore(fault, &limits)
+    Case { deviations, ..case.clone() }.explore(fault, &limits(asked))
+}
+
+fn head() {
+    println!("{:<56} {:>9} {:>9} {:>5} {:>7}  frontier", "case", "states", "steps", "depth", "s");
+}
+
+/// A line on a case.
+fn row<S: State>(name: &str, found: &Explored<S>) {
+    let frontier = match (&found.breach, found.exhausted) {
+        (Some((name, _)), _) => format!("BREACH: {name}"),
+        (None, true) => "empty".to_owned(),
+        (None, false) => "NOT EMPTY: a limit was met".to_owned(),
+    };
+    let Explored { unique, steps, depth, took, .. } = found;
+    println!("{name:<56} {unique:>9} {steps:>9} {depth:>5} {:>7.1}  {frontier}", took.as_secs_f64());
 }
 
 fn cases(asked: &Asked, all: &[Case]) -> bool {
     let (mut good, mut states, mut count) = (true, 0, 0);
-    println!("{:<52} {:>9} {:>9} {:>5} {:>7}  frontier", "case", "states", "steps", "depth", "s");
+    head();
     for case in all.iter().filter(|case| case.name.contains(&asked.only)) {
         let found = explore(asked, case, None);
-        let frontier = match (&found.breach, found.exhausted) {
-            (Some((name, _)), _) => format!("BREACH: {name}"),
-            (None, true) => "empty".to_owned(),
-            (None, false) => "NOT EMPTY: a limit was met".to_owned(),
-        };
-        let Explored { unique, steps, depth, took, .. } = found;
-        println!(
-            "{:<52} {unique:>9} {steps:>9} {depth:>5} {:>7.1}  {frontier}",
-            case.name,
-            took.as_secs_f64()
-        );
+        row(&case.name, &found);
         if let Some((name, way)) = &found.breach {
             show(asked, way, &Kept::new(case, None, name, way));
         }
         good &= found.exhausted;
-        states += unique;
+        states += found.unique;
         count += 1;
     }
     println!("{states} states in {count} cases");
     good
 }
 
-fn show(asked: &Asked, way: &Way, kept: &Kept) {
+fn hop(asked: &Asked, large: bool) -> bool {
+    let (mut good, mut states) = (true, 0);
+    head();
+    let more = if large { hop::large() } else { Vec::new() };
+    for case in hop::cases().iter().chain(&more).filter(|case| case.name.contains(&asked.only)) {
+        let found = search(case.start(hop::Faults::default()), &limits(asked));
+        row(case.name, &found);
+        if let Some((_, way)) = &found.breach {
+            print!("{}", hop::text(way));
+        }
+        good &= found.exhausted;
+        states += found.unique;
+    }
+    println!("{states} states");
+    for (fault, planted) in hop::faults() {
+        let hit = hop::cases().into_iter().find_map(|case| {
+            let (name, way) = search(case.start(planted), &limits(asked)).breach?;
+            Some(format!("found by `{name}` after {} steps in {}", way.len() - 1, case.name))
+        });
+        good &= hit.is_some();
+        println!("{fault:<26} {}", hit.as_deref().unwrap_or("NOT FOUND"));
+    }
+    good
+}
+
+fn show(asked: &Asked, way: &Way<World>, kept: &Kept) {
     print!("{}", trace::text(way));
     let write = |file: &Option<PathBuf>, text: String| {
         if let Some(file) = file
--- a/explore/src/world/same.rs
+++ b/explore/src/world/same.rs
@@ -5,6 +5,7 @@
 //! same one with it left out have the same steps, and these lead to worlds that are the same (a bisimulation).
 
 use super::*;
+use crate::search::{State, fingerprint};
 
 impl World {
     /// Leaves out what nothing hangs on any more:
@@ -67,14 +68,27 @@
     pub fn drop_lessons(&mut self) {
         self.journal.drop_lessons();
     }
+}
+
+impl State for World {
+    type Step = Step;
 
-    /// A number for this state, with `room` to write it out in. States that differ have others, but for one pair in
-    /// 2^128.
-    pub fn fingerprint(&self, room: &mut Vec<u8>) -> u128 {
-        room.clear();
-        let written = postcard::to_extend(self, std::mem::take(room));
-        // Writing into memory does not fail, and nothing here is of a kind that can't be written.
-        *room = written.unwrap_or_default();
-        xxhash_rust::xxh3::xxh3_128(room)
+    fn expand(&self, each: impl FnMut(Step, World)) {
+        World::expand(self, each);
+    }
+    fn after(&self, step: Step) -> World {
+        World::after(self, step)
+    }
+    fn settle(&mut self) {
+        World::settle(self);
+    }
+    fn fingerprint(&self, room: &mut Vec<u8>) -> u128 {
+        fingerprint(self, room)
+    }
+    fn breach(&self) -> Option<&'static str> {
+        self.breach
+    }
+    fn calm(&self) -> Option<Step> {
+        World::calm(self)
     }
 }
--- a/explore/tests/small.rs
+++ b/explore/tests/small.rs
@@ -6,7 +6,7 @@
 use millpost_core::Fault;
 use millpost_explore::cases::{CALM, Case, Kept, small};
 use millpost_explore::property;
-use millpost_explore::search::Limits;
+use millpost_explore::search::{Limits, State};
 use millpost_explore::step::{Bounds, Kindness};
 use millpost_explore::trace;
 use millpost_explore::world::World;
