--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod frame;
 pub mod near;
 pub mod route;
+pub mod transit;
 
 use serde::{Deserialize, Serialize};
 
