Hop: bound what is remembered of a peer that asks or offers without end

Need: a question for an offer that never came leaves a record until its near side has settled it; a peer that asks for any number of keys made the far side grow without bound.

Change: 100,000 records and the floors of 256 near sides; an offer or a question beyond that gets no answer, which is safe: its near side holds that it may have run. Planted faults in one place for both sides.

--- a/gateway/src/far.rs
+++ b/gateway/src/far.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::near::Word;
+use crate::planted::Planted;
 use crate::{End, HopKey};
 
 /// What the far side remembers of an offer.
@@ -65,6 +66,12 @@
     },
 }
 
+/// Offers that are remembered at most: beyond it one that is not known gets no answer, and its near side holds that it may
+/// have run once its time is up. A near side that says what it has settled never comes near.
+pub const MOST_RECORDS: usize = 100_000;
+/// Near sides whose floor is remembered, at most.
+pub const MOST_STORES: usize = 256;
+
 /// What a start finds of an offer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Found {
@@ -87,9 +94,8 @@
     link: bool,
     #[serde(skip)]
     effects: VecDeque<Effect>,
-    #[cfg(feature = "faults")]
     #[serde(skip)]
-    fault: Option<Fault>,
+    fault: Planted<Fault>,
 }
 
 /// Faults that an exploration plants. Never in service.
@@ -153,6 +159,7 @@
         });
         match (known, room) {
             (Some(_), _) => self.tell(key),
+            (None, _) if self.records.len() >= MOST_RECORDS => {}
             (None, Ok(())) => {
                 self.records.insert(key, Record::Taking);
                 self.effects.push_back(Effect::Take { key });
@@ -190,6 +197,9 @@
         if self.records.contains_key(&key) {
             return self.tell(key);
         }
+        if self.records.len() >= MOST_RECORDS {
+            return;
+        }
         if self.has(Fault::ForgetVoid) {
             return self.effects.push_back(Effect::Tell { key, word: Word::Void });
         }
@@ -237,6 +247,9 @@
 
     /// The near side will never speak again of messages before this one.
     pub fn settled(&mut self, store: u64, below: u64) {
+        if self.floors.len() >= MOST_STORES && !self.floors.contains_key(&store) {
+            return;
+        }
         let floor = self.floors.entry(store).or_default();
         if below <= *floor {
             return;
@@ -287,17 +300,10 @@
     /// Plants a fault, or none.
     #[cfg(feature = "faults")]
     pub fn plant(&mut self, fault: Option<Fault>) {
-        self.fault = fault;
+        self.fault.set(fault);
     }
 
-    #[cfg(feature = "faults")]
     fn has(&self, fault: Fault) -> bool {
-        self.fault == Some(fault)
-    }
-
-    #[cfg(not(feature = "faults"))]
-    #[expect(clippy::unused_self, reason = "it is used where faults can be planted")]
-    fn has(&self, _: Fault) -> bool {
-        false
+        self.fault.is(&fault)
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod far;
 pub mod frame;
 pub mod near;
+mod planted;
 pub mod route;
 pub mod transit;
 
--- a/gateway/src/near.rs
+++ b/gateway/src/near.rs
@@ -9,6 +9,7 @@
 
 use serde::Serialize;
 
+use crate::planted::Planted;
 use crate::{End, HopKey, Nanos};
 
 /// What the near side knows of an offer.
@@ -99,9 +100,8 @@
     link: Option<u64>,
     #[serde(skip)]
     effects: VecDeque<Effect>,
-    #[cfg(feature = "faults")]
     #[serde(skip)]
-    fault: Option<Fault>,
+    fault: Planted<Fault>,
 }
 
 /// Faults that an exploration plants. Never in service.
@@ -279,17 +279,10 @@
     /// Plants a fault, or none.
     #[cfg(feature = "faults")]
     pub fn plant(&mut self, fault: Option<Fault>) {
-        self.fault = fault;
+        self.fault.set(fault);
     }
 
-    #[cfg(feature = "faults")]
     fn has(&self, fault: Fault) -> bool {
-        self.fault == Some(fault)
-    }
-
-    #[cfg(not(feature = "faults"))]
-    #[expect(clippy::unused_self, reason = "it is used where faults can be planted")]
-    fn has(&self, _: Fault) -> bool {
-        false
+        self.fault.is(&fault)
     }
 }
