Hop: the oldest version that is spoken has a name; a test says just what it checks

A bound written as VERSION.min(1) would have stood still with a later version; a comment promised a check that is made elsewhere.

--- a/explore/tests/small.rs
+++ b/explore/tests/small.rs
@@ -44,7 +44,7 @@
         let (text, svg) = (trace::text(&way), trace::svg(&way));
         assert!(text.contains(&kept.breach) && svg.ends_with("</svg>\n"), "{fault:?}");
         assert_eq!(text.lines().count(), way.len() + 1, "a line a step, one above and one below:\n{text}");
-        // What is kept of it leads there again, and nowhere without the fault.
+        // What is kept of it leads there again.
         let again: Kept = serde_json::from_str(&serde_json::to_string(&kept).expect("text")).expect("read");
         let end = |planted| again.play(planted).last().and_then(|(world, _)| world.breach);
         assert_eq!(end(true), Some(&*kept.breach), "{fault:?}");
--- a/gateway/src/frame.rs
+++ b/gateway/src/frame.rs
@@ -13,8 +13,10 @@
 
 /// The longest frame: a message's body of 64 KiB and its head. Also bounds what a reader keeps for one that is not whole.
 pub const LONGEST: usize = 96 * 1024;
-/// The version of the protocol that this code speaks, and the oldest that it still reads.
+/// The newest version of the protocol that this code speaks.
 pub const VERSION: u32 = 1;
+/// The oldest that it still speaks.
+pub const OLDEST: u32 = 1;
 /// The longest reference, idempotency key or name.
 pub const LONGEST_NAME: usize = 4096;
 /// Sites that a message may have passed, at most.
@@ -43,7 +45,7 @@
         why: &'static str,
     },
     /// The other side speaks no version that this one does.
-    #[error("the other side speaks versions {least} to {most}, this one {VERSION}")]
+    #[error("the other side speaks versions {least} to {most}, this one {OLDEST} to {VERSION}")]
     Version {
         /// The oldest that it speaks.
         least: u32,
@@ -261,7 +263,7 @@
 impl Hello {
     /// This side's greeting.
     pub fn new(site: &str, store: u64) -> Self {
-        Hello { least: VERSION, most: VERSION, site: site.to_owned(), store }
+        Hello { least: OLDEST, most: VERSION, site: site.to_owned(), store }
     }
 
     /// The newest version that both sides speak.
@@ -273,7 +275,7 @@
             return Err(Error::Field { frame: "hello", field: "site", why: "is no name" });
         }
         let both = self.most.min(VERSION);
-        if self.least > both || both < VERSION.min(1) {
+        if self.least > both || both < OLDEST {
             return Err(Error::Version { least: self.least, most: self.most });
         }
         Ok(both)
