Ask for the list again after growing, spread pauses, so that a fleet is not turned away for good

Each failed call was made again after 50 ms (PAUSE in dispatcher/src/discovery.rs), the same for all and for any size of fleet.

--- a/dispatcher/src/discovery.rs
+++ b/dispatcher/src/discovery.rs
@@ -12,14 +12,13 @@
 use tokio::time::sleep;
 
 use crate::link::{Agent, Error};
+use crate::retry::Retry;
 
 /// How long a watch waits for news. What a silent discovery has to tell counts as told soon after the wait
 /// is over, so it is kept short.
 const WAIT_MS: u64 = 4_000;
 /// How long the answer may take beyond that.
 const MARGIN: Duration = Duration::from_millis(1_500);
-/// Pause after a failure: a later call than 200 ms after the last answer begins a new watch.
-const PAUSE: Duration = Duration::from_millis(50);
 const LONGEST: usize = 4 << 20;
 
 /// The list, or changes of it, as discovery writes them.
@@ -92,8 +91,9 @@
 }
 
 /// Watches for ever. Its own task and connection: nothing else holds it up. An agent that has told nothing yet
-/// is asked for the whole list, since its versions need not be those of another.
-pub async fn watch<I: From<List>>(mut agent: Agent, told: mpsc::Sender<I>) {
+/// is asked for the whole list, since its versions need not be those of another. A call that failed is made again
+/// after a pause that grows and is spread: discovery may be overbooked by a whole fleet that lost its watches at once.
+pub async fn watch<I: From<List>>(mut agent: Agent, mut retry: Retry, told: mpsc::Sender<I>) {
     let mut index = None;
     loop {
         let (path, within) = match index {
@@ -117,13 +117,15 @@
         match list {
             Ok(list) => {
                 index = Some(list.index);
+                retry.answered();
                 if told.send(list.into()).await.is_err() {
                     return;
                 }
             }
             Err(why) => {
-                eprintln!("discovery: {why}");
-                sleep(PAUSE).await;
+                let pause = retry.failed();
+                eprintln!("discovery: {why}; asked again in {} ms", pause.as_millis());
+                sleep(pause).await;
             }
         }
     }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -13,6 +13,7 @@
 mod options;
 mod peers;
 mod record;
+mod retry;
 mod room;
 mod roster;
 mod written;
@@ -161,7 +162,8 @@
     let listener = TcpListener::bind(config.listen).await?;
     let mut driver = tokio::spawn(meter::metered(meter::Part::Driver, driver.run(inputs)));
     let (address, addresses) = watch::channel(config.discovery);
-    tokio::spawn(discovery::watch(link::Agent::new(addresses.clone()), told.clone()));
+    let retry = retry::Retry::new(settings.dispatchers, config.seed);
+    tokio::spawn(discovery::watch(link::Agent::new(addresses.clone()), retry, told.clone()));
     tokio::spawn(notices::send(link::Agent::new(addresses), due, told.clone()));
     tokio::spawn(reload(hangup, address));
     let (phase, phases) = watch::channel(Phase::Serving);
