--- a/src/control.rs
+++ b/src/control.rs
@@ -14,11 +14,13 @@
 use crate::agenda::{Agenda, Timers};
 use crate::api::*;
 use crate::dice::Dice;
+use crate::measure::{Bucket, Rank};
 
 mod inspect;
 mod learnt;
-pub use learnt::Lesson;
-use learnt::News;
+mod lesson;
+pub use lesson::Lesson;
+use lesson::News;
 
 /// Weight of a new sample in the averages (the paper's w_q).
 const WEIGHT: f64 = 0.2;
@@ -45,23 +47,6 @@
 /// A destination, or a route of one whose endpoints are routes apart.
 type LaneId = (DestId, Option<EndpointId>);
 
-/// A token bucket: the pace and the cold budget are each one.
-#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
-struct Bucket {
-    tokens: f64,
-    at: Nanos,
-}
-
-impl Bucket {
-    /// Refills at `rate` a second, up to `most`, and says when a whole token is there.
-    fn ready_at(&mut self, now: Nanos, rate: f64, most: f64) -> Nanos {
-        let gained = now.saturating_sub(self.at) as f64 / SECOND * rate;
-        (self.tokens, self.at) = ((self.tokens + gained).min(most), now.max(self.at));
-        let missing = (1.0 - self.tokens) / rate * SECOND;
-        if self.tokens < 1.0 { now.saturating_add(1).saturating_add(missing as Nanos) } else { now }
-    }
-}
-
 #[derive(Clone, Debug, Default, serde::Serialize)]
 struct Lane {
     /// Lowest latency of the running and of the previous span.
@@ -151,30 +136,6 @@
     ended: bool,
 }
 
-/// The place of a message among those that wait, the best being the least.
-#[derive(Clone, Copy)]
-struct Rank((f64, Nanos));
-
-impl Ord for Rank {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.0.total_cmp(&other.0.0).then(self.0.1.cmp(&other.0.1))
-    }
-}
-
-impl PartialOrd for Rank {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl PartialEq for Rank {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Rank {}
-
 #[derive(Clone, Debug, Default, serde::Serialize)]
 struct KeyLine {
     line: VecDeque<MsgId>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,6 +75,7 @@
 mod codec;
 mod control;
 mod dice;
+mod measure;
 
 pub use control::{Control, Lesson, doubled_time, retry_probability};
 pub use dice::Dice;
