Let the pace above an even part fade with the age of what was heard, and sink while little is left

Lines at fault: the growth in Control::judge.

What is above an even part now fades with the time since the last answer from there, over the rule's window, and a success moves the pace by the share that is left: up above a half, down below it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -302,6 +302,21 @@
         self.pace = (self.pace.min(self.sending.max(part)) * 0.8).max(part / 2.0);
         self.paced.tokens = self.paced.tokens.min(0.0);
     }
+    /// A success with most of the allowance left lets the pace creep up, from an even part on; one with little
+    /// left lets it sink. Above the reported limit only while the pace binds: a report may be late, wrong or
+    /// missing. What is above an even part rests on what was heard lately: those who seldom meet would all
+    /// hold on to the room of a calm hour, and send together into one clump.
+    fn grow_pace(&mut self, heard: Nanos, now: Nanos, set: &Settings) {
+        let part = self.limit / set.dispatchers.max(1) as f64;
+        let age = now.saturating_sub(heard) as f64 / set.rules.fall.max(1) as f64;
+        if self.pace > part {
+            self.pace = part + (self.pace - part) * (-age).exp();
+        }
+        if self.pace < self.limit || self.paced.tokens < 1.0 {
+            self.pace *= 1.0 + 0.15 * (2.0 * self.share_left - 1.0).clamp(-1.0, 1.0);
+        }
+        self.pace = self.pace.max(part * (2.0 * self.share_left).clamp(0.5, 1.0));
+    }
     /// The destination is back, or said when it will be, and is cold from then on. All that know of one
     /// moment would send at once: each begins with a token of another size.
     fn comes_back(&mut self, at: Nanos, luck: f64) {
@@ -539,14 +554,9 @@
         match outcome {
             Outcome::Served => {
                 (e.fails, e.ok_at) = (0, now);
+                let heard = lane.ok_at.max(lane.fail_at.unwrap_or(0));
                 lane.succeeded(now, took, &self.set.rules);
-                // Above the reported limit only while the pace binds: a report may be late, wrong or
-                // missing.
-                if lane.pace < lane.limit || lane.paced.tokens < 1.0 {
-                    lane.pace *= 1.0 + (0.15 * lane.share_left).clamp(0.02, 0.15);
-                }
-                let part = lane.limit / self.set.dispatchers.max(1) as f64;
-                lane.pace = lane.pace.max(part * (2.0 * lane.share_left).clamp(0.5, 1.0));
+                lane.grow_pace(heard, now, &self.set);
             }
             Outcome::NotSent | Outcome::Exhausted => {}
             Outcome::Full(wait) => {
