--- a/src/control.rs
+++ b/src/control.rs
@@ -253,10 +253,9 @@
             return Some(self.wait_until);
         }
         if self.pace > 0.0 {
-            let burst = (self.pace * set.rules.fall as f64 / SECOND)
-                .sqrt()
-                .max(self.pace * t1 as f64 / SECOND)
-                .max(1.0);
+            // As deep as what arrives in the rule's window varies, or as goes in a T1.
+            let (window, gap) = (set.rules.fall as f64 / SECOND, t1 as f64 / SECOND);
+            let burst = (self.pace * window).sqrt().max(self.pace * gap).max(1.0);
             let ready = self.paced.ready_at(now, self.pace, burst);
             if ready > now {
                 return Some(ready);
@@ -304,13 +303,15 @@
     }
     /// A success with most of the allowance left lets the pace creep up, from an even part on; one with little
     /// left lets it sink. Above the reported limit only while the pace binds: a report may be late, wrong or
-    /// missing. What is above an even part rests on what was heard lately: those who seldom meet would all
-    /// hold on to the room of a calm hour, and send together into one clump.
+    /// missing. What is above an even part, and above the rate at which it is used, rests on what was heard
+    /// lately: those who seldom meet would all hold on to the room of a calm hour, and send together into one
+    /// clump.
     fn grow_pace(&mut self, heard: Nanos, now: Nanos, set: &Settings) {
         let part = self.limit / set.dispatchers.max(1) as f64;
-        let age = now.saturating_sub(heard) as f64 / set.rules.fall.max(1) as f64;
-        if self.pace > part {
-            self.pace = part + (self.pace - part) * (-age).exp();
+        let age = now.saturating_sub(heard).max(1) as f64;
+        let sure = part.max(SECOND / age);
+        if self.pace > sure {
+            self.pace = sure + (self.pace - sure) * (-age / set.rules.fall.max(1) as f64).exp();
         }
         if self.pace < self.limit || self.paced.tokens < 1.0 {
             self.pace *= 1.0 + 0.15 * (2.0 * self.share_left - 1.0).clamp(-1.0, 1.0);
