--- a/src/control.rs
+++ b/src/control.rs
@@ -304,8 +304,8 @@
     /// A success with most of the allowance left lets the pace creep up, from an even part on; one with few
     /// calls left lets it sink. Above the reported limit only while the pace binds: a report may be late,
     /// wrong or missing. What is above an even part, and above the rate at which it is used, rests on what
-    /// was heard lately: those who seldom meet would all hold on to the room of a calm hour, and send together
-    /// into one clump.
+    /// was heard lately: those who seldom meet would all hold on to the room of a calm hour, and send
+    /// together into one clump.
     fn grow_pace(&mut self, heard: Nanos, now: Nanos, set: &Settings) {
         let part = self.limit / set.dispatchers.max(1) as f64;
         let age = now.saturating_sub(heard).max(1) as f64;
