--- a/dispatcher/src/discovery.rs
+++ b/dispatcher/src/discovery.rs
@@ -91,6 +91,13 @@
     Unknown,
 }
 
+/// What to ask from next. An agent that is behind the version it was asked from counts by other versions, as after its
+/// own start anew: nothing newer would ever come, so the whole list is asked for.
+fn next_index(asked: Option<u64>, list: &List) -> Option<u64> {
+    let behind = !list.snapshot && asked.is_some_and(|asked| list.index < asked);
+    Some(list.index).filter(|_| !behind)
+}
+
 /// Watches for ever. Its own task and connection: nothing else holds it up. The agent at the address of the start is
 /// asked for what is newer than the list that the start came with (`index`); another one for the whole list, since its
 /// versions need not be the same. When to ask first, and again after a failure, is for [`Retry`] to say.
@@ -122,7 +129,7 @@
         };
         match list {
             Ok(list) => {
-                index = Some(list.index);
+                index = next_index(index, &list);
                 retry.answered();
                 if told.send(list.into()).await.is_err() {
                     return;
@@ -141,6 +148,16 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn an_agent_that_is_behind_is_asked_for_the_whole_list() {
+        let list = |index, snapshot| List { index, snapshot, ..List::default() };
+        assert_eq!(next_index(None, &list(3, true)), Some(3));
+        assert_eq!(next_index(Some(41), &list(43, false)), Some(43));
+        assert_eq!(next_index(Some(41), &list(41, false)), Some(41));
+        assert_eq!(next_index(Some(41), &list(3, false)), None);
+        assert_eq!(next_index(Some(41), &list(3, true)), Some(3), "it was the whole list");
+    }
+
     #[test]
     fn a_line_that_cannot_be_read_costs_no_other() {
         let good = r#"{"name":"a","address":"127.0.0.1:1","group":7,"status":"in_service"}"#;
--- a/src/control.rs
+++ b/src/control.rs
@@ -288,10 +288,10 @@
         let delay = self.delay_now(now);
         (self.delay, self.delay_at) = (delay + WEIGHT * (sample - delay), now);
     }
-    /// First sends are paced under the destination's limit and held rather than dropped. The pace is the
-    /// limit until a refusal as full eases it, from the own rate of calls at most (no further than half an
-    /// even part), and creeps back with each success. Without a reported limit there is none: taken from a
-    /// fresh dispatcher's few successes it never grew back, and a full there counts as delay.
+    /// First sends are paced under the destination's limit and held rather than dropped. The pace begins at
+    /// an even part of the limit; a refusal as full eases it, from the own rate of calls or an even part at
+    /// most, no further than half of one. Without a reported limit there is none: taken from a fresh
+    /// dispatcher's few successes it never grew back, and a full there counts as delay.
     fn ease_pace(&mut self, now: Nanos, set: &Settings, t1: Nanos) {
         if self.limit <= 0.0 || now.saturating_sub(self.eased_at) < t1 / 2 {
             return;
@@ -565,8 +565,8 @@
                 let told = now.saturating_add(wait.unwrap_or(0));
                 lane.wait_until = lane.wait_until.max(told);
                 // By default it counts as a full time-out. Where a limit is reported and calls get through,
-                // it is an excess over the limit, which the pace answers; p would only starve messages that
-                // never ran.
+                // it is an excess over the limit, which the pace answers, and no failure; p would only starve
+                // messages that never ran.
                 // With most of the allowance left, of late too, a refusal is no excess but a destination
                 // that is shut, or whose queue is full for a moment: the second on end is a trouble at once,
                 // in which no call is free.
@@ -589,7 +589,7 @@
                 }
                 // No passing excess over a limit needs so long: it is shut, and opens cold when it said.
                 if told.saturating_sub(now) > self.set.rules.fall {
-                    lane.comes_back(told, f64::from(self.rng.next_u32()) / 4_294_967_296.0);
+                    lane.comes_back(told, self.rng.share());
                 }
             }
             _ => {
--- a/src/dice.rs
+++ b/src/dice.rs
@@ -26,6 +26,11 @@
     pub fn seeded(seed: u64) -> Self {
         Dice::Seeded(Pcg64Mcg::seed_from_u64(seed))
     }
+
+    /// A number from 0 on and under 1.
+    pub fn share(&mut self) -> f64 {
+        f64::from(self.next_u32()) / 4_294_967_296.0
+    }
 }
 
 impl RngCore for Dice {
