A second address for the staff: health, counters, and endpoints taken out by hand

The console listens where `console` or NODE_CONSOLE says, on a thread of its own with figures that the loop brings up to date, so that it answers while the loop is busy; a task on the loop's runtime was not taken, since one long round would hold up its answers. Ends are counted in the core where they become fact, calls where their last byte is written. Cordons overlay the list by name, are noted in the store before the yes, and the return of a destination's only endpoint is told to the module, which treats it as cold.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod message;
 pub mod shelf;
+mod tally;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::fmt;
@@ -30,6 +31,7 @@
 use message::Held;
 pub use message::{Handed, Verdict};
 pub use shelf::{Behind, Change, Ready, Shelf};
+pub use tally::{Count, Tally};
 
 /// A call, as the core numbers it.
 pub type CallId = u64;
@@ -172,6 +174,7 @@
     /// When the process may end if it is idle, and when it ends.
     stop: Option<(Nanos, Nanos)>,
     effects: VecDeque<Effect>,
+    tally: Tally,
     #[cfg(feature = "faults")]
     planted: Option<Fault>,
 }
@@ -194,6 +197,7 @@
             soon: false,
             stop: None,
             effects: VecDeque::new(),
+            tally: Tally::default(),
             #[cfg(feature = "faults")]
             planted: None,
         }
@@ -227,6 +231,12 @@
         self.control.on_event(at.now, Event::Listed { whole, entries });
     }
 
+    /// An endpoint that was out by hand is put back: see [`Event::Returned`].
+    pub fn returned(&mut self, at: Moment, endpoint: EndpointId) {
+        self.control.on_event(at.now, Event::Returned { endpoint });
+        self.learn_grave(at);
+    }
+
     /// The process is not the first on its journal: what it sent before it died may still run.
     pub fn resume(&mut self, at: Moment) {
         if self.next_message > 1 && !self.has(Fault::ForgetRests) {
@@ -275,6 +285,21 @@
         self.held.len()
     }
 
+    /// Messages taken on that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// How messages ended since the process began.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// The module sends nothing to this endpoint now, if it has another choice: it drains, or is in trouble.
+    pub fn avoids(&self, now: Nanos, endpoint: EndpointId) -> bool {
+        self.control.avoids(now, endpoint)
+    }
+
     /// One round: the module decides on all that was told since the last.
     pub fn decide(&mut self, at: Moment) {
         let mut actions = Vec::new();
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -50,6 +50,7 @@
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Held {
     pub reference: String,
+    pub class: usize,
     pub key: Option<Bytes>,
     pub body: Bytes,
     pub attempts: u32,
@@ -95,10 +96,12 @@
             return self.reply(reply, verdict);
         }
         if !self.control.has_heard_of(handed.dest) {
+            self.tally.of(handed.class).failed += 1;
             return self.reply(reply, Verdict::Unheard);
         }
         // No more are held than the settings allow; notices that are owed take room too.
         if self.open >= self.settings.hold || self.held.len() >= 4 * self.settings.hold {
+            self.tally.of(handed.class).refused += 1;
             return self.refuse(at, handed.dest, reply);
         }
         let Handed { reference, class, dest, time_left, key, order, body } = handed;
@@ -109,6 +112,7 @@
         self.open += 1;
         let held = Held {
             reference: reference.clone(),
+            class,
             key: key.clone(),
             body: body.clone(),
             attempts: 0,
@@ -173,6 +177,7 @@
         let answer = history.answer.or(unknown).or(lost);
         let held = Held {
             reference: reference.clone(),
+            class: class as usize,
             key,
             body,
             attempts: history.attempts,
@@ -218,6 +223,11 @@
         }
         let Some(held) = self.held.get_mut(&id).filter(|h| h.answer.is_none()) else { return };
         held.answer = Some(answer);
+        let count = self.tally.of(held.class);
+        match answer {
+            Answer::Failed => count.failed += 1,
+            Answer::Refused { .. } => count.refused += 1,
+        }
         // No attempt follows; one that is out has its own hold on it.
         held.body = Bytes::new();
         self.open -= 1;
@@ -255,6 +265,10 @@
     pub(crate) fn over(&mut self, at: Moment, id: MsgId, end: Option<Final>) {
         let Some(held) = self.held.remove(&id) else { return };
         self.by_reference.remove(&held.reference);
+        // Counted by its answer already, where it has one.
+        if end == Some(Final::Delivered) && held.answer.is_none() {
+            self.tally.of(held.class).delivered += 1;
+        }
         self.open -= usize::from(held.answer.is_none());
         let until = held.deadline.max(at.wall).saturating_add(KEEP_ANSWER);
         if self.has(Fault::EndUnwritten) && end == Some(Final::Delivered) {
@@ -279,7 +293,8 @@
     /// What this waits for will not last: clients are told to come again, an answer is written once more.
     pub fn unlasting(&mut self, at: Moment, Behind(act): Behind) {
         match act {
-            Act::Accept { id, dest, reply, .. } => {
+            Act::Accept { id, class, dest, reply, .. } => {
+                self.tally.of(class).refused += 1;
                 self.refuse(at, dest, reply);
                 self.over(at, id, None);
             }
--- /dev/null
+++ b/core/src/tally.rs
@@ -0,0 +1,29 @@
+//! How many messages of each class came to which end, counted where the end becomes fact. Nothing hangs on these counts.
+
+use std::collections::BTreeMap;
+
+/// Ends of the messages of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Delivered.
+    pub delivered: u64,
+    /// Refused at the door, or handed back: trying again is harmless.
+    pub refused: u64,
+    /// Given up, nothing promised.
+    pub failed: u64,
+}
+
+/// The counts of all classes, by their positions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally(BTreeMap<usize, Count>);
+
+impl Tally {
+    pub(crate) fn of(&mut self, class: usize) -> &mut Count {
+        self.0.entry(class).or_default()
+    }
+
+    /// What was counted, by class.
+    pub fn counts(&self) -> impl Iterator<Item = (usize, Count)> + '_ {
+        self.0.iter().map(|(class, count)| (*class, *count))
+    }
+}
--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -16,6 +16,7 @@
 use crate::batch;
 use crate::link::{Error, Link};
 use crate::meter::{Part, metered};
+use crate::written::Sent;
 
 /// An answer's body means nothing; it is read so that the connection can be used again, within these bounds.
 const LONGEST_BODY: usize = 64 * 1024;
@@ -79,6 +80,7 @@
     most: usize,
     reuse_within: Duration,
     connect_within: Duration,
+    sent: Sent,
     told: mpsc::Sender<I>,
 }
 
@@ -98,10 +100,16 @@
             most,
             reuse_within,
             connect_within,
+            sent: Sent::default(),
             told,
         }
     }
 
+    /// Messages that were written whole to endpoints.
+    pub fn sent(&self) -> &Sent {
+        &self.sent
+    }
+
     /// A connection that had stood idle for so long was of no use at its next request.
     fn was_given_up(&mut self, endpoint: EndpointId, age: Duration) {
         let age = self.reuse_within(endpoint).min(age * 3 / 4);
@@ -297,6 +305,7 @@
         references: Vec<String>,
     ) {
         let told = self.told.clone();
+        let counted = Some((self.sent.clone(), references.len().max(1) as u64));
         tokio::spawn(metered(Part::Calls, async move {
             let called_off = async {
                 if called_off.await.is_err() {
@@ -311,7 +320,7 @@
             let answer = tokio::select! {
                 // In this order: what is watched is that of the request before until this one has begun.
                 biased;
-                answer = timeout_at(until, link.send(request, proof)) => answer.map_err(|_| Outcome::TimedOut),
+                answer = timeout_at(until, link.send(request, proof, counted)) => answer.map_err(|_| Outcome::TimedOut),
                 () = called_off => Err(Outcome::Cancelled),
                 () = endless => Err(Outcome::Reset),
             };
@@ -354,7 +363,7 @@
                 };
                 let request = Request::get("/load").header("Host", address.to_string());
                 let request = request.body(Full::default()).map_err(|_| Outcome::NotSent)?;
-                let answer = link.send(request, false).await.map_err(|_| Outcome::Reset)?;
+                let answer = link.send(request, false, None).await.map_err(|_| Outcome::Reset)?;
                 Ok(finish(link, answer, &[]).await)
             };
             let ended = match timeout(within, exchange).await {
@@ -565,7 +574,7 @@
             for call in 0..8 {
                 let request = || request(address, "r", None, Bytes::new(), HEAD_WITHIN).expect("a request");
                 let mut link = Link::open(address).await.expect("a connection");
-                link.send(request(), true).await.expect("the first answer");
+                link.send(request(), true, None).await.expect("the first answer");
                 assert!(link.rested().await);
                 let (call_off, called_off) = oneshot::channel();
                 calls.send(call, link, request(), until, true, called_off, Vec::new());
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -21,6 +21,9 @@
     /// The file is not what it should be.
     #[error("configuration: {0}")]
     Malformed(#[from] serde_json::Error),
+    /// A variable is not what it should be.
+    #[error("{0}: `{1}` is no address")]
+    NoAddress(&'static str, String),
     /// The settings in it are not.
     #[error("configuration: {0}")]
     Settings(String),
@@ -41,6 +44,8 @@
     peers: Vec<SocketAddr>,
     #[serde(default)]
     peers_all: Option<SocketAddr>,
+    #[serde(default)]
+    console: Option<SocketAddr>,
     known: List,
     settings: serde_json::Value,
 }
@@ -59,6 +64,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// The second address, for the staff.
+    pub console: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub limits: Limits,
@@ -76,6 +83,14 @@
     u64::from_str_radix(text, 16).unwrap_or_else(|_| u64::from(crc32fast::hash(text.as_bytes())))
 }
 
+/// The variable goes before the file: each process has its own.
+fn console() -> Result<Option<SocketAddr>, Error> {
+    const NAME: &str = "NODE_CONSOLE";
+    let Some(text) = std::env::var_os(NAME).filter(|text| !text.is_empty()) else { return Ok(None) };
+    let text = text.to_string_lossy().into_owned();
+    text.parse().map(Some).map_err(|_| Error::NoAddress(NAME, text))
+}
+
 pub fn read() -> Result<Config, Error> {
     let var = |name| std::env::var_os(name).ok_or(Error::Missing(name)).map(PathBuf::from);
     let (path, state) = (var("NODE_CONFIG")?, var("NODE_STATE")?);
@@ -85,6 +100,7 @@
     Ok(Config {
         name: file.name,
         listen: file.listen,
+        console: console()?.or(file.console),
         discovery: file.discovery,
         seed: seed(&file.seed),
         limits: file.limits,
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -7,16 +7,18 @@
 
 use bytes::Bytes;
 use millpost::Lesson;
-use millpost::api::{Event, Nanos, Outcome, Settings, Weights};
-use millpost_core::{Core, Effect, Ended, Handed, Moment, ReplyId, Verdict};
+use millpost::api::{Event, Nanos, Outcome, Settings, State, Weights};
+use millpost_core::{Core, Count, Effect, Ended, Handed, Moment, ReplyId, Verdict};
 use millpost_settings::Shape;
 use millpost_store::ledger::Found;
-use millpost_store::{Disk, Ledger, Synced};
+use millpost_store::{Disk, Ledger, Seq, Synced};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
 use crate::calls::{self, Calls};
 use crate::clock::Clock;
+use crate::console;
+use crate::cordons::{Change, Cordons};
 use crate::discovery::List;
 use crate::intake::Asked;
 use crate::meter::{Part, within};
@@ -39,6 +41,8 @@
     Note(Note),
     /// The store's last writes last by now, or could not be made to.
     Synced(Synced),
+    /// The staff asks something of this process.
+    Console(console::Asked),
     /// The process ends after this time.
     Stop { after: Duration },
 }
@@ -52,7 +56,14 @@
         })*
     };
 }
-inputs!(Client(Asked), Calls(calls::Event), Listed(List), Noticed(Taken), Note(Note));
+inputs!(
+    Client(Asked),
+    Calls(calls::Event),
+    Listed(List),
+    Noticed(Taken),
+    Note(Note),
+    Console(console::Asked)
+);
 
 pub struct Driver {
     clock: Clock,
@@ -69,6 +80,10 @@
     /// Clients that wait for an answer.
     replies: HashMap<ReplyId, oneshot::Sender<Verdict>>,
     next_reply: ReplyId,
+    names: Vec<String>,
+    shared: console::Shared,
+    /// Yeses that wait for what they stand for to last.
+    granted: VecDeque<(Seq, oneshot::Sender<Result<(), String>>)>,
 }
 
 /// What the driver is made of.
@@ -87,6 +102,8 @@
     pub calls: Calls<Input>,
     pub peers: Option<Peers>,
     pub notices: mpsc::Sender<Notice>,
+    /// What the console is told from.
+    pub shared: console::Shared,
 }
 
 /// Shortest time between two rounds. What waits a whole tick goes out in bursts, for which connections must be opened.
@@ -94,6 +111,8 @@
 /// Inputs that are taken before it is looked again whether something is due.
 const BATCH: usize = 32;
 const SWEEP: Nanos = 1_000_000_000;
+/// The console has figures that are no older than this while anything happens.
+const FIGURES: Nanos = 100_000_000;
 /// Lessons older than this are of destinations that nobody writes to.
 const FORGET_LESSON: Nanos = 30 * 86_400 * 1_000_000_000;
 
@@ -112,14 +131,16 @@
             calls,
             peers,
             notices,
+            shared,
         } = parts;
         let rated = settings.weights != Weights::Unknown;
+        let (cordons, names) = (Cordons::noted(ledger.cordons()), shape.class_names.clone());
         let mut driver = Driver {
             clock: Clock::new(latest),
             tick: settings.tick.min(ROUND),
             core: Core::new(settings, seed, ledger.next_id()),
             record: Record::new(ledger),
-            roster: Roster::new(shape, rated, source),
+            roster: Roster::new(shape, rated, source, cordons),
             told,
             calls,
             peers,
@@ -127,6 +148,9 @@
             unsent: VecDeque::new(),
             replies: HashMap::new(),
             next_reply: 0,
+            names,
+            shared,
+            granted: VecDeque::new(),
         };
         let at = driver.clock.moment();
         // Noted too: what discovery tells later are changes of it.
@@ -157,7 +181,7 @@
 
     /// Runs until the process is to end.
     pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
-        let (mut asked, mut news, mut swept) = (0, true, self.clock.moment().now);
+        let (mut asked, mut news, mut swept, mut told) = (0, true, self.clock.moment().now, 0);
         loop {
             let at = self.clock.moment();
             let due = news || self.core.wake().is_some_and(|wake| wake <= at.now);
@@ -168,6 +192,11 @@
                 continue;
             }
             self.hand_on_notices();
+            self.grant();
+            if at.now > told + FIGURES {
+                told = at.now;
+                self.tell_figures(at);
+            }
             if at.now > swept + SWEEP {
                 swept = at.now;
                 self.calls.sweep();
@@ -224,6 +253,7 @@
                 }
             }
             Input::Note(Note { from, bytes }) => self.core.on_event(at, Event::Note { from, bytes }),
+            Input::Console(asked) => self.staff(at, asked),
             Input::Stop { after } => self.core.stop(at, after.as_nanos() as Nanos),
         }
         self.carry(at);
@@ -286,6 +316,72 @@
         self.core.listed(at, whole, entries);
     }
 
+    /// Does what the staff asks. From the yes on an endpoint drains, also after a restart.
+    fn staff(&mut self, at: Moment, asked: console::Asked) {
+        let (id, out, done) = match asked {
+            console::Asked::Figures { done } => {
+                self.tell_figures(at);
+                let _ = done.send(());
+                return;
+            }
+            console::Asked::Maintain { id, out, done } => (id, out, done),
+        };
+        // Who has given up waiting was told no.
+        if done.is_closed() {
+            return;
+        }
+        let noted = match self.roster.asked(&id, out) {
+            Err(why) => Err(why),
+            // An earlier call may still wait for its write to last.
+            Ok(Change::None) => Ok(self.granted.back().map_or(0, |(seq, _)| *seq)),
+            Ok(change) => match self.record.cordon(at, &id, out) {
+                None => Err("the store takes no writes"),
+                Some(seq) => {
+                    let entry = self.roster.make(&id, change);
+                    self.calls.retain(|endpoint| self.roster.ready(endpoint));
+                    if let Some(entry) = entry {
+                        self.core.listed(at, false, vec![entry]);
+                        if change == Change::Back && entry.state == State::Ready {
+                            self.core.returned(at, entry.endpoint);
+                        }
+                    }
+                    eprintln!("console: {id} is {}", if out { "out" } else { "back" });
+                    Ok(seq)
+                }
+            },
+        };
+        match noted {
+            Ok(seq) => self.granted.push_back((seq, done)),
+            Err(why) => drop(done.send(Err(why.to_owned()))),
+        }
+        self.grant();
+    }
+
+    /// Says yes to what lasts by now.
+    fn grant(&mut self) {
+        while let Some((_, done)) = self.granted.pop_front_if(|(seq, _)| self.record.lasts(*seq)) {
+            let _ = done.send(Ok(()));
+        }
+    }
+
+    /// Brings the console's figures up to date.
+    fn tell_figures(&mut self, at: Moment) {
+        let down = self.roster.all().filter(|endpoint| self.core.avoids(at.now, *endpoint)).count();
+        let mut figures = self.shared.figures();
+        for name in &self.names {
+            if !figures.classes.contains_key(name) {
+                figures.classes.insert(name.clone(), Count::default());
+            }
+        }
+        for (class, count) in self.core.tally().counts() {
+            if let Some(name) = self.names.get(class) {
+                figures.classes.insert(name.clone(), count);
+            }
+        }
+        (figures.inflight, figures.calls) = (self.core.open(), self.calls.sent().count());
+        (figures.listed, figures.down) = (self.roster.all().len(), down);
+    }
+
     /// Has what was written made to last, where that takes a sync: one at a time, for all that waits by then.
     fn sync(&mut self, at: Moment) {
         if let Some(job) = self.record.sync_job(at) {
--- a/dispatcher/src/link.rs
+++ b/dispatcher/src/link.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use crate::meter::{Part, metered};
-use crate::written::{Peek, Watched, Written};
+use crate::written::{Peek, Sent, Watched, Written};
 
 /// Why there is no answer.
 #[derive(Debug, thiserror::Error)]
@@ -83,13 +83,15 @@
     }
 
     /// Sends a request, and waits for the head of its answer. With `proof` its last byte is held back for a moment,
-    /// so that a connection that was given up proves that the request never ran.
+    /// so that a connection that was given up proves that the request never ran. `counted`: where to count the messages
+    /// in it, once it has been written whole.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
         proof: bool,
+        counted: Option<(Sent, u64)>,
     ) -> Result<Response<Incoming>, Error> {
-        self.written.expect(request.body().size_hint().exact().unwrap_or(u64::MAX) as usize, proof);
+        self.written.expect(request.body().size_hint().exact().unwrap_or(u64::MAX) as usize, proof, counted);
         self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
             Some(_) => Error::NotSent,
             None if self.written.stale() => Error::NotSent,
@@ -175,7 +177,7 @@
             if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
                 request.headers_mut().insert(HOST, host);
             }
-            let answer = link.send(request, false).await?;
+            let answer = link.send(request, false, None).await?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), longest).collect().await.map_err(Error::Body)?;
             let link = if link.rested().await { Some(link) } else { None };
@@ -213,7 +215,7 @@
         });
         let body = Full::new(Bytes::from(vec![b'x'; 1_000]));
         let request = Request::post("/hook").header("Host", "a").body(body).expect("a request");
-        let error = link.send(request, true).await.expect_err("no answer");
+        let error = link.send(request, true, None).await.expect_err("no answer");
         reader.await.expect("it read");
         error
     }
@@ -257,12 +259,12 @@
         });
         wait(async {
             let mut link = Link::open(address).await.expect("a connection");
-            assert_eq!(link.send(request(), true).await.expect("an answer").status(), StatusCode::OK);
+            assert_eq!(link.send(request(), true, None).await.expect("an answer").status(), StatusCode::OK);
             assert!(link.rested().await && link.usable());
             // No await here, so that the runtime sees nothing of it.
             copy.0.send(()).expect("it waits");
             copied.1.recv().expect("it is sent");
-            assert!(matches!(link.send(request(), true).await, Err(Error::NotSent)));
+            assert!(matches!(link.send(request(), true, None).await, Err(Error::NotSent)));
             link.close().await;
         });
         assert_eq!(server.join().expect("it ends"), 0);
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -4,6 +4,8 @@
 mod calls;
 mod clock;
 mod config;
+mod console;
+mod cordons;
 mod discovery;
 mod driver;
 mod intake;
@@ -53,6 +55,8 @@
     Store(#[from] millpost_store::Error),
     #[error("store: {0}")]
     Folder(io::Error),
+    #[error("console: {0}: {1}")]
+    Console(SocketAddr, io::Error),
     #[error("the driver has ended")]
     Driver,
     #[error("{0}")]
@@ -128,15 +132,23 @@
 async fn serve(options: Options) -> Result<(), Error> {
     let config = config::read()?;
     let (mut term, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (told, inputs) = mpsc::channel(1024);
+    let shared = console::Shared::default();
+    // Before anything is owned: who can't be asked in service is no start.
+    let (ready, is_ready) = watch::channel(false);
+    if let Some(address) = config.console {
+        let desk = console::Desk { ready: is_ready, shared: shared.clone(), told: told.clone() };
+        console::open(address, desk).map_err(|e| Error::Console(address, e))?;
+    }
     let (ledger, opened) = open_store(&config, &options)?;
     let settings = config.settings.clone();
     let index = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
 
     // Half of the descriptors are for clients; the rest for calls, and a few for all else.
     let clients = (config.limits.sockets / 2).max(1);
-    let idle = (config.limits.sockets - clients).saturating_sub(2 * settings.slots + 32).max(8);
+    let staff = if config.console.is_some() { console::MOST + 4 } else { 0 };
+    let idle = (config.limits.sockets - clients).saturating_sub(2 * settings.slots + 32 + staff).max(8);
 
-    let (told, inputs) = mpsc::channel(1024);
     let (notices, due) = mpsc::channel(256);
     let peers = match (settings.allow.notes, config.peer_listen, config.peers_all) {
         (true, Some(listen), Some(all)) => {
@@ -159,6 +171,7 @@
         known: config.known,
         peers,
         notices,
+        shared: shared.clone(),
     });
     let listener = TcpListener::bind(config.listen).await?;
     let mut driver = tokio::spawn(meter::metered(meter::Part::Driver, driver.run(inputs)));
@@ -166,19 +179,21 @@
     let retry = retry::Retry::new(settings.dispatchers, config.seed);
     tokio::spawn(discovery::watch(link::Agent::new(addresses.clone()), index, retry, told.clone()));
     tokio::spawn(notices::send(link::Agent::new(addresses), due, told.clone()));
-    tokio::spawn(reload(hangup, address));
+    tokio::spawn(reload(hangup, address, shared));
     let (phase, phases) = watch::channel(Phase::Serving);
     let (shape, told_by_clients) = (config.shape, told.clone());
     let intake = tokio::spawn(async move {
         intake::serve(listener, clients, &settings, &shape, told_by_clients, phases).await;
     });
 
+    let _ = ready.send(true);
     tokio::select! {
         _ = term.recv() => {}
         // Never without being told to: better a restart than a process that answers and does nothing.
         _ = &mut driver => return Err(Error::Driver),
     }
     eprintln!("told to stop");
+    let _ = ready.send(false);
     let _ = told.send(Input::Stop { after: STOP }).await;
     let _ = phase.send(Phase::Leaving);
     sleep(LEAVE).await;
@@ -193,15 +208,19 @@
 
 /// At SIGHUP the configuration is read again, also while the process stops. Discovery may have a new address;
 /// all else holds until the next start. With a file that can't be read the old one stays.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, shared: console::Shared) {
     while hangup.recv().await.is_some() {
         match config::read() {
             Ok(config) => {
+                shared.figures().reconfig_ok += 1;
                 eprintln!("configuration read again: discovery is at {}", config.discovery);
                 let new = |old: &mut SocketAddr| std::mem::replace(old, config.discovery) != config.discovery;
                 discovery.send_if_modified(new);
             }
-            Err(e) => eprintln!("the configuration stays as it was: {e}"),
+            Err(e) => {
+                shared.figures().reconfig_failed += 1;
+                eprintln!("the configuration stays as it was: {e}");
+            }
         }
     }
 }
--- a/dispatcher/src/record.rs
+++ b/dispatcher/src/record.rs
@@ -84,6 +84,17 @@
         self.noted(at, done);
     }
 
+    /// Notes that an endpoint is out by hand, or back: the number of the write.
+    pub fn cordon(&mut self, at: Moment, name: &str, out: bool) -> Option<Seq> {
+        let done = self.ledger.cordon(name, out);
+        self.noted(at, done)
+    }
+
+    /// The write of this number lasts.
+    pub fn lasts(&self, seq: Seq) -> bool {
+        self.ledger.lasts(seq)
+    }
+
     /// Notes the list of endpoints, or changes of it.
     pub fn list(
         &mut self,
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -9,11 +9,14 @@
 use millpost_settings::Shape;
 use millpost_store::ledger::Listed;
 
+use crate::cordons::{Change, Cordons};
 use crate::discovery::{Endpoint, List, Status};
 use crate::record::Record;
 
 struct Known {
+    name: String,
     address: SocketAddr,
+    /// As the list has it.
     entry: Entry,
 }
 
@@ -26,10 +29,12 @@
     names: HashMap<String, EndpointId>,
     known: HashMap<EndpointId, Known>,
     next: EndpointId,
+    /// What the staff has taken out, whatever the list says.
+    cordons: Cordons,
 }
 
 impl Roster {
-    pub fn new(shape: Shape, rated: bool, source: SocketAddr) -> Self {
+    pub fn new(shape: Shape, rated: bool, source: SocketAddr, cordons: Cordons) -> Self {
         Roster {
             shape,
             rated,
@@ -37,6 +42,7 @@
             names: HashMap::new(),
             known: HashMap::new(),
             next: 0,
+            cordons,
         }
     }
 
@@ -47,7 +53,29 @@
 
     /// It takes new work.
     pub fn ready(&self, endpoint: EndpointId) -> bool {
-        self.known.get(&endpoint).is_some_and(|known| known.entry.state == State::Ready)
+        self.known.get(&endpoint).is_some_and(|known| self.entry(known).state == State::Ready)
+    }
+
+    /// Endpoints in the list.
+    pub fn all(&self) -> impl ExactSizeIterator<Item = EndpointId> + '_ {
+        self.known.keys().copied()
+    }
+
+    /// An entry as it counts here.
+    fn entry(&self, known: &Known) -> Entry {
+        let out = known.entry.state == State::Ready && self.cordons.has(&known.name);
+        Entry { state: if out { State::Draining } else { known.entry.state }, ..known.entry }
+    }
+
+    /// What it would change to take an endpoint out by hand, or to put it back.
+    pub fn asked(&self, name: &str, out: bool) -> Result<Change, &'static str> {
+        self.cordons.asked(name, out, self.names.contains_key(name))
+    }
+
+    /// Takes an endpoint out by hand, or puts it back: what it is from now on, where the list has it.
+    pub fn make(&mut self, name: &str, change: Change) -> Option<Entry> {
+        self.cordons.make(name, change);
+        self.names.get(name).and_then(|endpoint| self.known.get(endpoint)).map(|known| self.entry(known))
     }
 
     /// The list of the configuration, or the one that was noted last, if that is newer.
@@ -144,10 +172,12 @@
             if state == State::Gone {
                 self.names.remove(&e.name);
                 self.known.remove(&endpoint);
+                entries.push(entry);
             } else {
-                self.known.insert(endpoint, Known { address: e.address, entry });
+                let known = Known { name: e.name, address: e.address, entry };
+                entries.push(self.entry(&known));
+                self.known.insert(endpoint, known);
             }
-            entries.push(entry);
         }
         // What is said of these can't be read, and may be a drain: nothing new goes there.
         for name in list.unreadable {
--- a/dispatcher/src/written.rs
+++ b/dispatcher/src/written.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -69,6 +70,8 @@
     /// Something had come before: the connection can't carry the request.
     stale: bool,
     answer: FirstLine,
+    /// Where to count its messages once it has been written whole.
+    counted: Option<(Sent, u64)>,
 }
 
 /// The first line of the answer, those of 1xx answers ahead passed over.
@@ -156,15 +159,28 @@
 #[derive(Clone, Default)]
 pub struct Written(Arc<Shared>);
 
+/// Messages that were written whole, over all connections.
+#[derive(Clone, Debug, Default)]
+pub struct Sent(Arc<AtomicU64>);
+
+impl Sent {
+    pub fn count(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+    fn add(&self, messages: u64) {
+        self.0.fetch_add(messages, Ordering::Relaxed);
+    }
+}
+
 impl Written {
     fn progress(&self) -> MutexGuard<'_, Progress> {
         self.0.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
     /// A request with a body of this length comes next; its last byte is held back where it is to be proven that it
     /// never ran.
-    pub fn expect(&self, body: usize, proof: bool) {
+    pub fn expect(&self, body: usize, proof: bool, counted: Option<(Sent, u64)>) {
         let request = Request { body_left: body, proof, ..Request::default() };
-        *self.progress() = Progress { request, ..Progress::default() };
+        *self.progress() = Progress { request, counted, ..Progress::default() };
     }
     /// The last byte of the request has been written.
     pub fn all(&self) -> bool {
@@ -248,6 +264,11 @@
             let mut progress = self.written.progress();
             progress.begun |= n > 0;
             progress.request.wrote(&bytes[..n.min(bytes.len())]);
+            if progress.request.done()
+                && let Some((sent, messages)) = progress.counted.take()
+            {
+                sent.add(messages);
+            }
         }
         wrote
     }
@@ -268,7 +289,7 @@
         let request = b"POST /hook HTTP/1.1\r\nreq-id: a\r\r\n\r\nbo\r\n\r\ndy";
         for cut in 0..request.len() {
             let written = Written::default();
-            written.expect(8, true);
+            written.expect(8, true, None);
             written.progress().request.wrote(&request[..cut]);
             assert!(!written.all(), "cut at {cut}");
             written.progress().request.wrote(&request[cut..]);
--- a/src/api.rs
+++ b/src/api.rs
@@ -328,6 +328,11 @@
         /// The entries.
         entries: Vec<Entry>,
     },
+    /// An endpoint that was out by hand is put back, and listed as ready by now; it was restarted meanwhile.
+    Returned {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
     /// A note from another dispatcher.
--- a/src/control.rs
+++ b/src/control.rs
@@ -427,6 +427,14 @@
                 self.judge(now, endpoint, outcome, took, took);
             }
             Event::Listed { whole, entries } => self.listed(now, whole, &entries),
+            // Nobody saw it go down, but with no other endpoint the destination was out, and is cold.
+            Event::Returned { endpoint } => {
+                let Some(id) = self.endpoints.get(&endpoint).map(|e| e.lane) else { return };
+                if !self.endpoints.iter().any(|(other, e)| *other != endpoint && e.lane == id && e.ready) {
+                    self.lanes.entry(id).or_default().comes_back(now, 0.0);
+                    self.note_news(id);
+                }
+            }
             Event::ListFailed => {
                 if self.set.subscribe {
                     self.subscribe_fails += 1;
--- a/src/control/inspect.rs
+++ b/src/control/inspect.rs
@@ -16,6 +16,16 @@
         self.calls.len()
     }
 
+    /// Nothing goes to this endpoint now if there is another choice: it takes nothing new, it failed of late, a wait
+    /// was told, or its destination is in trouble.
+    pub fn avoids(&self, now: Nanos, endpoint: EndpointId) -> bool {
+        let Some(e) = self.endpoints.get(&endpoint) else { return true };
+        let shunned = e.fails > 0 && now < doubled_time(e.fail_at, self.t1, e.fails.min(6));
+        let closed = self.lanes.get(&e.lane);
+        let closed = closed.is_some_and(|l| l.wait_until > now || l.in_trouble(now, &self.set.rules));
+        !e.ready || shunned || closed
+    }
+
     /// Calls that the module takes to be out by endpoint, those that it has forgotten left out.
     pub fn calls_to(&self, endpoint: EndpointId) -> usize {
         self.endpoints.get(&endpoint).map_or(0, |e| e.calls)
--- a/store/src/ledger.rs
+++ b/store/src/ledger.rs
@@ -41,6 +41,8 @@
 const NEXT_ID: &[u8] = b"next";
 const LIST: &[u8] = b"list";
 const MOVED: &[u8] = b"moved";
+/// Begins the keys of endpoints that are out by hand.
+const CORDON: &[u8] = b"cordon/";
 
 /// Room that is kept for each message: its attempts, its answer, its end.
 const PROMISED: u64 = 512;
@@ -715,6 +717,29 @@
         Some((source, index, all?))
     }
 
+    /// Notes that an endpoint is out by hand, or back.
+    ///
+    /// # Errors
+    /// [`Error::Full`] where there is no room beside what is promised; else as for [`Store::apply`].
+    pub fn cordon(&mut self, name: &str, out: bool) -> Result<Seq, Error> {
+        let (key, mut batch) = ([CORDON, name.as_bytes()].concat(), Batch::new());
+        if out {
+            batch.put(META, &key, &[])
+        } else {
+            batch.delete(META, &key)
+        };
+        if out && !self.store.has_room(batch.bytes().len(), self.promised(0)) {
+            return Err(Error::Full);
+        }
+        self.store.apply(&batch)
+    }
+
+    /// The endpoints that are out by hand.
+    pub fn cordons(&self) -> Vec<String> {
+        let all = self.store.keys(META, CORDON).map_while(|(key, ..)| key.strip_prefix(CORDON));
+        all.map(|name| String::from_utf8_lossy(name).into_owned()).collect()
+    }
+
     /// Notes what was learnt of destinations and routes by now; `None` in place of what is to be forgotten. What
     /// does not fit beside the messages is not kept.
     ///
