Ask for the list at once after a start: what the agent holds counts as told

Ruled out: the move of discovery by SIGHUP (its first call went at once), answers that came late (1 ms). At fault was Retry::first, which spread the first calls over the fleet's span. They are spread over 300 ms now; pauses after failures stay. Not taken: to hold back sends until the first answer, which would cost service at each start.

Also: callers that stay silent no longer slow down the console's other callers (found by its test), and a cold return that nobody saw begin lets its first call go early.

--- a/dispatcher/examples/loopback.rs
+++ b/dispatcher/examples/loopback.rs
@@ -30,6 +30,7 @@
         file_bytes: None,
         peers: None,
         log: None,
+        console: false,
     });
     println!("the dispatcher listens on {}; hand a message in with\n", node.address);
     println!(
--- a/dispatcher/src/console.rs
+++ b/dispatcher/src/console.rs
@@ -5,9 +5,9 @@
 
 pub mod line;
 
-use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use line::{Call, Figures};
 
@@ -23,7 +23,7 @@
 pub const MOST: usize = 24;
 /// A line has come whole by then.
 const LINE_WITHIN: Duration = Duration::from_secs(5);
-/// With all places taken, one that has not been given its answer in this time leaves.
+/// With all places taken, one that has not said in this time what it wants leaves.
 const PATIENCE: Duration = Duration::from_millis(20);
 /// A caller waits one second. The loop has less to answer in.
 const FIGURES_WITHIN: Duration = Duration::from_millis(300);
@@ -86,22 +86,14 @@
     desk: Desk<I>,
 ) -> io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
-    let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+    let mut callers: Vec<Caller> = Vec::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                callers.retain(|caller| !caller.is_finished());
-                if callers.len() >= MOST {
-                    sleep(PATIENCE).await;
-                    callers.retain(|caller| !caller.is_finished());
-                }
-                if callers.len() >= MOST
-                    && let Some(oldest) = callers.pop_front()
-                {
-                    oldest.abort();
-                }
-                let desk = desk.clone();
-                callers.push_back(tokio::spawn(async move { caller(stream, desk).await }));
+                make_place(&mut callers).await;
+                let (desk, asked) = (desk.clone(), Arc::new(AtomicBool::new(false)));
+                let task = tokio::spawn(caller(stream, desk, asked.clone()));
+                callers.push(Caller { since: Instant::now(), asked, task });
             }
             Err(e) => {
                 // Out of descriptors, perhaps: the next try may do better.
@@ -112,8 +104,32 @@
     }
 }
 
-async fn caller<I: From<Asked>>(mut stream: TcpStream, desk: Desk<I>) {
+struct Caller {
+    since: Instant,
+    /// Its line has come whole: it is owed an answer.
+    asked: Arc<AtomicBool>,
+    task: JoinHandle<()>,
+}
+
+/// Waits until a place is free. With none, the oldest of those that have not said what they want leaves.
+async fn make_place(callers: &mut Vec<Caller>) {
+    loop {
+        callers.retain(|caller| !caller.task.is_finished());
+        if callers.len() < MOST {
+            return;
+        }
+        let silent = |caller: &Caller| !caller.asked.load(Ordering::Relaxed);
+        match callers.iter().position(silent).map(|place| (place, callers[place].since.elapsed())) {
+            Some((place, age)) if age >= PATIENCE => callers.remove(place).task.abort(),
+            Some((_, age)) => sleep(PATIENCE - age).await,
+            None => sleep(PATIENCE).await,
+        }
+    }
+}
+
+async fn caller<I: From<Asked>>(mut stream: TcpStream, desk: Desk<I>, asked: Arc<AtomicBool>) {
     let Ok(Some(line)) = timeout(LINE_WITHIN, read_line(&mut stream)).await else { return };
+    asked.store(true, Ordering::Relaxed);
     let answer = match line {
         Ok(line) => match line::call(&line) {
             Ok(call) => desk.answer(call).await,
--- a/dispatcher/src/retry.rs
+++ b/dispatcher/src/retry.rs
@@ -1,8 +1,8 @@
 //! When to ask discovery, first and after a failure: moments that are spread by a seed, and pauses that grow. No I/O, no
 //! clock.
 //!
-//! Kept bound: the N dispatchers of a fleet that start together, or fail together, ask [`EACH`] apart in the mean, or
-//! within [`ALL`] where they are more, and half as often after the next failure. Discovery can take one call from every
+//! Kept bound: the N dispatchers of a fleet that fail together ask again [`EACH`] apart in the mean, or within [`ALL`]
+//! where they are more, and half as often after the next failure; those that start together ask once at once. Discovery can take one call from every
 //! dispatcher in 2 to 8 s at any scale; asked faster, it works on calls that were given up after their 2 s, and answers
 //! none in time for as long as that goes on.
 
@@ -14,6 +14,9 @@
 const EACH: Duration = Duration::from_millis(80);
 /// The time in which discovery can take one call from each, however many they are.
 const ALL: Duration = Duration::from_secs(8);
+/// The first call comes within this: what the agent has heard while nobody asked it counts as told, a drain too, and
+/// is to be heeded 500 ms later. Pauses come only after a failure.
+const FIRST: Duration = Duration::from_millis(300);
 /// What the mean of the pauses grows to, beside twice the first one.
 const LONGEST: Duration = Duration::from_secs(2);
 
@@ -33,7 +36,7 @@
 
     /// How long to wait before the first call, while the list from before serves.
     pub fn first(&mut self) -> Duration {
-        self.span.mul_f64(self.dice.share())
+        self.span.min(FIRST).mul_f64(self.dice.share())
     }
 
     /// It was answered.
@@ -106,7 +109,7 @@
             assert!(pause >= mean / 2 && pause < mean * 3 / 2, "{pause:?} round {mean:?}");
         };
         let (mut few, mut many) = (Retry::new(2, 1), Retry::new(100, 1));
-        assert!(few.first() < Duration::from_millis(160) && many.first() < Duration::from_secs(8));
+        assert!(few.first() < Duration::from_millis(160) && many.first() < FIRST);
         for mean in [160, 320, 640, 1_280, 2_320, 2_320] {
             within(few.failed(), mean);
         }
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -49,11 +49,21 @@
     pub store: Option<&'static str>,
     /// Writes to a file fail beyond so many bytes, until `make_room`.
     pub file_bytes: Option<u64>,
+    /// It listens for the staff too.
+    pub console: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { disk_mb: 3.0, hold: 300, slots: 16, bundle: 1, store: None, file_bytes: None }
+        Options {
+            disk_mb: 3.0,
+            hold: 300,
+            slots: 16,
+            bundle: 1,
+            store: None,
+            file_bytes: None,
+            console: false,
+        }
     }
 }
 
@@ -107,6 +117,7 @@
             file_bytes: options.file_bytes,
             peers: None,
             log: None,
+            console: options.console,
         }))
     }
 
--- /dev/null
+++ b/dispatcher/tests/console.rs
@@ -0,0 +1,146 @@
+//! The second address: what the staff asks, what it shows, and endpoints that are taken out by hand.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
+
+use common::*;
+
+fn with_console() -> Options {
+    Options { console: true, ..Options::default() }
+}
+
+/// Sends these bytes, in one piece each; what comes back until the end.
+fn say(node: &Node, pieces: &[&[u8]], ends: bool) -> String {
+    let mut stream = TcpStream::connect(node.console.expect("a console")).expect("it listens");
+    stream.set_nodelay(true).expect("set");
+    for piece in pieces {
+        stream.write_all(piece).expect("sent");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    if ends {
+        stream.shutdown(Shutdown::Write).expect("ended");
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+#[test]
+fn calls_are_answered_however_they_come() {
+    let discovery = Discovery::start();
+    let node = Node::start(&discovery, &[], with_console());
+    until("it is ready", || node.staff("health").starts_with("SUCCESS").then_some(()));
+    let bytes: Vec<&[u8]> = b"health\r\n".chunks(1).collect();
+    assert!(say(&node, &bytes, false).starts_with("SUCCESS"));
+    assert!(say(&node, &[b"health"], true).starts_with("SUCCESS"), "the line ends with the sending");
+    assert!(say(&node, &[b"health\ncordon nobody\n"], false).starts_with("SUCCESS"), "the first line counts");
+    for bad in [&b"\n"[..], b"\xff\xfe\n", b"healthy\n", b"cordon\n", b"cordon a b\n", &[b'x'; 2_000]] {
+        assert!(say(&node, &[bad], false).starts_with("FAILURE"), "{bad:?}");
+    }
+    assert_eq!(say(&node, &[], true), "", "nothing was asked");
+}
+
+#[test]
+fn callers_that_never_finish_keep_no_one_out() {
+    let discovery = Discovery::start();
+    let node = Node::start(&discovery, &[], with_console());
+    let console = node.console.expect("a console");
+    let silent: Vec<TcpStream> = (0..100)
+        .map(|n| {
+            let mut stream = TcpStream::connect(console).expect("it listens");
+            stream.write_all(if n % 2 == 0 { b"" } else { b"count" }).expect("sent");
+            stream
+        })
+        .collect();
+    let asked: Vec<_> =
+        (0..20).map(|_| Instant::now()).map(|at| (node.staff("counters"), at.elapsed())).collect();
+    for (answer, took) in &asked {
+        assert!(answer.ends_with("EOT\n"), "{answer}");
+        assert!(*took < Duration::from_secs(1), "{took:?}");
+    }
+    drop(silent);
+    // Nor does one that leaves before its answer.
+    for _ in 0..50 {
+        TcpStream::connect(console).and_then(|mut s| s.write_all(b"counters\n")).expect("sent");
+    }
+    assert!(node.staff("health").starts_with("SUCCESS"));
+}
+
+#[test]
+fn figures_are_what_partners_and_clients_saw() {
+    let discovery = Discovery::start();
+    let partner = Server::start(|number, _| answer(if number < 3 { "200 OK" } else { "500 Oops" }));
+    let known = [entry("a", &partner, 7, "in_service"), entry("b", &partner, 8, "terminating")];
+    let node = Node::start(&discovery, &known, with_console());
+    for n in 0..3 {
+        assert_eq!(node.hand_in("safe", &format!("r{n}"), 7, 50.0), 202);
+    }
+    until("they are delivered", || (node.figure("success.safe") == 3).then_some(()));
+    assert_eq!(node.hand_in("unsafe", "fails", 7, 50.0), 202);
+    discovery.notice("fails");
+    assert_eq!(node.hand_in("keyed", "handed-back", 99, 0.05), 202);
+    discovery.notice("handed-back");
+    assert_eq!(node.hand_in("keyed", "waits", 99, 50.0), 202);
+    let figures =
+        ["success.safe", "failure.unsafe", "busy.keyed", "inflight", "backend_calls", "failure.safe"];
+    assert_eq!(figures.map(|name| node.figure(name)), [3, 1, 1, 1, 4, 0]);
+    assert_eq!(partner.count(), 4);
+    // Two of this test's, three that the tests' stand-in names beside.
+    assert_eq!(node.figure("hosts_listed"), 5);
+    assert!(node.figure("hosts_down") >= 4);
+}
+
+#[test]
+fn an_endpoint_that_is_out_by_hand_gets_nothing_until_it_is_put_back() {
+    let (discovery, a, b) = (Discovery::start(), endpoint("200 OK"), endpoint("200 OK"));
+    let known = [entry("a", &a, 7, "in_service"), entry("b", &b, 8, "in_service")];
+    let mut node = Node::start(&discovery, &known, with_console());
+    assert_eq!(node.hand_in("safe", "before", 7, 50.0), 202);
+    a.message(0);
+    assert!(node.staff("cordon nobody").starts_with("FAILURE"));
+    assert!(node.staff("uncordon nobody").starts_with("FAILURE"));
+    assert!(node.staff("uncordon b").starts_with("SUCCESS"), "it is in use");
+    for _ in 0..2 {
+        assert!(node.staff("cordon a").starts_with("SUCCESS"));
+    }
+    let connection = a.message(0).connection;
+    until("its idle connection is closed", || {
+        a.closed.lock().expect("lock").contains(&connection).then_some(())
+    });
+    assert_eq!(node.hand_in("safe", "held", 7, 50.0), 202);
+    // Whatever the list says meanwhile, also that it is gone and back, and over a kill.
+    discovery.tell(&[entry("b", &b, 8, "in_service")]);
+    discovery.tell(&[entry("a", &a, 7, "in_service"), entry("b", &b, 8, "in_service")]);
+    node.kill();
+    node.start_again();
+    until("it is ready", || node.staff("health").starts_with("SUCCESS").then_some(()));
+    assert_eq!(node.hand_in("safe", "other", 8, 50.0), 202);
+    b.message(0);
+    assert_eq!((a.count(), node.figure("inflight")), (1, 1));
+    assert!(node.staff("uncordon a").starts_with("SUCCESS"));
+    assert_eq!(a.message(1).header("Req-Id"), Some("held"));
+    assert!(node.staff("uncordon a").starts_with("SUCCESS"), "once is enough");
+}
+
+#[test]
+fn putting_an_endpoint_back_does_not_undo_a_drain_that_discovery_told() {
+    let (discovery, a) = (Discovery::start(), endpoint("200 OK"));
+    let node = Node::start(&discovery, &[entry("a", &a, 7, "in_service")], with_console());
+    assert!(node.staff("cordon a").starts_with("SUCCESS"));
+    discovery.tell(&[entry("a", &a, 7, "terminating")]);
+    assert!(node.staff("uncordon a").starts_with("SUCCESS"));
+    assert_eq!(node.hand_in("safe", "r", 7, 0.3), 202);
+    discovery.notice("r");
+    assert_eq!(a.count(), 0);
+}
+
+#[test]
+fn without_the_setting_nothing_is_opened() {
+    let discovery = Discovery::start();
+    let node = Node::start(&discovery, &[], Options::default());
+    let fds = std::fs::read_dir(format!("/proc/{}/task", node.pid())).expect("its threads").count();
+    assert_eq!(fds, 1, "one thread");
+}
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -194,6 +194,7 @@
                 file_bytes: None,
                 peers: relay.as_ref(),
                 log: watch.logs.map(|folder| folder.join(format!("dispatcher-{number}.log"))),
+                console: false,
             })
         });
         if plan.dispatchers.one_core {
--- a/src/control.rs
+++ b/src/control.rs
@@ -431,7 +431,9 @@
             Event::Returned { endpoint } => {
                 let Some(id) = self.endpoints.get(&endpoint).map(|e| e.lane) else { return };
                 if !self.endpoints.iter().any(|(other, e)| *other != endpoint && e.lane == id && e.ready) {
-                    self.lanes.entry(id).or_default().comes_back(now, 0.0);
+                    let (lane, luck) = (self.lanes.entry(id).or_default(), self.rng.share());
+                    lane.out_from = now;
+                    lane.comes_back(now, luck);
                     self.note_news(id);
                 }
             }
--- a/standins/src/node.rs
+++ b/standins/src/node.rs
@@ -35,12 +35,16 @@
     pub peers: Option<&'a Relay>,
     /// Its log goes to this file instead of to the standard error.
     pub log: Option<PathBuf>,
+    /// It listens for the staff too.
+    pub console: bool,
 }
 
 /// The process.
 pub struct Node {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where it listens for the staff, if it does.
+    pub console: Option<SocketAddr>,
     /// The folder that lasts.
     pub state: tempfile::TempDir,
     program: PathBuf,
@@ -101,7 +105,9 @@
             std::fs::write(&file, text).expect("the settings");
             file
         });
+        let console = spec.console.then(own_address);
         let mut command = command(spec.program, &config, state.path(), store.as_deref(), spec.log.as_deref());
+        command.envs(console.map(|address| ("NODE_CONSOLE", address.to_string())));
         if let Some(bytes) = spec.file_bytes {
             // The limit is the shell's to set, and its signal to be ignored, before the program takes its place.
             let mut limited = Command::new("sh");
@@ -113,11 +119,36 @@
         }
         let child = command.spawn().expect("it starts");
         let program = spec.program.to_owned();
-        Node { address, state, program, config, store, log: spec.log.clone(), child }
+        Node { address, console, state, program, config, store, log: spec.log.clone(), child }
     }
 
     fn command(&self) -> Command {
-        command(&self.program, &self.config, self.state.path(), self.store.as_deref(), self.log.as_deref())
+        let (store, log) = (self.store.as_deref(), self.log.as_deref());
+        let mut command = command(&self.program, &self.config, self.state.path(), store, log);
+        command.envs(self.console.map(|address| ("NODE_CONSOLE", address.to_string())));
+        command
+    }
+
+    /// A line to its console: all that it answers, within a caller's one second.
+    ///
+    /// # Panics
+    /// Where it has no console, or answers too late.
+    pub fn staff(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.console.expect("a console")).expect("it listens");
+        stream.write_all(format!("{line}\n").as_bytes()).expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    /// One of the figures that its console tells.
+    ///
+    /// # Panics
+    /// Where there is none of this name.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (text, name) = (self.staff("counters"), format!("edge_node.{name}="));
+        let figure = text.lines().find_map(|line| line.strip_prefix(&name)?.parse().ok());
+        figure.unwrap_or_else(|| panic!("no {name} in {text}"))
     }
 
     /// A start that is to fail: how it ended, and what it said.
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -569,3 +569,39 @@
     let sends = bench.sends(20 * S);
     assert!(matches!(sends[..], [(at, 2), ..] if at >= until), "{sends:?} before {until}");
 }
+
+/// Nobody saw it go down: it was taken out by hand, restarted and put back.
+#[test]
+fn a_destination_whose_only_endpoint_is_put_back_by_hand_is_cold() {
+    // 40 a second for two dispatchers.
+    let sent_in_a_second = |returned: bool, others: bool| {
+        let list = |state| {
+            let second = others.then(|| Entry { weight: 40.0, ..entry(2, 7, 0) });
+            [Entry { weight: 40.0, state, ..entry(1, 7, 0) }].into_iter().chain(second).collect()
+        };
+        let settings = Settings { weights: Weights::Nominal, hold: 1_000, ..settings() };
+        let mut b = Bench::new(settings, list(State::Draining));
+        b.now = S;
+        b.tell(Event::Listed { whole: true, entries: list(State::Ready) });
+        if returned {
+            b.tell(Event::Returned { endpoint: 1 });
+        }
+        let mut all = 0;
+        for n in 1..=100 {
+            b.now += 10 * MS;
+            b.take(n, 0, 7);
+            for action in b.decide() {
+                if let Action::Send { id, endpoint, .. } = action {
+                    all += 1;
+                    b.over(id, 0, endpoint, Outcome::Served, 5 * MS);
+                }
+            }
+        }
+        all
+    };
+    let cold = sent_in_a_second(true, false);
+    // A quarter of its part of the capacity and half as much again at most: the rule's bound.
+    assert!((4..=10).contains(&cold), "{cold}");
+    assert!(sent_in_a_second(false, false) > 60, "without the word of its return");
+    assert!(sent_in_a_second(true, true) > 60, "it was not out: another endpoint took its calls");
+}
