SIGHUP puts new settings in force whole, and open messages keep their class

A file is read whole, all that is wrong with it is named with its key (missing, of another form, not over 0, or what a process can't change), and then swapped in one step: front, calls, roster, core, module. Classes stand at positions that never change their meaning: one whose rules change stands anew, one that is dropped stays for what is open; the table is noted in the store before any message is of a new class. Not taken: to rewrite the positions of open messages at each swap, which would touch every record of the store in one step.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -237,6 +237,12 @@
         self.learn_grave(at);
     }
 
+    /// New settings, with the classes of open messages where they stood.
+    pub fn settle_on(&mut self, at: Moment, settings: Settings) {
+        self.settings = Arc::new(settings);
+        self.control.on_event(at.now, Event::Settings { settings: self.settings.clone() });
+    }
+
     /// The process is not the first on its journal: what it sent before it died may still run.
     pub fn resume(&mut self, at: Moment) {
         if self.next_message > 1 && !self.has(Fault::ForgetRests) {
--- a/core/src/tally.rs
+++ b/core/src/tally.rs
@@ -13,6 +13,14 @@
     pub failed: u64,
 }
 
+impl std::ops::AddAssign for Count {
+    fn add_assign(&mut self, other: Self) {
+        self.delivered += other.delivered;
+        self.refused += other.refused;
+        self.failed += other.failed;
+    }
+}
+
 /// The counts of all classes, by their positions.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Tally(BTreeMap<usize, Count>);
@@ -22,8 +30,8 @@
         self.0.entry(class).or_default()
     }
 
-    /// What was counted, by class.
-    pub fn counts(&self) -> impl Iterator<Item = (usize, Count)> + '_ {
-        self.0.iter().map(|(class, count)| (*class, *count))
+    /// What was counted of a class.
+    pub fn count(&self, class: usize) -> Count {
+        self.0.get(&class).copied().unwrap_or_default()
     }
 }
--- a/core/tests/life.rs
+++ b/core/tests/life.rs
@@ -18,6 +18,7 @@
         late_worth: 0.5,
         effect,
         in_order: false,
+        retired: false,
     };
     Settings {
         me: 0,
--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -105,6 +105,14 @@
         }
     }
 
+    /// New figures: idle connections at most, the time after which endpoints close them, and the time that one may take
+    /// to come up, in nanoseconds.
+    pub fn settle_on(&mut self, most: usize, keepalive: Nanos, connect: Nanos) {
+        let keepalive = Duration::from_nanos(keepalive);
+        (self.most, self.reuse_within) = (most, keepalive - keepalive / 8);
+        self.connect_within = Duration::from_nanos(connect);
+    }
+
     /// Messages that were written whole to endpoints.
     pub fn sent(&self) -> &Sent {
         &self.sent
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -6,6 +6,7 @@
 use millpost::api::Settings;
 use millpost_settings::Shape;
 use serde::Deserialize;
+use serde_json::Value;
 
 use crate::discovery::List;
 
@@ -19,14 +20,17 @@
     #[error("{0}: {1}")]
     Unreadable(PathBuf, std::io::Error),
     /// The file is not what it should be.
-    #[error("configuration: {0}")]
-    Malformed(#[from] serde_json::Error),
+    #[error("{0}: {1}")]
+    Malformed(PathBuf, serde_json::Error),
     /// A variable is not what it should be.
     #[error("{0}: `{1}` is no address")]
     NoAddress(&'static str, String),
     /// The settings in it are not.
     #[error("configuration: {0}")]
     Settings(String),
+    /// It can't be taken: all that is wrong with it.
+    #[error("{path}: {}", wrong.join("; "))]
+    Wrong { path: PathBuf, wrong: Vec<String> },
 }
 
 #[derive(Deserialize)]
@@ -47,7 +51,7 @@
     #[serde(default)]
     console: Option<SocketAddr>,
     known: List,
-    settings: serde_json::Value,
+    settings: Value,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -76,6 +80,8 @@
     pub settings: Settings,
     pub shape: Shape,
     pub state: PathBuf,
+    /// The file as it stands, for comparing the next one with.
+    text: Value,
 }
 
 /// The seed is a number in hexadecimal; any other text is hashed to one.
@@ -92,11 +98,38 @@
 }
 
 pub fn read() -> Result<Config, Error> {
+    read_after(None)
+}
+
+/// Reads it again: the whole file is good, and can take the place of the one before, or it is an error.
+pub fn read_again(before: &Config) -> Result<Config, Error> {
+    read_after(Some(before))
+}
+
+fn read_after(before: Option<&Config>) -> Result<Config, Error> {
     let var = |name| std::env::var_os(name).ok_or(Error::Missing(name)).map(PathBuf::from);
     let (path, state) = (var("NODE_CONFIG")?, var("NODE_STATE")?);
-    let text = std::fs::read(&path).map_err(|e| Error::Unreadable(path, e))?;
-    let file: File = serde_json::from_slice(&text)?;
+    let text = std::fs::read(&path).map_err(|e| Error::Unreadable(path.clone(), e))?;
+    parse(path, state, &text, before)
+}
+
+fn parse(path: PathBuf, state: PathBuf, text: &[u8], before: Option<&Config>) -> Result<Config, Error> {
+    let text: Value = serde_json::from_slice(text).map_err(|e| Error::Malformed(path.clone(), e))?;
+    let bad = |wrong| Error::Wrong { path: path.clone(), wrong };
+    // First, so that a file that is short is told all that it lacks.
+    let mut wrong = before.map_or(Vec::new(), |before| millpost_settings::short(&before.text, &text));
+    if !wrong.is_empty() {
+        return Err(bad(wrong));
+    }
+    let file: File = serde_json::from_value(text.clone()).map_err(|e| Error::Malformed(path.clone(), e))?;
     let (settings, shape) = millpost_settings::from_value(file.settings).map_err(Error::Settings)?;
+    wrong.extend(millpost_settings::unsound(&settings, &shape));
+    if let Some(before) = before {
+        wrong.extend(millpost_settings::fixed(&before.settings, &before.shape, &settings, &shape));
+    }
+    if !wrong.is_empty() {
+        return Err(bad(wrong));
+    }
     Ok(Config {
         name: file.name,
         listen: file.listen,
@@ -111,5 +144,85 @@
         settings,
         shape,
         state,
+        text,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::*;
+
+    fn file() -> Value {
+        let profiles = json!([
+            {"name": "a", "objectiveNs": 2, "deadlineNs": 20, "effect": "pure", "credit": 1.0},
+            {"name": "b", "objectiveNs": 2, "deadlineNs": 20, "effect": "side_effect", "credit": 1.0},
+        ]);
+        json!({"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "7",
+               "limits": {"sockets": 64, "disk_mb": 3.0}, "known": {"index": 1, "snapshot": true, "endpoints": []},
+               "settings": {"slotNo": 0, "nInstances": 2, "periodNs": 5, "areas": ["z"], "kinds": ["k"],
+                            "profiles": profiles, "familyInfo": {"workers": 4},
+                            "limits": {"tryLimit": 6, "openCap": 300},
+                            "rules": {"drainGraceNs": 1, "coldFrom": 0.25, "coldNs": 1, "tipMultiple": 1.5,
+                                      "overloadForNs": 1}}})
+    }
+
+    fn read(text: &[u8], before: Option<&Config>) -> Result<Config, Error> {
+        parse("config.json".into(), "state".into(), text, before)
+    }
+
+    /// Every path to a key, through objects and lists.
+    fn keys(value: &Value, path: &str, all: &mut Vec<String>) {
+        match value {
+            Value::Object(fields) => fields.iter().for_each(|(key, value)| {
+                all.push(format!("{path}/{key}"));
+                keys(value, &format!("{path}/{key}"), all);
+            }),
+            Value::Array(list) => {
+                list.iter().enumerate().for_each(|(n, value)| keys(value, &format!("{path}/{n}"), all))
+            }
+            _ => {}
+        }
+    }
+
+    #[test]
+    fn a_file_cut_at_any_byte_or_short_of_any_key_is_turned_down() {
+        let good = file();
+        let text = good.to_string().into_bytes();
+        let before = read(&text, None).expect("it is good");
+        assert!(read(&text, Some(&before)).is_ok());
+        for cut in 0..text.len() {
+            assert!(read(&text[..cut], Some(&before)).is_err(), "cut at {cut}");
+        }
+        let mut all = Vec::new();
+        keys(&good, "", &mut all);
+        assert!(all.len() > 30);
+        for path in all {
+            let (parent, key) = path.rsplit_once('/').expect("a path");
+            let (mut short, mut odd) = (good.clone(), good.clone());
+            short.pointer_mut(parent).and_then(Value::as_object_mut).expect("it is there").remove(key);
+            let why = read(short.to_string().as_bytes(), Some(&before)).err().map(|e| e.to_string());
+            assert!(why.as_ref().is_some_and(|why| why.contains(key)), "{path}: {why:?}");
+            let value = odd.pointer_mut(&path).expect("it is there");
+            *value = if value.is_array() { json!(true) } else { json!([]) };
+            let why = read(odd.to_string().as_bytes(), Some(&before)).err().map(|e| e.to_string());
+            assert!(why.as_ref().is_some_and(|why| why.contains(key)), "{path}: {why:?}");
+        }
+    }
+
+    #[test]
+    fn all_that_is_wrong_is_told_with_its_key() {
+        let before = read(file().to_string().as_bytes(), None).expect("it is good");
+        let mut bad = file();
+        bad["settings"]["limits"]["tryLimit"] = json!(0);
+        bad["settings"]["profiles"][1]["deadlineNs"] = json!(0);
+        bad["settings"]["kinds"] = json!(["other"]);
+        let why = read(bad.to_string().as_bytes(), Some(&before)).err().expect("it is bad").to_string();
+        for part in ["config.json", "limits.tryLimit", "profiles[1].deadlineNs", "settings.kinds"] {
+            assert!(why.contains(part), "{part}: {why}");
+        }
+        bad["settings"]["profiles"][0]["deadlineNs"] = json!(-5);
+        assert!(read(bad.to_string().as_bytes(), None).is_err());
+    }
+}
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -9,10 +9,10 @@
 use millpost::Lesson;
 use millpost::api::{Event, Nanos, Outcome, Settings, State, Weights};
 use millpost_core::{Core, Count, Effect, Ended, Handed, Moment, ReplyId, Verdict};
-use millpost_settings::Shape;
+use millpost_settings::{Classes, Shape};
 use millpost_store::ledger::Found;
 use millpost_store::{Disk, Ledger, Seq, Synced};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep_until;
 
 use crate::calls::{self, Calls};
@@ -20,7 +20,7 @@
 use crate::console;
 use crate::cordons::{Change, Cordons};
 use crate::discovery::List;
-use crate::intake::Asked;
+use crate::intake::{Asked, Front};
 use crate::meter::{Part, within};
 use crate::notices::{Notice, Taken};
 use crate::peers::{Note, Peers};
@@ -43,10 +43,42 @@
     Synced(Synced),
     /// The staff asks something of this process.
     Console(console::Asked),
+    /// New settings are in force from now on, or not at all.
+    Settle(Settle),
     /// The process ends after this time.
     Stop { after: Duration },
 }
 
+/// Settings that were read whole and found good.
+pub struct Settle {
+    pub settings: Settings,
+    pub shape: Shape,
+    /// Why they could not be put in force, if so.
+    pub done: oneshot::Sender<Result<(), &'static str>>,
+}
+
+/// The descriptors of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Descriptors {
+    /// For clients.
+    pub clients: usize,
+    /// For calls and all else.
+    pub rest: usize,
+}
+
+impl Descriptors {
+    /// Half of them are for clients; the rest for calls, and a few for all else.
+    pub fn new(all: usize, console: bool) -> Self {
+        let clients = (all / 2).max(1);
+        let staff = if console { console::MOST + 4 } else { 0 };
+        Descriptors { clients, rest: all.saturating_sub(clients + 32 + staff) }
+    }
+    /// Idle connections to endpoints beside this many calls, of which each may need two for a moment.
+    pub fn idle(self, slots: usize) -> usize {
+        self.rest.saturating_sub(2 * slots).max(8)
+    }
+}
+
 macro_rules! inputs {
     ($($kind:ident($of:ty)),*) => {
         $(impl From<$of> for Input {
@@ -62,7 +94,8 @@
     Listed(List),
     Noticed(Taken),
     Note(Note),
-    Console(console::Asked)
+    Console(console::Asked),
+    Settle(Settle)
 );
 
 pub struct Driver {
@@ -80,7 +113,10 @@
     /// Clients that wait for an answer.
     replies: HashMap<ReplyId, oneshot::Sender<Verdict>>,
     next_reply: ReplyId,
-    names: Vec<String>,
+    /// The classes that messages are of.
+    classes: Classes,
+    front: watch::Sender<Front>,
+    descriptors: Descriptors,
     shared: console::Shared,
     /// Yeses that wait for what they stand for to last.
     granted: VecDeque<(Seq, oneshot::Sender<Result<(), String>>)>,
@@ -104,6 +140,9 @@
     pub notices: mpsc::Sender<Notice>,
     /// What the console is told from.
     pub shared: console::Shared,
+    /// What clients may name, for the intake.
+    pub front: watch::Sender<Front>,
+    pub descriptors: Descriptors,
 }
 
 /// Shortest time between two rounds. What waits a whole tick goes out in bursts, for which connections must be opened.
@@ -132,9 +171,17 @@
             peers,
             notices,
             shared,
+            front,
+            descriptors,
         } = parts;
         let rated = settings.weights != Weights::Unknown;
-        let (cordons, names) = (Cordons::noted(ledger.cordons()), shape.class_names.clone());
+        let cordons = Cordons::noted(ledger.cordons());
+        // Positions of before are those that were noted; where none were, they are the configuration's.
+        let mut classes = ledger.classes().and_then(|noted| Classes::read(&noted)).unwrap_or_default();
+        let open = found.iter().map(|found| found.taken.class as usize).collect();
+        classes.adopt(&settings, &shape, Some(&open));
+        let settings = classes.settings(settings);
+        front.send_replace(Front::new(&classes));
         let mut driver = Driver {
             clock: Clock::new(latest),
             tick: settings.tick.min(ROUND),
@@ -148,11 +195,15 @@
             unsent: VecDeque::new(),
             replies: HashMap::new(),
             next_reply: 0,
-            names,
+            classes,
+            front,
+            descriptors,
             shared,
             granted: VecDeque::new(),
         };
         let at = driver.clock.moment();
+        // Where it can't be noted, it is as good as the configuration until that changes.
+        driver.record.note_classes(at, &driver.classes.write());
         // Noted too: what discovery tells later are changes of it.
         let known = driver.roster.newest(&driver.record, known);
         driver.listed(at, known);
@@ -254,6 +305,9 @@
             }
             Input::Note(Note { from, bytes }) => self.core.on_event(at, Event::Note { from, bytes }),
             Input::Console(asked) => self.staff(at, asked),
+            Input::Settle(Settle { settings, shape, done }) => {
+                let _ = done.send(self.settle(at, settings, shape));
+            }
             Input::Stop { after } => self.core.stop(at, after.as_nanos() as Nanos),
         }
         self.carry(at);
@@ -316,6 +370,25 @@
         self.core.listed(at, whole, entries);
     }
 
+    /// Puts settings in force, all in one step or not at all. What is open keeps the class that it was taken under.
+    fn settle(&mut self, at: Moment, settings: Settings, shape: Shape) -> Result<(), &'static str> {
+        let mut classes = self.classes.clone();
+        classes.adopt(&settings, &shape, None);
+        // Before any message is of a new class.
+        if !self.record.note_classes(at, &classes.write()) {
+            return Err("the store takes no writes");
+        }
+        let settings = classes.settings(settings);
+        self.classes = classes;
+        self.front.send_replace(Front::new(&self.classes));
+        self.tick = settings.tick.min(ROUND);
+        let idle = self.descriptors.idle(settings.slots);
+        self.calls.settle_on(idle, settings.keepalive, settings.connect_timeout);
+        self.roster.settle_on(shape);
+        self.core.settle_on(at, settings);
+        Ok(())
+    }
+
     /// Does what the staff asks. From the yes on an endpoint drains, also after a restart.
     fn staff(&mut self, at: Moment, asked: console::Asked) {
         let (id, out, done) = match asked {
@@ -368,14 +441,13 @@
     fn tell_figures(&mut self, at: Moment) {
         let down = self.roster.all().filter(|endpoint| self.core.avoids(at.now, *endpoint)).count();
         let mut figures = self.shared.figures();
-        for name in &self.names {
-            if !figures.classes.contains_key(name) {
-                figures.classes.insert(name.clone(), Count::default());
-            }
-        }
-        for (class, count) in self.core.tally().counts() {
-            if let Some(name) = self.names.get(class) {
-                figures.classes.insert(name.clone(), count);
+        figures.classes.values_mut().for_each(|count| *count = Count::default());
+        let tally = self.core.tally();
+        for (class, (name, _)) in self.classes.all().enumerate() {
+            let count = tally.count(class);
+            match figures.classes.get_mut(name) {
+                Some(sum) => *sum += count,
+                None => drop(figures.classes.insert(name.to_owned(), count)),
             }
         }
         (figures.inflight, figures.calls) = (self.core.open(), self.calls.sent().count());
--- a/dispatcher/src/intake.rs
+++ b/dispatcher/src/intake.rs
@@ -14,9 +14,9 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use millpost::api::{Effect, Nanos, Settings};
+use millpost::api::{Effect, Nanos};
 use millpost_core::{Handed, Verdict};
-use millpost_settings::Shape;
+use millpost_settings::Classes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -60,14 +60,35 @@
     Closing,
 }
 
-#[derive(Clone)]
+/// The classes that clients may name, as the settings in force have them.
+#[derive(Default)]
+pub struct Front {
+    classes: Vec<Class>,
+}
+
 struct Class {
     name: String,
+    place: usize,
     keyed: bool,
 }
 
+impl Front {
+    pub fn new(classes: &Classes) -> Self {
+        let all = classes.all().enumerate().filter(|(_, (_, class))| !class.retired);
+        let all = all.map(|(place, (name, class))| {
+            let keyed = matches!(class.effect, Effect::Keyed { .. });
+            Class { name: name.to_owned(), place, keyed }
+        });
+        Front { classes: all.collect() }
+    }
+    /// Where the class stands, and whether its messages need a key.
+    fn class(&self, name: &str) -> Option<(usize, bool)> {
+        self.classes.iter().find(|class| class.name == name).map(|class| (class.place, class.keyed))
+    }
+}
+
 struct Intake<I> {
-    classes: Vec<Class>,
+    front: watch::Receiver<Front>,
     told: mpsc::Sender<I>,
     phase: watch::Receiver<Phase>,
 }
@@ -77,16 +98,11 @@
 pub async fn serve<I: From<Asked> + Send + 'static>(
     listener: TcpListener,
     most: usize,
-    settings: &Settings,
-    shape: &Shape,
+    front: watch::Receiver<Front>,
     told: mpsc::Sender<I>,
     mut phase: watch::Receiver<Phase>,
 ) {
-    let names = shape.class_names.iter().cloned();
-    let classes = names
-        .zip(&settings.classes)
-        .map(|(name, class)| Class { name, keyed: matches!(class.effect, Effect::Keyed { .. }) });
-    let intake = Arc::new(Intake { classes: classes.collect(), told, phase: phase.clone() });
+    let intake = Arc::new(Intake { front, told, phase: phase.clone() });
     let room = Room::new(most);
     loop {
         let accepted = tokio::select! {
@@ -218,12 +234,12 @@
             return Err(if ok { StatusCode::OK } else { StatusCode::METHOD_NOT_ALLOWED });
         }
         let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.classes.iter().position(|c| c.name == name).ok_or(StatusCode::NOT_FOUND)?;
+        let (class, keyed) = self.front.borrow().class(name).ok_or(StatusCode::NOT_FOUND)?;
         if head.method != Method::POST {
             return Err(StatusCode::METHOD_NOT_ALLOWED);
         }
         let fields = Fields::read(&head.headers).ok_or(StatusCode::BAD_REQUEST)?;
-        if self.classes[class].keyed && fields.key.is_none() {
+        if keyed && fields.key.is_none() {
             return Err(StatusCode::BAD_REQUEST);
         }
         // Told before any of it is read.
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -30,13 +30,13 @@
 use millpost_store::{Disk, Ledger, journal, ledger};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 use clock::wall_now;
 use config::Config;
-use driver::{Driver, Input, Parts};
-use intake::Phase;
+use driver::{Descriptors, Driver, Input, Parts, Settle};
+use intake::{Front, Phase};
 use options::{Asked, Options};
 
 /// After SIGTERM new connections still come for a while; so long, kept ones are answered as usual.
@@ -57,6 +57,8 @@
     Folder(io::Error),
     #[error("console: {0}: {1}")]
     Console(SocketAddr, io::Error),
+    #[error("settings: {0}")]
+    NotSettled(&'static str),
     #[error("the driver has ended")]
     Driver,
     #[error("{0}")]
@@ -144,16 +146,15 @@
     let settings = config.settings.clone();
     let index = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
 
-    // Half of the descriptors are for clients; the rest for calls, and a few for all else.
-    let clients = (config.limits.sockets / 2).max(1);
-    let staff = if config.console.is_some() { console::MOST + 4 } else { 0 };
-    let idle = (config.limits.sockets - clients).saturating_sub(2 * settings.slots + 32 + staff).max(8);
+    let descriptors = Descriptors::new(config.limits.sockets, config.console.is_some());
+    let idle = descriptors.idle(settings.slots);
+    let (front, fronts) = watch::channel(Front::default());
 
     let (notices, due) = mpsc::channel(256);
     let peers = match (settings.allow.notes, config.peer_listen, config.peers_all) {
         (true, Some(listen), Some(all)) => {
             // Notes are a help, no need: without them the dispatcher serves all the same.
-            let opened = peers::Peers::open(listen, config.peers, all, told.clone()).await;
+            let opened = peers::Peers::open(listen, config.peers.clone(), all, told.clone()).await;
             opened.inspect_err(|e| eprintln!("peers: {e}")).ok()
         }
         _ => None,
@@ -162,13 +163,15 @@
         calls: calls::Calls::new(idle, settings.keepalive, settings.connect_timeout, told.clone()),
         settings: settings.clone(),
         shape: config.shape.clone(),
+        front,
+        descriptors,
         seed: config.seed,
         ledger,
         found: opened.found,
         latest: opened.latest,
         told: told.clone(),
         source: config.discovery,
-        known: config.known,
+        known: config.known.clone(),
         peers,
         notices,
         shared: shared.clone(),
@@ -179,11 +182,11 @@
     let retry = retry::Retry::new(settings.dispatchers, config.seed);
     tokio::spawn(discovery::watch(link::Agent::new(addresses.clone()), index, retry, told.clone()));
     tokio::spawn(notices::send(link::Agent::new(addresses), due, told.clone()));
-    tokio::spawn(reload(hangup, address, shared));
+    tokio::spawn(reload(hangup, config, told.clone(), address, shared));
     let (phase, phases) = watch::channel(Phase::Serving);
-    let (shape, told_by_clients) = (config.shape, told.clone());
+    let told_by_clients = told.clone();
     let intake = tokio::spawn(async move {
-        intake::serve(listener, clients, &settings, &shape, told_by_clients, phases).await;
+        intake::serve(listener, descriptors.clients, fronts, told_by_clients, phases).await;
     });
 
     let _ = ready.send(true);
@@ -206,12 +209,19 @@
     Ok(())
 }
 
-/// At SIGHUP the configuration is read again, also while the process stops. Discovery may have a new address;
-/// all else holds until the next start. With a file that can't be read the old one stays.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, shared: console::Shared) {
+/// At SIGHUP the configuration is read again, also while the process stops: a file that is good as a whole is put in
+/// force, in one step, and discovery and notices move to its address of discovery. With any other nothing changes.
+async fn reload(
+    mut hangup: Signal,
+    mut config: Config,
+    told: mpsc::Sender<Input>,
+    discovery: watch::Sender<SocketAddr>,
+    shared: console::Shared,
+) {
     while hangup.recv().await.is_some() {
-        match config::read() {
-            Ok(config) => {
+        match put_in_force(&config, &told).await {
+            Ok(new) => {
+                config = new;
                 shared.figures().reconfig_ok += 1;
                 eprintln!("configuration read again: discovery is at {}", config.discovery);
                 let new = |old: &mut SocketAddr| std::mem::replace(old, config.discovery) != config.discovery;
@@ -224,3 +234,12 @@
         }
     }
 }
+
+async fn put_in_force(config: &Config, told: &mpsc::Sender<Input>) -> Result<Config, Error> {
+    let new = config::read_again(config)?;
+    let (done, settled) = oneshot::channel();
+    let settle = Settle { settings: new.settings.clone(), shape: new.shape.clone(), done };
+    told.send(settle.into()).await.map_err(|_| Error::Driver)?;
+    settled.await.map_err(|_| Error::Driver)?.map_err(Error::NotSettled)?;
+    Ok(new)
+}
--- a/dispatcher/src/record.rs
+++ b/dispatcher/src/record.rs
@@ -90,6 +90,12 @@
         self.noted(at, done)
     }
 
+    /// Notes the classes that messages are of. Whether it could.
+    pub fn note_classes(&mut self, at: Moment, classes: &[u8]) -> bool {
+        let done = self.ledger.note_classes(classes);
+        self.noted(at, done).is_some()
+    }
+
     /// The write of this number lasts.
     pub fn lasts(&self, seq: Seq) -> bool {
         self.ledger.lasts(seq)
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Names of zones and kinds, where the ones of before stand where they stood.
+    pub fn settle_on(&mut self, shape: Shape) {
+        self.shape = shape;
+    }
+
     /// Where an endpoint listens.
     pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
         self.known.get(&endpoint).map(|known| known.address)
--- a/dispatcher/tests/reload.rs
+++ b/dispatcher/tests/reload.rs
@@ -81,3 +81,123 @@
     new.notice("owed");
     assert_eq!(until("it ends", || node.ended()).code(), Some(0));
 }
+
+/// Replaces the settings, and has them read again.
+fn settle(node: &Node, change: impl Fn(&mut serde_json::Value)) {
+    node.configure(|text| {
+        let mut file: serde_json::Value = serde_json::from_str(text).expect("the configuration");
+        change(&mut file["settings"]);
+        file.to_string()
+    });
+    node.signal("HUP");
+}
+
+fn with_console() -> Options {
+    Options { console: true, ..Options::default() }
+}
+
+fn taken(node: &Node, files: u64) {
+    until("the file is taken", || (node.figure("reconfig_ok") == files).then_some(()));
+}
+
+#[test]
+fn a_class_that_is_added_binds_and_one_that_is_dropped_is_kept_for_what_is_open() {
+    let (discovery, partner) = (Discovery::start(), Server::start(|_, _| answer("500 Oops")));
+    let mut node = Node::start(&discovery, &[], with_console());
+    // Open under the old class, which loses its name, and under one whose effect changes.
+    assert_eq!(node.hand_in("keyed", "of-before", 7, 50.0), 202);
+    assert_eq!(node.hand_in("safe", "may-be-repeated", 7, 50.0), 202);
+    settle(&node, |settings| {
+        let profiles = settings["profiles"].as_array_mut().expect("a list");
+        profiles.retain(|p| p["name"] != "keyed");
+        profiles[0]["effect"] = "side_effect".into();
+        let mut new = profiles[0].clone();
+        (new["name"], new["effect"]) = ("new".into(), "side_effect".into());
+        profiles.insert(0, new);
+        settings["limits"]["tryLimit"] = 3.into();
+    });
+    taken(&node, 1);
+    assert_eq!(node.hand_in("keyed", "too-late", 7, 50.0), 404);
+    assert_eq!(node.hand_in("new", "new", 7, 50.0), 202);
+    assert_eq!(node.hand_in("safe", "once", 7, 50.0), 202);
+    // Also over a restart with the new file.
+    node.kill();
+    node.start_again();
+    discovery.tell(&[entry("a", &partner, 7, "in_service")]);
+    for (reference, result, calls) in [
+        ("new", "dead", 1),
+        ("once", "dead", 1),
+        ("of-before", "bounced", 3),
+        ("may-be-repeated", "bounced", 3),
+    ] {
+        assert_eq!(discovery.notice(reference)["result"], result, "{reference}");
+        let heard = partner.heard.lock().expect("lock");
+        let of = heard.iter().filter(|m| m.header("Req-Id") == Some(reference)).count();
+        assert_eq!(of, calls, "{reference}");
+    }
+    // The counts of a class that was dropped are kept under its name.
+    assert_eq!(node.figure("busy.keyed"), 1);
+    assert_eq!(
+        (node.figure("failure.new"), node.figure("failure.safe"), node.figure("busy.safe")),
+        (1, 1, 1)
+    );
+}
+
+#[test]
+fn broken_settings_leave_the_old_ones_in_force_whole() {
+    let (discovery, partner) = (Discovery::start(), endpoint("200 OK"));
+    let node = Node::start(&discovery, &[entry("a", &partner, 7, "in_service")], with_console());
+    let mut bad = 0;
+    let mut turned_down = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut good = String::new();
+        node.configure(|text| text.to_owned());
+        let keep = std::cell::RefCell::new(&mut good);
+        node.configure(|text| {
+            **keep.borrow_mut() = text.to_owned();
+            let mut file: serde_json::Value = serde_json::from_str(text).expect("the configuration");
+            // A part that is good is not taken either.
+            file["settings"]["profiles"][0]["name"] = "renamed".into();
+            change(&mut file);
+            file.to_string()
+        });
+        node.signal("HUP");
+        bad += 1;
+        until("the file is turned down", || (node.figure("reconfig_failed") == bad).then_some(()));
+        assert_eq!(node.hand_in("safe", &format!("r{bad}"), 7, 50.0), 202);
+        assert_eq!(node.hand_in("renamed", "no", 7, 50.0), 404);
+        node.configure(|_| good.clone());
+    };
+    turned_down(&|file| file["settings"]["limits"]["tryLimit"] = 0.into());
+    turned_down(&|file| file["settings"]["profiles"][1]["deadlineNs"] = 0.into());
+    turned_down(&|file| file["settings"]["profiles"][1]["deadlineNs"] = "soon".into());
+    turned_down(&|file| drop(file["settings"].as_object_mut().expect("an object").remove("rules")));
+    turned_down(&|file| {
+        drop(file["settings"]["profiles"][1].as_object_mut().expect("one").remove("lateWorth"))
+    });
+    turned_down(&|file| *file = serde_json::Value::Null);
+    node.configure(|_| String::new());
+    node.signal("HUP");
+    until("the file is turned down", || (node.figure("reconfig_failed") == 7).then_some(()));
+    assert_eq!((node.figure("reconfig_ok"), node.hand_in("safe", "last", 7, 50.0)), (0, 202));
+}
+
+#[test]
+fn fewer_attempts_bind_what_is_open_and_more_room_is_room_at_once() {
+    let (discovery, partner) = (Discovery::start(), Server::start(|_, _| answer("500 Oops")));
+    let node = Node::start(&discovery, &[], Options { hold: 4, ..with_console() });
+    for n in 0..3 {
+        assert_eq!(node.hand_in("safe", &format!("r{n}"), 7, 50.0), 202);
+    }
+    settle(&node, |settings| settings["limits"]["openCap"] = 40.into());
+    taken(&node, 1);
+    for n in 3..20 {
+        assert_eq!(node.hand_in("safe", &format!("r{n}"), 7, 50.0), 202);
+    }
+    settle(&node, |settings| settings["limits"]["tryLimit"] = 1.into());
+    taken(&node, 2);
+    discovery.tell(&[entry("a", &partner, 7, "in_service")]);
+    for n in 0..20 {
+        assert_eq!(discovery.notice(&format!("r{n}"))["result"], "bounced");
+    }
+    assert_eq!(partner.count(), 20);
+}
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -128,6 +128,7 @@
             Kindness::Unsafe | Kindness::InOrderOnce => Repeats::Unsafe,
         },
         in_order: kindness.in_order(),
+        retired: false,
     };
     Settings {
         me: 0,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -1,9 +1,15 @@
 //! Reads the settings object that a simulator's first message and a dispatcher's configuration both carry.
 //! Keys that are not needed are passed over.
 
+mod check;
+mod classes;
+
 use millpost::api;
 use serde::Deserialize;
 
+pub use check::{fixed, short, unsound};
+pub use classes::Classes;
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Conf {
@@ -154,6 +160,7 @@
                 other => return Err(bad(&format!("effect `{other}` is unknown"))),
             },
             in_order: p.in_turn,
+            retired: false,
         });
     }
     let family = &conf.family_info;
@@ -208,3 +215,16 @@
     };
     Ok((settings, shape))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    pub(crate) fn settings() -> (api::Settings, Shape) {
+        let text = r#"{"slotNo": 0, "nInstances": 2, "periodNs": 5, "areas": ["z"], "kinds": ["k"],
+            "profiles": [{"name": "a", "objectiveNs": 2, "deadlineNs": 20, "effect": "pure"}],
+            "familyInfo": {"workers": 4}, "limits": {"tryLimit": 6, "openCap": 300},
+            "rules": {"drainGraceNs": 1, "coldFrom": 0.25, "coldNs": 1, "tipMultiple": 1.5, "overloadForNs": 1}}"#;
+        read(text).expect("they are good")
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -2,6 +2,8 @@
 //!
 //! Times are whole nanoseconds of one clock of the caller's that never goes back; its origin is free.
 
+use std::sync::Arc;
+
 /// A point in time or a span, in nanoseconds.
 pub type Nanos = u64;
 /// A message, as the caller numbers it. No id is used twice in the life of a `Control`.
@@ -12,7 +14,7 @@
 pub type DestId = u64;
 
 /// What a repeated delivery of a message would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Effect {
     /// Repeats are harmless.
     Safe,
@@ -28,7 +30,7 @@
 }
 
 /// A class of message.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Class {
     /// Full worth is earned within this time of first being handed in.
     pub aim: Nanos,
@@ -42,6 +44,8 @@
     pub effect: Effect,
     /// Messages with the same key go one at a time, in the order taken.
     pub in_order: bool,
+    /// Nothing new is of it: it is here for the messages that still are.
+    pub retired: bool,
 }
 
 /// A tenant that shares the service.
@@ -333,6 +337,11 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
+    /// New settings take the place of those before. The classes that messages are of stand where they stood.
+    Settings {
+        /// All of them.
+        settings: Arc<Settings>,
+    },
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
     /// A note from another dispatcher.
--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,12 @@
     first.saturating_add(t1.saturating_mul((1u64 << k.min(40)) - 1))
 }
 
+/// A quarter of the shortest aim that new messages may have.
+fn t1(settings: &Settings) -> Nanos {
+    let aims = settings.classes.iter().filter(|c| !c.retired).map(|c| c.aim);
+    (aims.min().unwrap_or(SECOND as Nanos) / 4).max(1)
+}
+
 /// A destination, or a route of one whose endpoints are routes apart.
 type LaneId = (DestId, Option<EndpointId>);
 
@@ -368,10 +374,9 @@
 impl Control {
     /// A dispatcher that knows its settings and nothing else.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND as Nanos);
         Control {
             rng: Dice::seeded(seed),
-            t1: (aim / 4).max(1),
+            t1: t1(&settings),
             msgs: BTreeMap::new(),
             agenda: Agenda::default(),
             keys: BTreeMap::new(),
@@ -437,6 +442,12 @@
                     self.note_news(id);
                 }
             }
+            // What is open may have no try left by now, or has one again.
+            Event::Settings { settings } => {
+                (self.t1, self.set) = (t1(&settings), settings);
+                let open: Vec<MsgId> = self.msgs.keys().copied().collect();
+                open.into_iter().for_each(|id| self.track(now, id));
+            }
             Event::ListFailed => {
                 if self.set.subscribe {
                     self.subscribe_fails += 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 //!         late_worth: 0.5,
 //!         effect: Effect::Unsafe,
 //!         in_order: false,
+//!         retired: false,
 //!     }],
 //!     tenants: vec![],
 //!     over_share_worth: 1.0,
--- a/store/src/ledger.rs
+++ b/store/src/ledger.rs
@@ -41,6 +41,8 @@
 const NEXT_ID: &[u8] = b"next";
 const LIST: &[u8] = b"list";
 const MOVED: &[u8] = b"moved";
+/// The classes that messages name by position.
+const CLASSES: &[u8] = b"classes";
 /// Begins the keys of endpoints that are out by hand.
 const CORDON: &[u8] = b"cordon/";
 
@@ -717,6 +719,27 @@
         Some((source, index, all?))
     }
 
+    /// The classes that messages are of, as [`Self::note_classes`] wrote them.
+    pub fn classes(&self) -> Option<Bytes> {
+        self.store.get(META, CLASSES).ok().flatten()
+    }
+
+    /// Notes the classes that messages are of, for whoever reads their positions after a restart.
+    ///
+    /// # Errors
+    /// [`Error::Full`] where there is no room beside what is promised; else as for [`Store::apply`].
+    pub fn note_classes(&mut self, classes: &[u8]) -> Result<(), Error> {
+        if self.classes().as_deref() == Some(classes) {
+            return Ok(());
+        }
+        let mut batch = Batch::new();
+        batch.put(META, CLASSES, classes);
+        if !self.store.has_room(batch.bytes().len(), self.promised(0)) {
+            return Err(Error::Full);
+        }
+        self.store.apply(&batch).map(drop)
+    }
+
     /// Notes that an endpoint is out by hand, or back.
     ///
     /// # Errors
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,15 @@
 pub const S: Nanos = 1_000 * MS;
 
 pub fn class(effect: Effect) -> Class {
-    Class { aim: 2 * S, deadline: 20 * S, worth: 1.0, late_worth: 0.5, effect, in_order: false }
+    Class {
+        aim: 2 * S,
+        deadline: 20 * S,
+        worth: 1.0,
+        late_worth: 0.5,
+        effect,
+        in_order: false,
+        retired: false,
+    }
 }
 
 /// T1 is 500 ms under these settings. Classes: 0 safe, 1 keyed, 2 unsafe, 3 keyed and in order.
