--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -7,13 +7,13 @@
 
 use millpost::api::{EndpointId, Event, MsgId, Nanos, Outcome, Report, State};
 use millpost_store::ledger::Final;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::shelf::Act;
 use crate::{Behind, CallId, Carried, Change, Core, Effect, Fault, Moment};
 
 /// How the call of one message ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
     /// How.
     pub outcome: Outcome,
@@ -28,7 +28,7 @@
 }
 
 /// How a call ended for the messages in it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fate {
     /// All fared alike.
     All(End),
@@ -52,7 +52,7 @@
 }
 
 /// How a call ended.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ended {
     /// For the messages in it.
     pub fate: Fate,
@@ -70,14 +70,14 @@
 }
 
 /// The attempt of a message in a call.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct Member {
     id: MsgId,
     attempt: u32,
 }
 
 /// A call that the module has asked for and that has no outcome yet.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Call {
     /// The messages in it: one, or several where the kind of endpoint takes that.
     members: Vec<Member>,
@@ -88,7 +88,7 @@
     sent: Nanos,
     until: Nanos,
     /// Its attempts are in the journal.
-    begun: bool,
+    pub(crate) begun: bool,
 }
 
 /// The body of a call holds no more than so many bytes, as any other.
@@ -106,6 +106,13 @@
     encoded.saturating_add(text).saturating_add(r#"{"id":"","key":"","body":""},"#.len())
 }
 
+impl Call {
+    /// Has a connection found for it.
+    pub(crate) fn connect(&self, call: CallId, fresh: bool) -> Effect {
+        Effect::Connect { call, endpoint: self.endpoint, sure: true, fresh, until: self.until }
+    }
+}
+
 impl Core {
     /// Begins what the module sends to one endpoint in one round.
     pub(crate) fn begin(&mut self, at: Moment, endpoint: EndpointId, messages: &[(MsgId, Nanos)]) {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod call;
 mod faults;
 mod message;
+mod moved;
 pub mod shelf;
 mod tally;
 
@@ -30,6 +31,7 @@
 pub use faults::Fault;
 use message::Held;
 pub use message::{Handed, Verdict};
+pub use moved::{LAYOUT, Moved};
 pub use shelf::{Behind, Change, Ready, Shelf};
 pub use tally::{Count, Tally};
 
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -6,13 +6,13 @@
 use bytes::Bytes;
 use millpost::api::{DestId, Effect as Repeats, Event, MsgId, Nanos};
 use millpost_store::ledger::{Answer, Final, Found, History, Taken};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::shelf::Act;
 use crate::{Behind, Carried, Change, Core, Effect, Fault, KEEP_ANSWER, Moment, ReplyId};
 
 /// What a client hands in.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handed {
     /// Its id at its client.
     pub reference: String,
@@ -31,7 +31,7 @@
 }
 
 /// What a client is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
     /// Taken on.
     Taken,
@@ -47,7 +47,7 @@
 }
 
 /// A message that is owed its end.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Held {
     pub reference: String,
     pub class: usize,
--- a/dispatcher/src/calls.rs
+++ b/dispatcher/src/calls.rs
@@ -113,6 +113,11 @@
         self.connect_within = Duration::from_nanos(connect);
     }
 
+    /// Calls that were written and have no end yet.
+    pub fn written(&self) -> impl Iterator<Item = CallId> + '_ {
+        self.carriers.iter().filter(|(_, carrier)| carrier.call_off.is_some()).map(|(call, _)| *call)
+    }
+
     /// Messages that were written whole to endpoints.
     pub fn sent(&self) -> &Sent {
         &self.sent
--- a/dispatcher/src/clock.rs
+++ b/dispatcher/src/clock.rs
@@ -22,6 +22,10 @@
     pub fn new(latest: Nanos) -> Self {
         Clock { start: Instant::now(), origin: wall_now().max(latest) }
     }
+    /// The clock of another process that showed this, by both: it goes on from there.
+    pub fn going_on(now: Nanos, wall: Nanos) -> Self {
+        Clock { start: Instant::now(), origin: now.saturating_add(wall_now().saturating_sub(wall)) }
+    }
     /// Both clocks; the wall clock's time is never set back below where it was.
     pub fn moment(&self) -> Moment {
         let now = self.origin + self.start.elapsed().as_nanos() as Nanos;
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -81,7 +81,7 @@
     pub shape: Shape,
     pub state: PathBuf,
     /// The file as it stands, for comparing the next one with.
-    text: Value,
+    pub text: Value,
 }
 
 /// The seed is a number in hexadecimal; any other text is hashed to one.
@@ -113,6 +113,11 @@
     parse(path, state, &text, before)
 }
 
+/// A configuration that another process had in force.
+pub fn of_before(text: &str) -> Result<Config, Error> {
+    parse("the configuration of before".into(), PathBuf::new(), text.as_bytes(), None)
+}
+
 fn parse(path: PathBuf, state: PathBuf, text: &[u8], before: Option<&Config>) -> Result<Config, Error> {
     let text: Value = serde_json::from_slice(text).map_err(|e| Error::Malformed(path.clone(), e))?;
     let bad = |wrong| Error::Wrong { path: path.clone(), wrong };
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -1,30 +1,38 @@
 //! The loop round the core: what happens goes in, and what the core wants done is carried out here, in its order.
 //! Nothing is decided here, and nothing is known of a message.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use millpost::Lesson;
 use millpost::api::{Event, Nanos, Outcome, Settings, State, Weights};
-use millpost_core::{Core, Count, Effect, Ended, Handed, Moment, ReplyId, Verdict};
+use millpost_core::{Core, Count, Effect, Ended, Handed, LAYOUT, Moment, Moved, ReplyId, Verdict};
+use millpost_handover::{Does, Frame, Giver, Heard, Moving};
 use millpost_settings::{Classes, Shape};
 use millpost_store::ledger::Found;
 use millpost_store::{Disk, Ledger, Seq, Synced};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
 use tokio::time::sleep_until;
 
 use crate::calls::{self, Calls};
 use crate::clock::Clock;
+use crate::config::Config;
 use crate::console;
 use crate::cordons::{Change, Cordons};
 use crate::discovery::List;
-use crate::intake::{Asked, Front};
+use crate::handover::{Heir, Line, WORD_WITHIN};
+use crate::hands::{Before, Done, Hands};
+use crate::intake::{Asked, Front, Phase};
 use crate::meter::{Part, within};
-use crate::notices::{Notice, Taken};
+use crate::notices::{self, Notice};
+use crate::opening::{self, Opening};
 use crate::peers::{Note, Peers};
 use crate::record::Record;
+use crate::room::Room;
 use crate::roster::Roster;
 
 /// Something that happened: each part tells its own kind.
@@ -36,7 +44,7 @@
     /// News of the list.
     Listed(List),
     /// The platform has taken notices.
-    Noticed(Taken),
+    Noticed(notices::Taken),
     /// A note from another dispatcher.
     Note(Note),
     /// The store's last writes last by now, or could not be made to.
@@ -45,6 +53,12 @@
     Console(console::Asked),
     /// New settings are in force from now on, or not at all.
     Settle(Settle),
+    /// Another process asks for the work.
+    Heir(Heir),
+    /// Said by the process before this one, which finishes what it has; `None` at its end.
+    Before(Option<Frame>),
+    /// Said by the process after this one, which owns the work; `None` at its end.
+    After(Option<Frame>),
     /// The process ends after this time.
     Stop { after: Duration },
 }
@@ -53,6 +67,8 @@
 pub struct Settle {
     pub settings: Settings,
     pub shape: Shape,
+    /// The file that they were in.
+    pub text: String,
     /// Why they could not be put in force, if so.
     pub done: oneshot::Sender<Result<(), &'static str>>,
 }
@@ -92,10 +108,11 @@
     Client(Asked),
     Calls(calls::Event),
     Listed(List),
-    Noticed(Taken),
+    Noticed(notices::Taken),
     Note(Note),
     Console(console::Asked),
-    Settle(Settle)
+    Settle(Settle),
+    Heir(Heir)
 );
 
 pub struct Driver {
@@ -111,7 +128,7 @@
     /// Notices that found no room in the queue yet.
     unsent: VecDeque<Notice>,
     /// Clients that wait for an answer.
-    replies: HashMap<ReplyId, oneshot::Sender<Verdict>>,
+    replies: HashMap<ReplyId, Waits>,
     next_reply: ReplyId,
     /// The classes that messages are of.
     classes: Classes,
@@ -120,6 +137,57 @@
     shared: console::Shared,
     /// Yeses that wait for what they stand for to last.
     granted: VecDeque<(Seq, oneshot::Sender<Result<(), String>>)>,
+    /// The configuration in force, the file as it stands, and the version of the list.
+    text: String,
+    index: Option<u64>,
+    /// The process before this one, while it finishes what it has.
+    before: Option<Before>,
+    heir: Option<Heir>,
+    opening: Opening,
+    standing: Standing,
+    room: Arc<Room>,
+}
+
+/// Where an answer goes.
+enum Waits {
+    /// To a client of this process.
+    Here(oneshot::Sender<Verdict>),
+    /// To one of the process before it.
+    There(u64),
+}
+
+/// How this process stands in the service, and the tasks that only an owner has.
+pub struct Standing {
+    pub ready: watch::Sender<bool>,
+    pub phase: watch::Sender<Phase>,
+    pub tasks: Vec<AbortHandle>,
+}
+
+/// What was taken over from the process before this one.
+pub struct Taken {
+    pub line: Line,
+    pub moving: Box<Moving>,
+    /// What it knew and the settings it had in force, where they could be read.
+    pub known: Option<(Moved, Config)>,
+}
+
+/// What came of giving the work away.
+enum Given {
+    /// Nobody took it.
+    Kept(Box<Driver>),
+    /// Another has it.
+    Away(Box<Hands>),
+    /// Neither: this process is no owner, and nobody's hands.
+    Lost(Stopped),
+}
+
+/// Why the driver stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// It was told to, or all that it had left to do for another owner is done.
+    Done,
+    /// The process is to be started afresh from the store, as after a crash.
+    StartAfresh,
 }
 
 /// What the driver is made of.
@@ -143,6 +211,12 @@
     /// What clients may name, for the intake.
     pub front: watch::Sender<Front>,
     pub descriptors: Descriptors,
+    /// The configuration, the file as it stands.
+    pub text: String,
+    pub taken: Option<Taken>,
+    pub opening: Opening,
+    pub standing: Standing,
+    pub room: Arc<Room>,
 }
 
 /// Shortest time between two rounds. What waits a whole tick goes out in bursts, for which connections must be opened.
@@ -173,19 +247,42 @@
             shared,
             front,
             descriptors,
+            text,
+            taken,
+            opening,
+            standing,
+            room,
         } = parts;
         let rated = settings.weights != Weights::Unknown;
         let cordons = Cordons::noted(ledger.cordons());
         // Positions of before are those that were noted; where none were, they are the configuration's.
         let mut classes = ledger.classes().and_then(|noted| Classes::read(&noted)).unwrap_or_default();
-        let open = found.iter().map(|found| found.taken.class as usize).collect();
-        classes.adopt(&settings, &shape, Some(&open));
-        let settings = classes.settings(settings);
+        let mut before = None;
+        let (mut core, mut moved, mut clock) = (None, None, Clock::new(latest));
+        if let Some(Taken { line, moving, known }) = taken {
+            let mut written = BTreeSet::new();
+            if let Some((state, config)) = known {
+                written.extend(moving.written.iter().copied());
+                core = Some(Core::take_over(classes.settings(config.settings), state, &written));
+                clock = Clock::going_on(moving.now, moving.wall);
+                moved = Some((moving, config.shape, config.text.to_string()));
+            }
+            before = Some(Before::new(line.run(told.clone(), Input::Before), written));
+        }
+        let core = core.unwrap_or_else(|| {
+            let open = found.iter().map(|found| found.taken.class as usize).collect();
+            classes.adopt(&settings, &shape, Some(&open));
+            Core::new(classes.settings(settings.clone()), seed, ledger.next_id())
+        });
+        let (own, own_text) = ((settings, shape.clone()), text);
+        let (shape, text) = moved
+            .as_ref()
+            .map_or((shape, own_text.clone()), |(_, shape, text)| (shape.clone(), text.clone()));
         front.send_replace(Front::new(&classes));
         let mut driver = Driver {
-            clock: Clock::new(latest),
-            tick: settings.tick.min(ROUND),
-            core: Core::new(settings, seed, ledger.next_id()),
+            clock,
+            tick: own.0.tick.min(ROUND),
+            core,
             record: Record::new(ledger),
             roster: Roster::new(shape, rated, source, cordons),
             told,
@@ -200,17 +297,37 @@
             descriptors,
             shared,
             granted: VecDeque::new(),
+            text,
+            index: None,
+            before,
+            heir: None,
+            opening,
+            standing,
+            room,
         };
         let at = driver.clock.moment();
-        // Where it can't be noted, it is as good as the configuration until that changes.
-        driver.record.note_classes(at, &driver.classes.write());
-        // Noted too: what discovery tells later are changes of it.
-        let known = driver.roster.newest(&driver.record, known);
-        driver.listed(at, known);
-        driver.recall(at);
-        driver.core.resume(at);
-        for found in found {
-            driver.core.restore(at, found);
+        if let Some((moving, ..)) = moved {
+            driver.index = moving.index;
+            // What can't be read is heard from discovery again, whole; until then nothing new has an address.
+            if !driver.roster.read(&moving.roster) {
+                eprintln!("handover: the list of endpoints can't be read");
+            }
+            // Its own file is in force from now on.
+            let (settings, shape) = own;
+            if let Err(why) = driver.settle(at, settings, shape, own_text) {
+                eprintln!("handover: the settings of before stay: {why}");
+            }
+        } else {
+            // Where it can't be noted, it is as good as the configuration until that changes.
+            driver.record.note_classes(at, &driver.classes.write());
+            // Noted too: what discovery tells later are changes of it.
+            let known = driver.roster.newest(&driver.record, known);
+            driver.listed(at, known);
+            driver.recall(at);
+            driver.core.resume(at);
+            for found in found {
+                driver.core.restore(at, found);
+            }
         }
         driver.carry(at);
         driver
@@ -231,7 +348,24 @@
     }
 
     /// Runs until the process is to end.
-    pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+    pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) -> Stopped {
+        loop {
+            let Some(heir) = self.serve(&mut inputs).await else { return Stopped::Done };
+            match self.give(heir).await {
+                Given::Kept(driver) => self = *driver,
+                Given::Away(hands) => {
+                    return match hands.run(&mut inputs).await {
+                        Done::Finished => Stopped::Done,
+                        Done::OwnerGone => Stopped::StartAfresh,
+                    };
+                }
+                Given::Lost(stopped) => return stopped,
+            }
+        }
+    }
+
+    /// Runs until the process is to end, or until another takes the work over.
+    async fn serve(&mut self, inputs: &mut mpsc::Receiver<Input>) -> Option<Heir> {
         let (mut asked, mut news, mut swept, mut told) = (0, true, self.clock.moment().now, 0);
         loop {
             let at = self.clock.moment();
@@ -258,7 +392,10 @@
             self.carry(at);
             self.sync(at);
             if self.core.done(at.now) {
-                return;
+                return None;
+            }
+            if let Some(heir) = self.heir.take() {
+                return Some(heir);
             }
             let wake = self.core.wake().unwrap_or(Nanos::MAX);
             let next = if due { asked + self.tick } else { wake.max(asked + self.tick) };
@@ -268,7 +405,7 @@
             tokio::select! {
                 biased;
                 input = inputs.recv() => {
-                    let Some(input) = input else { return };
+                    let input = input?;
                     self.take(input);
                     // What has come by now is taken in one go: what follows once a round is done once for all of it.
                     for _ in 1..BATCH {
@@ -297,7 +434,7 @@
             Input::Client(asked) => self.asked(at, asked),
             Input::Calls(event) => self.called(at, event),
             Input::Listed(list) => self.listed(at, list),
-            Input::Noticed(Taken(ids)) => ids.into_iter().for_each(|id| self.core.noticed(at, id)),
+            Input::Noticed(notices::Taken(ids)) => ids.into_iter().for_each(|id| self.core.noticed(at, id)),
             Input::Synced(synced) => {
                 for behind in self.record.synced(at, synced) {
                     self.core.unlasting(at, behind);
@@ -305,9 +442,13 @@
             }
             Input::Note(Note { from, bytes }) => self.core.on_event(at, Event::Note { from, bytes }),
             Input::Console(asked) => self.staff(at, asked),
-            Input::Settle(Settle { settings, shape, done }) => {
-                let _ = done.send(self.settle(at, settings, shape));
+            Input::Settle(Settle { settings, shape, text, done }) => {
+                let _ = done.send(self.settle(at, settings, shape, text));
             }
+            Input::Heir(heir) => self.asked_for_work(heir),
+            Input::Before(said) => self.before_said(at, said),
+            // Nobody comes after an owner.
+            Input::After(_) => {}
             Input::Stop { after } => self.core.stop(at, after.as_nanos() as Nanos),
         }
         self.carry(at);
@@ -319,12 +460,16 @@
         if reply.is_closed() {
             return;
         }
+        self.handed(at, handed, came.elapsed(), Waits::Here(reply));
+    }
+
+    fn handed(&mut self, at: Moment, handed: Handed, ago: Duration, waits: Waits) {
         let number = self.next_reply;
         self.next_reply += 1;
-        self.replies.insert(number, reply);
+        self.replies.insert(number, waits);
         let held = self.core.holds(&handed.reference);
         let ended = if held { None } else { self.record.final_answer(&handed.reference) };
-        let time_left = handed.time_left.saturating_sub(came.elapsed().as_nanos() as Nanos);
+        let time_left = handed.time_left.saturating_sub(ago.as_nanos() as Nanos);
         // A copy, so that no buffer that it was read into is kept for it.
         let body = Bytes::copy_from_slice(&handed.body);
         self.core.handed(at, Handed { time_left, body, ..handed }, ended, number);
@@ -363,6 +508,7 @@
 
     /// Takes in what discovery says.
     fn listed(&mut self, at: Moment, list: List) {
+        self.index = Some(list.index);
         let (whole, entries) = self.roster.listed(at, &mut self.record, list);
         // Connections to an endpoint that takes nothing more are closed. They would hold descriptors here and
         // places there until they are too old.
@@ -370,8 +516,128 @@
         self.core.listed(at, whole, entries);
     }
 
+    /// Somebody asks for the work. It is given away between two rounds, with nothing under way that hangs on the store,
+    /// and not while this process ends or has another before it.
+    fn asked_for_work(&mut self, mut heir: Heir) {
+        let busy =
+            self.heir.is_some() || self.before.is_some() || !self.granted.is_empty() || self.record.waits();
+        if busy || !self.core.at_rest() {
+            tokio::spawn(async move {
+                let _ = heir.0.say(&Frame::No("it is busy".to_owned())).await;
+            });
+        } else {
+            self.heir = Some(heir);
+        }
+    }
+
+    /// Gives the work away: the store first, then all that is known.
+    async fn give(self, Heir(mut line): Heir) -> Given {
+        let (mut giver, at) = (Giver::default(), self.clock.moment());
+        let mark = self.record.ledger().owner();
+        let fit = self.core.at_rest() && !self.record.waits();
+        let core = postcard::to_stdvec(&self.core).ok().filter(|_| fit);
+        let (Some(core), Does::Offer) = (core, giver.heard(Heard::Asked { fit, mark })) else {
+            let _ = line.say(&Frame::No("it is busy".to_owned())).await;
+            return Given::Kept(Box::new(self));
+        };
+        let moving = Moving {
+            layout: LAYOUT,
+            now: at.now,
+            wall: at.wall,
+            core: core.into(),
+            roster: self.roster.write().into(),
+            written: self.calls.written().collect(),
+            config: self.text.clone(),
+            source: self.roster.source().to_owned(),
+            index: self.index,
+            clients: self.room.taken(),
+            mark,
+        };
+        eprintln!("handover: the work is offered");
+        drop(self.record);
+        let said = line.say(&Frame::Offer(Box::new(moving))).await;
+        let heard = match said {
+            Ok(()) => line.hear_within(WORD_WITHIN).await,
+            Err(e) => Err(e),
+        };
+        if let Ok(Frame::Mine { afresh }) = heard {
+            giver.heard(Heard::Mine);
+            let say = line.run(self.told.clone(), Input::After);
+            self.standing.ready.send_replace(false);
+            self.standing.phase.send_replace(Phase::Handed);
+            self.standing.tasks.iter().for_each(AbortHandle::abort);
+            eprintln!("handover: the work is another's");
+            let mut hands = Hands::new(self.calls, say, self.room, self.shared);
+            if afresh {
+                hands.break_off();
+            }
+            return Given::Away(Box::new(hands));
+        }
+        // Gone, or too slow: it must not wake up later and take what is not offered any more.
+        drop(line);
+        giver.heard(Heard::TakerGone);
+        let reopened = self.opening.open(opening::AWHILE);
+        let mark = reopened.as_ref().ok().map(|(ledger, _)| ledger.owner());
+        match (giver.heard(Heard::Reopened(mark)), reopened) {
+            (Does::GoOn, Ok((ledger, _))) => {
+                eprintln!("handover: nobody took the work; it goes on here");
+                Given::Kept(Box::new(Driver { record: Record::new(ledger), ..self }))
+            }
+            (Does::StartAfresh, _) => Given::Lost(Stopped::StartAfresh),
+            (_, opened) => {
+                if let Err(e) = opened {
+                    eprintln!("handover: {e}");
+                }
+                Given::Lost(Stopped::Done)
+            }
+        }
+    }
+
+    /// What the process before this one says.
+    fn before_said(&mut self, at: Moment, said: Option<Frame>) {
+        let Some(before) = &mut self.before else { return };
+        match said {
+            Some(Frame::Handed { number, ago, handed }) => {
+                self.handed(at, *handed, Duration::from_nanos(ago), Waits::There(number));
+            }
+            Some(Frame::Heard { number, heard }) => {
+                if let Some(id) = before.unheard.remove(&number) {
+                    self.core.replied(at, id, heard);
+                }
+            }
+            Some(Frame::Ended { call, ended }) if before.written.remove(&call) => {
+                self.core.ended(at, call, ended);
+            }
+            Some(Frame::Unsent { call, fresh }) if before.written.remove(&call) => {
+                self.core.unsent(at, call, fresh);
+            }
+            Some(Frame::Maintain { number, id, out }) => {
+                let (done, answer) = oneshot::channel();
+                before.maintained(number, answer);
+                self.staff(at, console::Asked::Maintain { id, out, done });
+            }
+            Some(_) => {}
+            None => {
+                eprintln!("handover: the process of before is gone");
+                let (written, unheard) =
+                    (std::mem::take(&mut before.written), std::mem::take(&mut before.unheard));
+                self.before = None;
+                self.core.lost(at, &written);
+                // They may have heard, and then hand nothing in again.
+                unheard.into_values().for_each(|id| self.core.replied(at, id, true));
+                self.room.set_most(self.descriptors.clients);
+            }
+        }
+    }
+
     /// Puts settings in force, all in one step or not at all. What is open keeps the class that it was taken under.
-    fn settle(&mut self, at: Moment, settings: Settings, shape: Shape) -> Result<(), &'static str> {
+    fn settle(
+        &mut self,
+        at: Moment,
+        settings: Settings,
+        shape: Shape,
+        text: String,
+    ) -> Result<(), &'static str> {
         let mut classes = self.classes.clone();
         classes.adopt(&settings, &shape, None);
         // Before any message is of a new class.
@@ -386,6 +652,7 @@
         self.calls.settle_on(idle, settings.keepalive, settings.connect_timeout);
         self.roster.settle_on(shape);
         self.core.settle_on(at, settings);
+        self.text = text;
         Ok(())
     }
 
@@ -485,7 +752,16 @@
             },
             Effect::After(behind) => self.record.put(None, behind),
             Effect::Reply { reply, verdict, taken } => {
-                let heard = self.replies.remove(&reply).is_some_and(|reply| reply.send(verdict).is_ok());
+                let heard = match self.replies.remove(&reply) {
+                    Some(Waits::Here(reply)) => reply.send(verdict).is_ok(),
+                    Some(Waits::There(number)) => match &mut self.before {
+                        // Whether it heard is told later.
+                        Some(before) => return before.verdict(number, verdict, taken),
+                        // It may have.
+                        None => true,
+                    },
+                    None => false,
+                };
                 if let Some(id) = taken {
                     within(Part::Module, || self.core.replied(at, id, heard));
                 }
@@ -506,7 +782,10 @@
                 }
             }
             Effect::Release { call } => self.calls.release(call, |endpoint| self.roster.ready(endpoint)),
-            Effect::CallOff { call } => self.calls.call_off(call),
+            Effect::CallOff { call } => match &self.before {
+                Some(before) if before.written.contains(&call) => before.say(Frame::CallOff { call }),
+                _ => self.calls.call_off(call),
+            },
             Effect::Probe { endpoint } => {
                 if let Some(address) = self.roster.address(endpoint) {
                     self.calls.probe(endpoint, address);
--- a/dispatcher/src/intake.rs
+++ b/dispatcher/src/intake.rs
@@ -56,6 +56,8 @@
     Serving,
     /// Every answer closes its connection.
     Leaving,
+    /// Another process accepts connections; what comes on these is passed on to it, and every answer closes one.
+    Handed,
     /// Idle connections are closed, and no new ones are accepted.
     Closing,
 }
@@ -93,26 +95,26 @@
     phase: watch::Receiver<Phase>,
 }
 
-/// Serves clients on `listener`, `most` connections at once, until the phase is `Closing` and every connection has
+/// Serves clients on `listener`, as many at once as there is room for, until the phase is `Closing` and every connection has
 /// ended. A client that comes later is refused its connection, and so knows that its message is not here.
 pub async fn serve<I: From<Asked> + Send + 'static>(
     listener: TcpListener,
-    most: usize,
+    room: Arc<Room>,
     front: watch::Receiver<Front>,
     told: mpsc::Sender<I>,
     mut phase: watch::Receiver<Phase>,
 ) {
     let intake = Arc::new(Intake { front, told, phase: phase.clone() });
-    let room = Room::new(most);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|p| *p >= Phase::Closing) => break,
+            _ = phase.wait_for(|p| *p >= Phase::Handed) => break,
         };
         match accepted {
             Ok((stream, _)) => {
                 let (seat, leave) = tokio::select! {
                     entered = room.enter() => entered,
+                    // One that was accepted is served here: nobody else can.
                     _ = phase.wait_for(|p| *p >= Phase::Closing) => break,
                 };
                 let intake = intake.clone();
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -1,5 +1,6 @@
 //! The millpost dispatcher: takes messages from clients, and delivers them to partners' endpoints.
 
+mod adopt;
 mod batch;
 mod calls;
 mod clock;
@@ -8,10 +9,13 @@
 mod cordons;
 mod discovery;
 mod driver;
+mod handover;
+mod hands;
 mod intake;
 mod link;
 mod meter;
 mod notices;
+mod opening;
 mod options;
 mod peers;
 mod record;
@@ -22,27 +26,31 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::os::unix::process::CommandExt;
 use std::process::ExitCode;
 use std::time::Duration;
 
-use bytes::Bytes;
-use millpost_store::{Disk, Ledger, journal, ledger};
+use millpost_core::{LAYOUT, Moved};
+use millpost_handover::{Frame, Moving};
+use millpost_store::{Disk, Ledger, ledger};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
-use clock::wall_now;
 use config::Config;
-use driver::{Descriptors, Driver, Input, Parts, Settle};
+use driver::{Descriptors, Driver, Input, Parts, Settle, Standing, Stopped, Taken};
 use intake::{Front, Phase};
+use opening::Opening;
 use options::{Asked, Options};
+use room::Room;
 
 /// After SIGTERM new connections still come for a while; so long, kept ones are answered as usual.
 const LEAVE: Duration = Duration::from_millis(700);
 /// When the driver stops after SIGTERM, before a SIGKILL can come.
 const STOP: Duration = Duration::from_millis(3_300);
+/// After it a process that gave the work away closes the connections that clients still have.
+const FINISH: Duration = Duration::from_millis(2_900);
 const LAST: Duration = Duration::from_millis(200);
 
 #[derive(Debug, thiserror::Error)]
@@ -51,10 +59,10 @@
     Config(#[from] config::Error),
     #[error(transparent)]
     Options(#[from] options::Error),
-    #[error("store: {0}")]
-    Store(#[from] millpost_store::Error),
-    #[error("store: {0}")]
-    Folder(io::Error),
+    #[error(transparent)]
+    Opening(#[from] opening::Error),
+    #[error(transparent)]
+    Adopt(#[from] adopt::Error),
     #[error("console: {0}: {1}")]
     Console(SocketAddr, io::Error),
     #[error("settings: {0}")]
@@ -93,42 +101,63 @@
     runtime.block_on(serve(options))
 }
 
-/// Opens the store; what an old journal holds moves in at the first start.
-fn open_store(config: &Config, options: &Options) -> Result<(Ledger<Disk>, ledger::Opened), Error> {
-    let limit = (config.limits.disk_mb * 1e6) as u64;
-    let folder = Disk::open(&config.state).map_err(Error::Folder)?;
-    let file = |name| config.state.join(name);
-    let old = match std::fs::read(file(journal::FILE)) {
-        Ok(data) => Some(Bytes::from(data)),
-        Err(e) if e.kind() == io::ErrorKind::NotFound => None,
-        Err(e) => return Err(Error::Folder(e)),
-    };
-    remove(&file(journal::NEW_FILE))?;
-    // Both are there for a while, and take room together.
-    let room = limit.saturating_sub(old.as_ref().map_or(0, |data| data.len().next_multiple_of(512) as u64));
-    let store = millpost_store::Options::new(room, options.durability);
-    let fresh_id = wall_now() ^ config.seed;
-    let (mut ledger, opened) =
-        Ledger::open(folder, store, wall_now(), fresh_id, old.as_ref().map(journal::read))?;
-    remove(&file(journal::FILE))?;
-    ledger.store_mut().set_limit(limit);
-    if opened.moved > 0 {
-        eprintln!("store: {} messages of the old journal moved in", opened.moved);
-    }
-    for damage in &opened.recovery.damage {
-        eprintln!("store: {damage}; any message from before may have run");
+/// What a start begins with.
+struct Begun {
+    ledger: Ledger<Disk>,
+    opened: ledger::Opened,
+    taken: Option<Taken>,
+}
+
+/// A second start is one that replaces the first, and waits for it to be ready for that no longer than this.
+const REPLACE_WITHIN: Duration = Duration::from_secs(10);
+const AGAIN: Duration = Duration::from_millis(50);
+
+/// Becomes the owner of the folder: nobody else is, or the one that is gives the work away. Only where there is a
+/// console does a process replace another; elsewhere a second start is a mistake.
+async fn begin(config: &Config, opening: &Opening) -> Result<Begun, Error> {
+    if config.console.is_none() {
+        let (ledger, opened) = opening.open(opening::AWHILE)?;
+        return Ok(Begun { ledger, opened, taken: None });
     }
-    if !opened.found.is_empty() {
-        eprintln!("the store holds {} messages", opened.found.len());
+    let until = Instant::now() + REPLACE_WITHIN;
+    loop {
+        match opening.open(Duration::ZERO) {
+            Ok((mut ledger, opened)) => {
+                ledger.own(opening.mark()).map_err(opening::Error::Store)?;
+                return Ok(Begun { ledger, opened, taken: None });
+            }
+            Err(e) if e.is_held() && Instant::now() < until => {}
+            Err(e) => return Err(e.into()),
+        }
+        if let Some((mut line, moving)) = handover::ask(&config.state, &config.name).await {
+            // The other one waits with the store closed. Whatever goes wrong here gives it back.
+            let (mut ledger, opened) = opening.open(opening::AWHILE)?;
+            let known = read_state(&moving)
+                .inspect_err(|why| eprintln!("handover: from the store alone: {why}"))
+                .ok();
+            ledger.own(opening.mark()).map_err(opening::Error::Store)?;
+            // Where it can't hear this any more it has ended, and this process is the owner all the same.
+            let _ = line.say(&Frame::Mine { afresh: known.is_none() }).await;
+            eprintln!("handover: the work is taken over");
+            return Ok(Begun { ledger, opened, taken: Some(Taken { line, moving, known }) });
+        }
+        sleep(AGAIN).await;
     }
-    Ok((ledger, opened))
 }
 
-fn remove(file: &Path) -> Result<(), Error> {
-    match std::fs::remove_file(file) {
-        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(Error::Folder(e)),
-        _ => Ok(()),
+fn read_state(moving: &Moving) -> Result<(Moved, Config), String> {
+    if moving.layout != LAYOUT {
+        return Err(format!("its layout is {}, and {LAYOUT} is known", moving.layout));
     }
+    let moved = postcard::from_bytes(&moving.core).map_err(|e| e.to_string())?;
+    let config = config::of_before(&moving.config).map_err(|e| e.to_string())?;
+    Ok((moved, config))
+}
+
+/// This process begins anew, as after a crash, under its own number.
+fn start_afresh() -> Error {
+    let arguments = std::env::args_os().skip(1);
+    Error::Io(std::process::Command::new("/proc/self/exe").args(arguments).exec())
 }
 
 async fn serve(options: Options) -> Result<(), Error> {
@@ -142,13 +171,21 @@
         let desk = console::Desk { ready: is_ready, shared: shared.clone(), told: told.clone() };
         console::open(address, desk).map_err(|e| Error::Console(address, e))?;
     }
-    let (ledger, opened) = open_store(&config, &options)?;
+    let inherited = adopt::listener(config.listen)?;
+    let opening = Opening::new(&config, options.durability);
+    let Begun { ledger, opened, taken } = begin(&config, &opening).await?;
     let settings = config.settings.clone();
-    let index = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
+    let known = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
+    let going_on = taken.as_ref().filter(|taken| taken.known.is_some()).map(|taken| &taken.moving);
+    let same_source = |moving: &Moving| moving.source == config.discovery.to_string();
+    let index = going_on.map_or(known, |moving| moving.index.filter(|_| same_source(moving)));
 
     let descriptors = Descriptors::new(config.limits.sockets, config.console.is_some());
     let idle = descriptors.idle(settings.slots);
     let (front, fronts) = watch::channel(Front::default());
+    // The limits bind both processes together for as long as there are two.
+    let theirs = taken.as_ref().map_or(0, |taken| taken.moving.clients.min(descriptors.clients / 2));
+    let room = Room::new(descriptors.clients - theirs);
 
     let (notices, due) = mpsc::channel(256);
     let peers = match (settings.allow.notes, config.peer_listen, config.peers_all) {
@@ -159,12 +196,36 @@
         }
         _ => None,
     };
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
+    let (address, addresses) = watch::channel(config.discovery);
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let retry = retry::Retry::new(settings.dispatchers, config.seed);
+    let mut tasks = vec![
+        tokio::spawn(discovery::watch(link::Agent::new(addresses.clone()), index, retry, told.clone()))
+            .abort_handle(),
+        tokio::spawn(notices::send(link::Agent::new(addresses), due, told.clone())).abort_handle(),
+    ];
+    if config.console.is_some() {
+        // Without it nothing is lost but the way to replace this process in service.
+        match handover::listen(&config.state, config.name.clone(), told.clone()) {
+            Ok(task) => tasks.push(task),
+            Err(e) => eprintln!("handover: {e}"),
+        }
+    }
     let driver = Driver::new(Parts {
         calls: calls::Calls::new(idle, settings.keepalive, settings.connect_timeout, told.clone()),
-        settings: settings.clone(),
+        settings,
         shape: config.shape.clone(),
         front,
         descriptors,
+        text: config.text.to_string(),
+        taken,
+        opening,
+        standing: Standing { ready: ready.clone(), phase: phase.clone(), tasks },
+        room: room.clone(),
         seed: config.seed,
         ledger,
         found: opened.found,
@@ -176,32 +237,37 @@
         notices,
         shared: shared.clone(),
     });
-    let listener = TcpListener::bind(config.listen).await?;
     let mut driver = tokio::spawn(meter::metered(meter::Part::Driver, driver.run(inputs)));
-    let (address, addresses) = watch::channel(config.discovery);
-    let retry = retry::Retry::new(settings.dispatchers, config.seed);
-    tokio::spawn(discovery::watch(link::Agent::new(addresses.clone()), index, retry, told.clone()));
-    tokio::spawn(notices::send(link::Agent::new(addresses), due, told.clone()));
     tokio::spawn(reload(hangup, config, told.clone(), address, shared));
-    let (phase, phases) = watch::channel(Phase::Serving);
     let told_by_clients = told.clone();
-    let intake = tokio::spawn(async move {
-        intake::serve(listener, descriptors.clients, fronts, told_by_clients, phases).await;
-    });
+    let intake =
+        tokio::spawn(async move { intake::serve(listener, room, fronts, told_by_clients, phases).await });
 
-    let _ = ready.send(true);
+    ready.send_replace(true);
     tokio::select! {
         _ = term.recv() => {}
-        // Never without being told to: better a restart than a process that answers and does nothing.
-        _ = &mut driver => return Err(Error::Driver),
+        stopped = &mut driver => return match stopped {
+            Ok(Stopped::StartAfresh) => Err(start_afresh()),
+            // Its successor serves, and nothing is left to do here.
+            Ok(Stopped::Done) if *phase.borrow() == Phase::Handed => Ok(()),
+            // Never without being told to: better a restart than a process that answers and does nothing.
+            _ => Err(Error::Driver),
+        },
     }
     eprintln!("told to stop");
-    let _ = ready.send(false);
+    ready.send_replace(false);
     let _ = told.send(Input::Stop { after: STOP }).await;
-    let _ = phase.send(Phase::Leaving);
-    sleep(LEAVE).await;
+    if *phase.borrow() == Phase::Handed {
+        // Clients' connections stay for as long as they can: one that is closed may cross a request.
+        let _ = timeout(FINISH, &mut driver).await;
+    } else {
+        let _ = phase.send(Phase::Leaving);
+        sleep(LEAVE).await;
+    }
     let _ = phase.send(Phase::Closing);
-    let _ = timeout(STOP, &mut driver).await;
+    if !driver.is_finished() {
+        let _ = timeout(STOP, &mut driver).await;
+    }
     // Whoever is still being read from is told to go elsewhere, now that nobody takes it; then the connections end.
     let _ = timeout(LAST, intake).await;
     meter::report();
@@ -238,7 +304,8 @@
 async fn put_in_force(config: &Config, told: &mpsc::Sender<Input>) -> Result<Config, Error> {
     let new = config::read_again(config)?;
     let (done, settled) = oneshot::channel();
-    let settle = Settle { settings: new.settings.clone(), shape: new.shape.clone(), done };
+    let settle =
+        Settle { settings: new.settings.clone(), shape: new.shape.clone(), text: new.text.to_string(), done };
     told.send(settle.into()).await.map_err(|_| Error::Driver)?;
     settled.await.map_err(|_| Error::Driver)?.map_err(Error::NotSettled)?;
     Ok(new)
--- a/dispatcher/src/room.rs
+++ b/dispatcher/src/room.rs
@@ -1,6 +1,7 @@
 //! Which of the clients' connections are kept: as many as there is room for, and who leaves when there is none.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -45,7 +46,7 @@
 
 /// The room for clients' connections.
 pub struct Room {
-    most: usize,
+    most: AtomicUsize,
     places: Mutex<Places>,
     freed: Notify,
 }
@@ -58,7 +59,18 @@
 
 impl Room {
     pub fn new(most: usize) -> Arc<Self> {
-        Arc::new(Room { most, places: Mutex::default(), freed: Notify::new() })
+        Arc::new(Room { most: AtomicUsize::new(most), places: Mutex::default(), freed: Notify::new() })
+    }
+
+    /// There is room for so many from now on.
+    pub fn set_most(&self, most: usize) {
+        self.most.store(most, Ordering::Relaxed);
+        self.freed.notify_waiters();
+    }
+
+    /// How many there are.
+    pub fn taken(&self) -> usize {
+        self.places().taken.len()
     }
 
     fn places(&self) -> MutexGuard<'_, Places> {
@@ -72,7 +84,7 @@
             let freed = self.freed.notified();
             {
                 let mut places = self.places();
-                if places.taken.len() < self.most {
+                if places.taken.len() < self.most.load(Ordering::Relaxed) {
                     let (leave, leaves) = oneshot::channel();
                     let number = places.next;
                     places.next += 1;
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -51,6 +51,30 @@
         self.shape = shape;
     }
 
+    /// As bytes, for the process that goes on.
+    pub fn write(&self) -> Vec<u8> {
+        let known: Vec<_> =
+            self.known.iter().map(|(id, known)| (*id, &known.name, known.address, known.entry)).collect();
+        postcard::to_stdvec(&(self.next, known)).unwrap_or_default()
+    }
+
+    /// Takes in what [`Self::write`] wrote; whether that could be read.
+    pub fn read(&mut self, bytes: &[u8]) -> bool {
+        type All = (EndpointId, Vec<(EndpointId, String, SocketAddr, Entry)>);
+        let Ok((next, known)) = postcard::from_bytes::<All>(bytes) else { return false };
+        self.next = next;
+        for (id, name, address, entry) in known {
+            self.names.insert(name.clone(), id);
+            self.known.insert(id, Known { name, address, entry });
+        }
+        true
+    }
+
+    /// Whose list it is.
+    pub fn source(&self) -> &str {
+        &self.source
+    }
+
     /// Where an endpoint listens.
     pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
         self.known.get(&endpoint).map(|known| known.address)
--- a/src/agenda.rs
+++ b/src/agenda.rs
@@ -10,7 +10,8 @@
 use crate::api::{DestId, MsgId, Nanos};
 
 /// Keys with a time each.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(bound(deserialize = "K: Ord + serde::Deserialize<'de>"))]
 pub(crate) struct Timers<K> {
     order: BTreeSet<(Nanos, K)>,
     at: BTreeMap<K, Nanos>,
@@ -55,7 +56,7 @@
 }
 
 /// The agenda of one dispatcher.
-#[derive(Clone, Default, Debug, serde::Serialize)]
+#[derive(Clone, Default, Debug, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Agenda {
     held: BTreeSet<(DestId, MsgId)>,
     ready: BTreeSet<(DestId, MsgId)>,
--- a/src/api.rs
+++ b/src/api.rs
@@ -49,14 +49,14 @@
 }
 
 /// A tenant that shares the service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Tenant {
     /// Messages a second, over all dispatchers, that count in full; 0 where there is no bound.
     pub quota_per_s: f64,
 }
 
 /// What is known of a kind of destination.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Kind {
     /// Messages that one call may carry.
     pub bundle: usize,
@@ -65,7 +65,7 @@
 }
 
 /// How worth falls once the aim has passed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Late {
     /// Evenly, down to `late_worth` at the deadline.
     Even,
@@ -74,7 +74,7 @@
 }
 
 /// What the weight of a listed endpoint means.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Weights {
     /// Nothing.
     Unknown,
@@ -85,7 +85,7 @@
 }
 
 /// What a dispatcher may do.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Allow {
     /// Probe an endpoint.
     pub probes: bool,
@@ -98,7 +98,7 @@
 }
 
 /// Figures of the rules.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Rules {
     /// A final answer still counts this long after the deadline.
     pub answer_grace: Nanos,
@@ -117,7 +117,7 @@
 }
 
 /// All that a dispatcher is told at start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Settings {
     /// Own number among the dispatchers, from 0.
     pub me: usize,
@@ -160,7 +160,7 @@
 }
 
 /// How an attempt, or a probe, ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Served,
@@ -194,7 +194,7 @@
 }
 
 /// A load report that came with an answer.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// Share of the destination's allowance that is left.
     pub share_left: f64,
@@ -203,7 +203,7 @@
 }
 
 /// State of a listed endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum State {
     /// Listed; says nothing of its health.
     Ready,
@@ -214,7 +214,7 @@
 }
 
 /// An entry of the list of endpoints.
-#[derive(Clone, Copy, Debug, serde::Serialize)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// The endpoint.
     pub endpoint: EndpointId,
--- a/src/control.rs
+++ b/src/control.rs
@@ -19,6 +19,7 @@
 mod inspect;
 mod learnt;
 mod lesson;
+pub use inspect::Frozen;
 pub use lesson::Lesson;
 use lesson::News;
 
@@ -53,7 +54,7 @@
 /// A destination, or a route of one whose endpoints are routes apart.
 type LaneId = (DestId, Option<EndpointId>);
 
-#[derive(Clone, Debug, Default, serde::Serialize)]
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 struct Lane {
     /// Lowest latency of the running and of the previous span.
     floors: [Option<Nanos>; 2],
@@ -103,7 +104,7 @@
     news: News,
 }
 
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 struct Endpoint {
     lane: LaneId,
     zone: usize,
@@ -116,14 +117,14 @@
 }
 
 /// An attempt that is out.
-#[derive(Clone, Copy, Debug, serde::Serialize)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
 struct Out {
     endpoint: EndpointId,
     call: u64,
     sent: Nanos,
 }
 
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 struct Msg {
     class: usize,
     key: Option<u64>,
@@ -142,7 +143,7 @@
     ended: bool,
 }
 
-#[derive(Clone, Debug, Default, serde::Serialize)]
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 struct KeyLine {
     line: VecDeque<MsgId>,
     rest_until: Nanos,
--- a/src/control/inspect.rs
+++ b/src/control/inspect.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use serde::{Serialize, Serializer};
+use serde::{Deserialize, Serialize, Serializer};
 
 use super::*;
 
@@ -38,12 +38,57 @@
     ($control:expr, $tell:expr) => {{
         let c = $control;
         let messages = (&c.msgs, &c.agenda, &c.keys, &c.rests, &c.calls, c.next_call);
-        let destinations = (&c.lanes, &c.busy, &c.unlisted, &c.endpoints, &c.leaving, &c.by_dest);
+        let destinations = ((&c.lanes, &c.busy, &c.unlisted), (&c.endpoints, &c.leaving, &c.by_dest));
         let times = (c.subscribe_at, c.subscribe_fails, c.wake_at, c.stops_at, c.unsure_until);
         $tell(&(&c.rng, messages, destinations, times, &c.news, c.grave))
     }};
 }
 
+type Messages =
+    (BTreeMap<MsgId, Msg>, Agenda, BTreeMap<u64, KeyLine>, Timers<u64>, BTreeMap<u64, usize>, u64);
+type Endpoints = (BTreeMap<EndpointId, Endpoint>, BTreeSet<EndpointId>, BTreeSet<(DestId, EndpointId)>);
+type Lanes = (BTreeMap<LaneId, Lane>, BTreeSet<LaneId>, BTreeSet<LaneId>);
+type Times = (Nanos, u32, Nanos, Nanos, Nanos);
+
+/// A module as it was written, without its settings.
+#[derive(Deserialize)]
+pub struct Frozen(Dice, Messages, (Lanes, Endpoints), Times, BTreeMap<LaneId, News>, bool);
+
+impl Control {
+    /// Goes on where the module that was written stopped. The process that goes on does not end.
+    pub fn thaw(settings: Arc<Settings>, frozen: Frozen) -> Self {
+        let Frozen(rng, messages, (lanes, endpoints), times, news, grave) = frozen;
+        let (msgs, agenda, keys, rests, calls, next_call) = messages;
+        let ((lanes, busy, unlisted), (endpoints, leaving, by_dest)) = (lanes, endpoints);
+        let (subscribe_at, subscribe_fails, wake_at, _, unsure_until) = times;
+        let (t1, set, stops_at) = (t1(&settings), settings, NEVER);
+        Control {
+            set,
+            rng,
+            t1,
+            msgs,
+            agenda,
+            keys,
+            rests,
+            lanes,
+            busy,
+            unlisted,
+            endpoints,
+            leaving,
+            by_dest,
+            calls,
+            next_call,
+            subscribe_at,
+            subscribe_fails,
+            wake_at,
+            news,
+            grave,
+            stops_at,
+            unsure_until,
+        }
+    }
+}
+
 impl fmt::Debug for Control {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         told!(self, |all: &dyn fmt::Debug| all.fmt(f))
--- a/src/control/lesson.rs
+++ b/src/control/lesson.rs
@@ -7,7 +7,9 @@
 const VERSION: u8 = 1;
 
 /// Which lessons the caller should be given, and when.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub(super) enum News {
     #[default]
     None,
--- a/src/dice.rs
+++ b/src/dice.rs
@@ -7,7 +7,7 @@
 use crate::Control;
 
 /// The source of a module's random numbers.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub enum Dice {
     /// A generator with a seed.
     Seeded(Pcg64Mcg),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,5 +78,5 @@
 mod dice;
 mod measure;
 
-pub use control::{Control, Lesson, doubled_time, retry_probability};
+pub use control::{Control, Frozen, Lesson, doubled_time, retry_probability};
 pub use dice::Dice;
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -6,7 +6,7 @@
 const SECOND: f64 = 1e9;
 
 /// A token bucket: the pace and the cold budget are each one.
-#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Bucket {
     pub tokens: f64,
     pub at: Nanos,
--- a/store/src/folder.rs
+++ b/store/src/folder.rs
@@ -95,6 +95,14 @@
     /// # Errors
     /// [`io::ErrorKind::WouldBlock`] where another process holds it.
     pub fn open(path: &Path) -> io::Result<Self> {
+        Self::open_within(path, LOCK_WITHIN)
+    }
+
+    /// The same, waiting no longer than this for another process to let go of it.
+    ///
+    /// # Errors
+    /// As there.
+    pub fn open_within(path: &Path, within: Duration) -> io::Result<Self> {
         fs::create_dir_all(path)?;
         let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join(LOCK))?;
         let began = Instant::now();
@@ -108,7 +116,7 @@
                     });
                 }
                 // A process that is just ending, or one that is between fork and exec, holds it a little longer.
-                Err(TryLockError::WouldBlock) if began.elapsed() < LOCK_WITHIN => thread::sleep(LOCK_AGAIN),
+                Err(TryLockError::WouldBlock) if began.elapsed() < within => thread::sleep(LOCK_AGAIN),
                 Err(TryLockError::WouldBlock) => {
                     let why = format!("{} is in use by another process", path.display());
                     return Err(io::Error::new(io::ErrorKind::WouldBlock, why));
--- a/store/src/ledger.rs
+++ b/store/src/ledger.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::folder::Folder;
 use crate::format::{Batch, FRAME_HEAD, PUT_HEAD, Seq};
@@ -41,6 +41,8 @@
 const NEXT_ID: &[u8] = b"next";
 const LIST: &[u8] = b"list";
 const MOVED: &[u8] = b"moved";
+/// Differs with each process that became the owner.
+const OWNER: &[u8] = b"owner";
 /// The classes that messages name by position.
 const CLASSES: &[u8] = b"classes";
 /// Begins the keys of endpoints that are out by hand.
@@ -88,7 +90,7 @@
 }
 
 /// A final answer that ends a message without delivery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// Given up, nothing promised.
     Failed,
@@ -719,6 +721,20 @@
         Some((source, index, all?))
     }
 
+    /// The mark of the owner, 0 where there is none.
+    pub fn owner(&self) -> u64 {
+        let mark = self.store.get(META, OWNER).ok().flatten();
+        mark.and_then(|mark| mark.as_ref().try_into().ok().map(u64::from_le_bytes)).unwrap_or(0)
+    }
+
+    /// Marks a new owner: whoever gave the store up sees from it that it was taken.
+    ///
+    /// # Errors
+    /// As for [`Store::apply`].
+    pub fn own(&mut self, mark: u64) -> Result<(), Error> {
+        self.store.apply(Batch::new().put(META, OWNER, &mark.to_le_bytes())).map(drop)
+    }
+
     /// The classes that messages are of, as [`Self::note_classes`] wrote them.
     pub fn classes(&self) -> Option<Bytes> {
         self.store.get(META, CLASSES).ok().flatten()
