--- a/standins/src/node.rs
+++ b/standins/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -45,6 +46,8 @@
     pub address: SocketAddr,
     /// Where it listens for the staff, if it does.
     pub console: Option<SocketAddr>,
+    /// The clients' listening socket, where every process inherits it.
+    listener: Option<TcpListener>,
     /// The folder that lasts.
     pub state: tempfile::TempDir,
     program: PathBuf,
@@ -80,7 +83,13 @@
     /// # Panics
     /// Where it can't be started.
     pub fn launch(spec: &Spec) -> Self {
-        let address = own_address();
+        // One with a console is run as a platform does that can replace it: it holds the listening socket.
+        let listener = spec.console.then(|| {
+            let listener = TcpListener::bind((own_address().ip(), 0)).expect("a port");
+            rustix::io::fcntl_setfd(&listener, rustix::io::FdFlags::empty()).expect("it can be inherited");
+            listener
+        });
+        let address = listener.as_ref().map_or_else(own_address, |l| l.local_addr().expect("an address"));
         let state = tempfile::tempdir().expect("a folder");
         let config = state.path().with_extension("json");
         let service = spec.service;
@@ -107,7 +116,7 @@
         });
         let console = spec.console.then(own_address);
         let mut command = command(spec.program, &config, state.path(), store.as_deref(), spec.log.as_deref());
-        command.envs(console.map(|address| ("NODE_CONSOLE", address.to_string())));
+        command.envs(in_service(console, listener.as_ref()));
         if let Some(bytes) = spec.file_bytes {
             // The limit is the shell's to set, and its signal to be ignored, before the program takes its place.
             let mut limited = Command::new("sh");
@@ -119,26 +128,61 @@
         }
         let child = command.spawn().expect("it starts");
         let program = spec.program.to_owned();
-        Node { address, console, state, program, config, store, log: spec.log.clone(), child }
+        Node { address, console, listener, state, program, config, store, log: spec.log.clone(), child }
     }
 
     fn command(&self) -> Command {
         let (store, log) = (self.store.as_deref(), self.log.as_deref());
         let mut command = command(&self.program, &self.config, self.state.path(), store, log);
-        command.envs(self.console.map(|address| ("NODE_CONSOLE", address.to_string())));
+        command.envs(in_service(self.console, self.listener.as_ref()));
         command
     }
 
+    /// Starts the program once more beside the process that runs, with a console of its own, without waiting for it.
+    ///
+    /// # Panics
+    /// Where it can't be started.
+    pub fn launch_beside(&mut self) -> Beside {
+        let console = own_address();
+        let mut command = self.command();
+        command.envs(in_service(Some(console), self.listener.as_ref()));
+        Beside { console, child: command.spawn().expect("it starts") }
+    }
+
+    /// Lets a process take this one's place; this one is given back.
+    ///
+    /// # Panics
+    /// Where this one has no console.
+    pub fn replace(&mut self, mut beside: Beside) -> Beside {
+        std::mem::swap(&mut self.child, &mut beside.child);
+        std::mem::swap(self.console.as_mut().expect("a console"), &mut beside.console);
+        beside
+    }
+
+    /// Replaces the process, as a platform does: the new one is ready, and the old one is given back.
+    ///
+    /// # Panics
+    /// When the new one ends, or is never ready.
+    pub fn upgrade(&mut self) -> Beside {
+        let mut beside = self.launch_beside();
+        until("the new process is ready", || {
+            assert!(beside.ended().is_none(), "it ended");
+            beside.staff("health").is_some_and(|answer| answer.starts_with("SUCCESS")).then_some(())
+        });
+        self.replace(beside)
+    }
+
     /// A line to its console: all that it answers, within a caller's one second.
     ///
     /// # Panics
     /// Where it has no console, or answers too late.
     pub fn staff(&self, line: &str) -> String {
-        let mut stream = TcpStream::connect(self.console.expect("a console")).expect("it listens");
-        stream.write_all(format!("{line}\n").as_bytes()).expect("sent");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer");
-        answer
+        staff(self.console.expect("a console"), line).expect("an answer")
+    }
+
+    /// The same, if it listens there now.
+    pub fn staff_now(&self, line: &str) -> Option<String> {
+        staff(self.console?, line).ok()
     }
 
     /// One of the figures that its console tells.
@@ -266,6 +310,61 @@
     }
 }
 
+/// A process beside another.
+pub struct Beside {
+    console: SocketAddr,
+    child: Child,
+}
+
+impl Beside {
+    /// A line to its console: what it answers, if it listens there yet.
+    pub fn staff(&self, line: &str) -> Option<String> {
+        staff(self.console, line).ok()
+    }
+
+    /// SIGTERM.
+    pub fn terminate(&self) {
+        let kill = format!("kill -TERM {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &kill]).status();
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// How it ended, if it has.
+    ///
+    /// # Panics
+    /// Where its state can't be had.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("its state")
+    }
+}
+
+impl Drop for Beside {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn staff(console: SocketAddr, line: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(console)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.write_all(format!("{line}\n").as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer)
+}
+
+/// What a process is told beside its configuration where it can be asked and replaced.
+fn in_service(console: Option<SocketAddr>, listener: Option<&TcpListener>) -> Vec<(&'static str, String)> {
+    let console = console.map(|address| ("NODE_CONSOLE", address.to_string()));
+    let listener = listener.map(|l| ("NODE_ACCEPT_FD", l.as_raw_fd().to_string()));
+    console.into_iter().chain(listener).collect()
+}
+
 fn command(program: &Path, config: &Path, state: &Path, store: Option<&Path>, log: Option<&Path>) -> Command {
     let mut command = Command::new(program);
     command.env("NODE_CONFIG", config).env("NODE_STATE", state);
