--- a/dispatcher/tests/kills.rs
+++ b/dispatcher/tests/kills.rs
@@ -102,7 +102,70 @@
     }
 }
 
-fn kills_under_load(kills: usize, options: Options) {
+/// What is done to the process, time after time.
+type Strike = fn(&mut Node, u64);
+
+/// SIGKILL, and a start.
+fn kill(node: &mut Node, _: u64) {
+    node.kill();
+    assert!(node.disk() <= 3_000_000);
+    node.start_again();
+}
+
+/// A new process takes over, and one of the two is killed or told to end, at any moment of the change.
+fn change(node: &mut Node, draw: u64) {
+    let moment = Duration::from_micros((draw >> 8) % 60_000);
+    let owner = |node: &mut Node| {
+        until("somebody is the owner", || {
+            assert!(node.ended().is_none(), "it ended");
+            node.staff_now("health").is_some_and(|answer| answer.starts_with("SUCCESS")).then_some(())
+        });
+    };
+    match draw % 5 {
+        // As the platform does it.
+        0 => {
+            let mut old = node.upgrade();
+            old.terminate();
+            until("it ends", || old.ended());
+        }
+        // The old one dies with what it had left, soon or late.
+        1 => {
+            let mut old = node.upgrade();
+            thread::sleep(moment / 4);
+            old.kill();
+        }
+        // The new one dies at any moment: before it asks, while it takes over, or as the owner. The old one goes on.
+        2 => {
+            let mut new = node.launch_beside();
+            thread::sleep(moment);
+            new.kill();
+            owner(node);
+        }
+        // The old one dies at any moment. The new one is the owner in the end.
+        3 => {
+            let mut new = node.launch_beside();
+            thread::sleep(moment);
+            node.kill();
+            until("the new one is the owner", || {
+                assert!(new.ended().is_none(), "it ended");
+                new.staff("health").is_some_and(|answer| answer.starts_with("SUCCESS")).then_some(())
+            });
+            drop(node.replace(new));
+        }
+        // Both die.
+        _ => {
+            let mut new = node.launch_beside();
+            thread::sleep(moment);
+            new.kill();
+            node.kill();
+            node.start_again();
+            owner(node);
+        }
+    }
+    assert!(node.disk() <= 3_000_000);
+}
+
+fn kills_under_load(kills: usize, options: Options, strike: Strike) {
     println!("seed {SEED}, {kills} kills");
     let discovery = Discovery::start();
     let done: Arc<Mutex<Done>> = Arc::default();
@@ -122,9 +185,7 @@
         .collect();
     for kill in 0..kills {
         thread::sleep(Duration::from_micros(2_000 + lot(SEED + 9, kill as u64) % 140_000));
-        node.kill();
-        assert!(node.disk() <= 3_000_000);
-        node.start_again();
+        strike(&mut node, lot(SEED + 10, kill as u64));
     }
     stop.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|client| client.join().expect("a client"));
@@ -165,11 +226,18 @@
 #[test]
 fn kills_at_random_moments_lose_nothing_and_double_nothing() {
     let kills = std::env::var("MILLPOST_KILLS").ok().and_then(|n| n.parse().ok()).unwrap_or(25);
-    kills_under_load(kills, Options::default());
+    kills_under_load(kills, Options::default(), kill);
 }
 
 #[test]
 fn nor_do_they_where_writes_are_synced() {
     let kills = std::env::var("MILLPOST_KILLS").ok().and_then(|n| n.parse().ok()).unwrap_or(10);
-    kills_under_load(kills, Options { store: Some("durability = \"machine\""), ..Options::default() });
+    kills_under_load(kills, Options { store: Some("durability = \"machine\""), ..Options::default() }, kill);
+}
+
+/// `MILLPOST_CHANGES=200 cargo test --release -p millpost-dispatcher --test kills change` is the long form.
+#[test]
+fn nor_do_changes_of_the_process_with_either_killed_at_random_moments() {
+    let changes = std::env::var("MILLPOST_CHANGES").ok().and_then(|n| n.parse().ok()).unwrap_or(20);
+    kills_under_load(changes, Options { console: true, ..Options::default() }, change);
 }
