--- a/core/src/faults.rs
+++ b/core/src/faults.rs
@@ -43,11 +43,15 @@
     ForgetOrder,
     /// A start does not let keys rest of which an attempt may still run. (A real fault once.)
     ForgetRests,
+    /// A process that takes the work over writes calls again that the one before has written.
+    WriteTheirs,
+    /// The calls of a process that is gone count as ones that never ran.
+    LostNeverRan,
 }
 
 impl Fault {
     /// All of them.
-    pub const ALL: [Fault; 20] = [
+    pub const ALL: [Fault; 22] = [
         Fault::TellBeforeTaking,
         Fault::WriteBeforeNoting,
         Fault::ForgetOut,
@@ -68,6 +72,8 @@
         Fault::OneWake,
         Fault::ForgetOrder,
         Fault::ForgetRests,
+        Fault::WriteTheirs,
+        Fault::LostNeverRan,
     ];
 }
 
--- a/core/src/moved.rs
+++ b/core/src/moved.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use millpost::api::{EndpointId, Entry, MsgId, Nanos, Settings};
+use millpost::api::{EndpointId, Entry, MsgId, Nanos, Outcome, Settings};
 use millpost::{Control, Frozen};
 use millpost_store::ledger::Answer;
 use serde::Deserialize;
@@ -15,7 +15,7 @@
 use crate::call::Call;
 use crate::message::Held;
 use crate::tally::Tally;
-use crate::{CallId, Core, Effect, Moment};
+use crate::{CallId, Core, Effect, Ended, Fault, Moment};
 
 /// The form of the bytes. Raised with any change of what a core or a module consists of: another version of the program
 /// reads none but its own.
@@ -79,9 +79,10 @@
 
     /// The process that finished these calls is gone: they may have run.
     pub fn lost(&mut self, at: Moment, calls: &BTreeSet<CallId>) {
+        let never = self.has(Fault::LostNeverRan);
+        let outcome = if never { Outcome::ConnectFailed } else { Outcome::Reset };
         for call in calls {
-            let ended = crate::Ended::without_answer(millpost::api::Outcome::Reset);
-            self.ended(at, *call, ended);
+            self.ended(at, *call, Ended::without_answer(outcome));
         }
     }
 }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -138,7 +138,6 @@
             ledger.own(opening.mark()).map_err(opening::Error::Store)?;
             // Where it can't hear this any more it has ended, and this process is the owner all the same.
             let _ = line.say(&Frame::Mine { afresh: known.is_none() }).await;
-            eprintln!("handover: the work is taken over");
             return Ok(Begun { ledger, opened, taken: Some(Taken { line, moving, known }) });
         }
         sleep(AGAIN).await;
@@ -215,6 +214,7 @@
             Err(e) => eprintln!("handover: {e}"),
         }
     }
+    let let_go = taken.as_ref().map(|taken| taken.moving.wall);
     let driver = Driver::new(Parts {
         calls: calls::Calls::new(idle, settings.keepalive, settings.connect_timeout, told.clone()),
         settings,
@@ -237,6 +237,10 @@
         notices,
         shared: shared.clone(),
     });
+    if let Some(at) = let_go {
+        let passed = clock::wall_now().saturating_sub(at) as f64 / 1e6;
+        eprintln!("handover: the work is taken over, {passed:.1} ms after it was let go");
+    }
     let mut driver = tokio::spawn(meter::metered(meter::Part::Driver, driver.run(inputs)));
     tokio::spawn(reload(hangup, config, told.clone(), address, shared));
     let told_by_clients = told.clone();
--- a/explore/src/cases.rs
+++ b/explore/src/cases.rs
@@ -40,6 +40,7 @@
     failing: 0,
     unheard: 0,
     lates: 0,
+    changes: 0,
 };
 
 /// One of each that the product asks for: a crash, a wait, a drain, an endpoint lost and back, a break at any byte.
@@ -101,6 +102,22 @@
         let late = Bounds { crashes: 0, breaks: 1, lates: 1, ..CALM };
         all.push(case(format!("two {class}, a break, a late effect, no crash"), &two, late));
     }
+    for (class, kinds) in CLASSES {
+        let two = [kinds[0]; 2];
+        let (changes, kinds) = if kinds[0].in_order() { (1, &two[..]) } else { (2, kinds) };
+        let change = Bounds { changes, endpoints: 1, ..CALM };
+        all.push(case(
+            format!("{class}, the process changes"),
+            kinds,
+            Bounds { crashes: 0, breaks: 1, ..change },
+        ));
+    }
+    for (class, kinds) in &CLASSES[..3] {
+        let change = Bounds { changes: 1, ..CALM };
+        all.push(case(format!("{class}, the process changes, a crash"), kinds, change));
+        let lates = Bounds { crashes: 0, lates: 1, waits: 1, ..change };
+        all.push(case(format!("{class}, the process changes, a wait, a late effect"), kinds, lates));
+    }
     all.push(Case { deviations: Some(2), ..case("one of each class, all, two steps off", &EACH, ALL) });
     all
 }
--- a/explore/src/step.rs
+++ b/explore/src/step.rs
@@ -39,6 +39,9 @@
     pub unheard: u8,
     /// Calls that were given up, or broke, and take effect only afterwards.
     pub lates: u8,
+    /// Changes of the process: a new one takes the work over, the old one finishes its calls.
+    #[serde(default)]
+    pub changes: u8,
 }
 
 /// A class of message, by what a repeat does.
@@ -162,6 +165,13 @@
         /// The word comes.
         heard: bool,
     },
+    /// A new process takes the work over; the old one finishes the calls that it has written.
+    Change,
+    /// The old process dies with the calls that it has left.
+    Gone {
+        /// What became of them, as in [`Crash::ran`].
+        ran: u16,
+    },
     /// What was written so far lasts.
     Sync,
     /// The next write fails.
--- a/explore/src/trace.rs
+++ b/explore/src/trace.rs
@@ -58,6 +58,10 @@
         Some(Happening::Notice { heard: false, .. }) => {
             (PLATFORM, CORE, "takes a notice, its word is lost".to_owned())
         }
+        Some(Happening::Change) => (CORE, CORE, "a new process takes the work over".to_owned()),
+        Some(Happening::Gone { ran }) => {
+            (CORE, CORE, format!("the process of before is gone, its calls: {ran:b} by two bits each"))
+        }
         Some(Happening::Sync) => (CORE, CORE, "what was written lasts".to_owned()),
         Some(Happening::FailNext) => (CORE, CORE, "the next write will fail".to_owned()),
         Some(Happening::Decide) => (CORE, CORE, "decides".to_owned()),
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -4,7 +4,7 @@
 //! Time stands still until [`Step::Time`] takes it to what is due next, so that any order of things at one moment is
 //! explored, and nothing lies between two moments at which anybody looks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use millpost::api::{
@@ -12,7 +12,7 @@
     State, Weights,
 };
 use millpost::{Dice, Lesson};
-use millpost_core::{CallId, Core, Effect, End, Ended, Fate, Fault, Handed, Moment, Shelf, Verdict};
+use millpost_core::{CallId, Core, Effect, End, Ended, Fate, Fault, Handed, Moment, Moved, Shelf, Verdict};
 use millpost_store::ledger::{Answer, Found};
 use serde::Serialize;
 
@@ -78,6 +78,8 @@
     /// When its last byte was written.
     began: Nanos,
     stage: Stage,
+    /// The process of before has written it.
+    theirs: bool,
 }
 
 /// A call that was over and still runs.
@@ -330,6 +332,19 @@
                     self.left.unheard -= 1;
                 }
             }
+            Happening::Change => self.change(),
+            Happening::Gone { ran } => {
+                let theirs: BTreeSet<CallId> =
+                    self.flights.iter().filter(|(_, flight)| flight.theirs).map(|(call, _)| *call).collect();
+                for (n, call) in theirs.iter().enumerate() {
+                    let Some(Flight { stage: Stage::Out(all), began, .. }) = self.flights.remove(call) else {
+                        continue;
+                    };
+                    let crash = Crash { after: 0, ran };
+                    all.into_iter().for_each(|message| self.ran(message, began, crash.of(n)));
+                }
+                self.core.lost(at, &theirs);
+            }
             Happening::Sync => self.journal.sync(),
             Happening::FailNext => {
                 self.left.failing -= 1;
@@ -367,6 +382,36 @@
         self.core.handed(self.at(), handed, ended, reply);
     }
 
+    /// The work may be given away now.
+    fn may_change(&self) -> bool {
+        let rests = self.core.at_rest() && self.shelf.is_empty() && self.asked.is_empty();
+        rests && !self.journal.pending() && !self.flights.values().any(|flight| flight.theirs)
+    }
+
+    /// What one process knows goes through bytes to the next.
+    fn change(&mut self) {
+        self.left.changes -= 1;
+        let bytes = postcard::to_stdvec(&self.core).unwrap_or_default();
+        let Ok(moved) = postcard::from_bytes::<Moved>(&bytes) else {
+            return self.breach(property::NOTICE_SENT);
+        };
+        self.flights.retain(|_, flight| matches!(flight.stage, Stage::Out(_)));
+        self.flights.values_mut().for_each(|flight| flight.theirs = true);
+        let mut written: BTreeSet<CallId> = self.flights.keys().copied().collect();
+        if self.fault == Some(Fault::WriteTheirs) {
+            written.clear();
+            for flight in std::mem::take(&mut self.flights).into_values() {
+                if let Stage::Out(all) = flight.stage {
+                    all.into_iter().for_each(|message| self.ran(message, flight.began, Ran::Still));
+                }
+            }
+        }
+        self.core = Core::take_over(settings(&self.left, &self.messages), moved, &written);
+        self.core.plant(self.fault);
+        // The old one tells the platform no more; what was on its way is told again.
+        self.notices.clear();
+    }
+
     fn partner(&mut self, call: CallId, reply: Reply) {
         let at = self.at();
         match reply {
@@ -500,7 +545,8 @@
             }
             Effect::Connect { call, endpoint, fresh, until, .. } => {
                 // A kept connection is there at once, or one is opened: both are tried.
-                let flight = Flight { endpoint, until, fresh, began: 0, stage: Stage::Connecting };
+                let flight =
+                    Flight { endpoint, until, fresh, began: 0, stage: Stage::Connecting, theirs: false };
                 self.flights.insert(call, flight);
             }
             Effect::Write { call, messages, .. } => {
--- a/explore/src/world/expand.rs
+++ b/explore/src/world/expand.rs
@@ -81,6 +81,14 @@
                 all.push(Happening::Notice { place, heard: false });
             }
         }
+        if self.left.changes > 0 && self.may_change() {
+            all.push(Happening::Change);
+        }
+        let theirs = self.flights.values().filter(|flight| flight.theirs).count();
+        if theirs > 0 {
+            let ways = Crash::all(0, theirs, self.left.lates);
+            all.extend(ways.map(|crash| Happening::Gone { ran: crash.ran }));
+        }
         if self.journal.pending() {
             all.push(Happening::Sync);
         }
--- a/standins/src/node.rs
+++ b/standins/src/node.rs
@@ -317,6 +317,11 @@
 }
 
 impl Beside {
+    /// Its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// A line to its console: what it answers, if it listens there yet.
     pub fn staff(&self, line: &str) -> Option<String> {
         staff(self.console, line).ok()
