--- a/core/tests/life.rs
+++ b/core/tests/life.rs
@@ -335,7 +335,7 @@
 /// more, and hears how the calls of the first end.
 #[test]
 fn a_core_goes_on_in_another_process() {
-    let mut b = busy();
+    let b = busy();
     assert!(b.core.at_rest());
     let bytes = postcard::to_stdvec(&b.core).expect("bytes");
     let moved: Moved = postcard::from_bytes(&bytes).expect("they are read");
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -134,6 +134,7 @@
     classes: Classes,
     front: watch::Sender<Front>,
     descriptors: Descriptors,
+    has_console: bool,
     shared: console::Shared,
     /// Yeses that wait for what they stand for to last.
     granted: VecDeque<(Seq, oneshot::Sender<Result<(), String>>)>,
@@ -206,7 +207,8 @@
     pub calls: Calls<Input>,
     pub peers: Option<Peers>,
     pub notices: mpsc::Sender<Notice>,
-    /// What the console is told from.
+    /// There is a console, which is told from here.
+    pub has_console: bool,
     pub shared: console::Shared,
     /// What clients may name, for the intake.
     pub front: watch::Sender<Front>,
@@ -247,6 +249,7 @@
             shared,
             front,
             descriptors,
+            has_console,
             text,
             taken,
             opening,
@@ -298,6 +301,7 @@
             classes,
             front,
             descriptors,
+            has_console,
             shared,
             granted: VecDeque::new(),
             text,
@@ -381,7 +385,7 @@
             }
             self.hand_on_notices();
             self.grant();
-            if at.now > told + FIGURES {
+            if self.has_console && at.now > told + FIGURES {
                 told = at.now;
                 self.tell_figures(at);
             }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -229,6 +229,7 @@
         shape: config.shape.clone(),
         front,
         descriptors,
+        has_console: config.console.is_some(),
         text: config.text.to_string(),
         taken,
         opening,
