--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -255,7 +255,8 @@
         let Some(out) = self.calls.get(&call) else { return };
         let held = || out.members.iter().filter_map(|m| self.held.get(&m.id));
         let (sure, messages) = (held().any(|held| held.once), held().map(|held| held.carried()).collect());
-        self.effects.push_back(Effect::Write { call, sure, until: out.until, messages });
+        let (endpoint, until) = (out.endpoint, out.until);
+        self.effects.push_back(Effect::Write { call, endpoint, sure, until, messages });
     }
 
     /// A call is over, and its connection closed or at rest.
@@ -267,6 +268,11 @@
         if let Some(wait) = wait {
             self.control.on_event(at.now, Event::ToldToWait { endpoint, wait });
         }
+        if self.watched {
+            let outcome = fate.of(0).outcome;
+            let full = if let Outcome::Full(wait) = outcome { wait } else { None };
+            self.effects.push_back(Effect::Went { endpoint, outcome, wait: wait.max(full) });
+        }
         for (place, member) in members.into_iter().enumerate() {
             // One report came, whatever the number of messages.
             let report = report.filter(|_| place == 0);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -21,7 +21,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use millpost::api::{Action, EndpointId, Entry, Event, MsgId, Nanos, Settings};
+use millpost::api::{Action, EndpointId, Entry, Event, MsgId, Nanos, Outcome, Settings};
 use millpost::{Control, Dice, Lesson};
 use millpost_store::ledger::Answer;
 use serde::{Serialize, Serializer};
@@ -108,6 +108,8 @@
     Write {
         /// The call.
         call: CallId,
+        /// Where to.
+        endpoint: EndpointId,
         /// It carries a message that does not survive a reset.
         sure: bool,
         /// When it is given up.
@@ -146,6 +148,15 @@
     },
     /// Keep what was learnt of destinations, before anything that follows.
     Learn(Vec<Lesson>),
+    /// A call ended so; only where that is [watched](Core::watch).
+    Went {
+        /// Where it went.
+        endpoint: EndpointId,
+        /// How the first of its messages ended.
+        outcome: Outcome,
+        /// The wait that its endpoint asked for, from now.
+        wait: Option<Nanos>,
+    },
 }
 
 /// After SIGTERM clients go on coming for a while; an idle process stays at least so long.
@@ -177,6 +188,7 @@
     stop: Option<(Nanos, Nanos)>,
     effects: VecDeque<Effect>,
     tally: Tally,
+    watched: bool,
     #[cfg(feature = "faults")]
     planted: Option<Fault>,
 }
@@ -200,11 +212,22 @@
             stop: None,
             effects: VecDeque::new(),
             tally: Tally::default(),
+            watched: false,
             #[cfg(feature = "faults")]
             planted: None,
         }
     }
 
+    /// From now on it is told how each call ends.
+    pub fn watch(&mut self) {
+        self.watched = true;
+    }
+
+    /// What a destination takes a second from all dispatchers, as far as that is told, and the messages that wait for it.
+    pub fn need(&self, dest: millpost::api::DestId) -> (f64, usize) {
+        self.control.need(dest)
+    }
+
     /// The next thing to be done.
     pub fn effect(&mut self) -> Option<Effect> {
         self.effects.pop_front()
--- a/core/src/moved.rs
+++ b/core/src/moved.rs
@@ -20,7 +20,7 @@
 
 /// The form of the bytes. Raised with any change of what a core or a module consists of: another version of the program
 /// reads none but its own.
-pub const LAYOUT: u32 = 1;
+pub const LAYOUT: u32 = 2;
 
 type Messages = (BTreeMap<MsgId, Held>, MsgId, usize, VecDeque<(MsgId, Answer)>);
 type Calls = (BTreeMap<CallId, Call>, CallId, BTreeMap<EndpointId, Entry>);
@@ -68,6 +68,7 @@
             stop: None,
             effects: VecDeque::new(),
             tally: Tally::default(),
+            watched: false,
             #[cfg(feature = "faults")]
             planted: None,
         };
--- a/dispatcher/src/console/line.rs
+++ b/dispatcher/src/console/line.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write;
 
 use millpost_core::Count;
+use millpost_tier::sieve::Sifted;
 
 /// The longest line that is read.
 pub const LONGEST: usize = 512;
@@ -70,11 +71,48 @@
     pub listed: usize,
     /// Those of them that nothing is sent to now, by hand or by choice.
     pub down: usize,
+    /// What is shared with other dispatchers, where anything is.
+    pub shared: Option<Shared>,
     /// Files taken at SIGHUP, and turned down.
     pub reconfig_ok: u64,
     pub reconfig_failed: u64,
 }
 
+/// What is shared with other dispatchers, in figures.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Shared {
+    pub tier: millpost_tier::Figures,
+    /// Datagrams that came.
+    pub sifted: Sifted,
+}
+
+impl Shared {
+    fn lines(&self, mut line: impl FnMut(&str, u64)) {
+        let (tier, sifted) = (&self.tier, &self.sifted);
+        for (name, figure) in [
+            ("alive", tier.alive as u64),
+            ("suspected", tier.suspected as u64),
+            ("silent", tier.silent as u64),
+            ("gone", tier.gone as u64),
+            ("hears_nobody", tier.hears_nobody.into()),
+            ("at_fault", tier.at_fault.into()),
+            ("lent_permille", tier.lent),
+            ("borrowed_permille", tier.borrowed),
+            ("hearsay", tier.hearsay as u64),
+            ("oldest_ms", tier.oldest_ms),
+            ("sent", tier.sent),
+            ("sent_bytes", tier.bytes),
+            ("read", sifted.read),
+            ("unknown", sifted.unknown),
+            ("nonsense", sifted.nonsense),
+            ("other_version", sifted.version),
+            ("flood", sifted.flood),
+        ] {
+            line(&format!("tier_{name}"), figure);
+        }
+    }
+}
+
 impl Figures {
     /// One figure a line, then a line that ends them.
     pub fn render(&self) -> String {
@@ -95,6 +133,9 @@
         line("hosts_down", self.down as u64);
         line("reconfig_ok", self.reconfig_ok);
         line("reconfig_failed", self.reconfig_failed);
+        if let Some(shared) = &self.shared {
+            shared.lines(line);
+        }
         text.push_str("EOT\n");
         text
     }
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -14,6 +14,7 @@
 use millpost_settings::{Classes, Shape};
 use millpost_store::ledger::Found;
 use millpost_store::{Disk, Ledger, Seq};
+use millpost_tier::Terms;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::sleep_until;
@@ -31,6 +32,7 @@
 use crate::meter::{Part, within};
 use crate::notices::{self, Notice};
 use crate::opening::{self, Opening};
+use crate::peers::sharing::Sharing;
 use crate::peers::{Note, Peers};
 use crate::record::Record;
 use crate::room::Room;
@@ -67,6 +69,7 @@
     told: mpsc::Sender<Input>,
     calls: Calls<Input>,
     peers: Option<Peers>,
+    sharing: Option<Sharing>,
     notices: mpsc::Sender<Notice>,
     /// Notices that found no room in the queue yet.
     unsent: VecDeque<Notice>,
@@ -149,6 +152,8 @@
     pub known: List,
     pub calls: Calls<Input>,
     pub peers: Option<Peers>,
+    /// The terms on which something is shared with them, if anything is.
+    pub terms: Option<Terms>,
     pub notices: mpsc::Sender<Notice>,
     /// There is a console, which is told from here.
     pub has_console: bool,
@@ -188,6 +193,7 @@
             known,
             calls,
             peers,
+            terms,
             notices,
             shared,
             front,
@@ -237,6 +243,7 @@
             told,
             calls,
             peers,
+            sharing: None,
             notices,
             unsent: VecDeque::new(),
             replies: HashMap::new(),
@@ -256,12 +263,21 @@
             room,
         };
         let at = driver.clock.moment();
+        if let Some(terms) = terms {
+            let of = &own.0;
+            let (me, all) = (of.me as u16, of.dispatchers as u16);
+            let mut sharing = Sharing::begin(at, terms, me, all, seed, &mut driver.record);
+            sharing.settle_on(of.slots);
+            driver.sharing = Some(sharing);
+            driver.core.watch();
+        }
         if let Some((moving, ..)) = moved {
             driver.index = moving.index;
             // What can't be read is heard from discovery again, whole; until then nothing new has an address.
             if !driver.roster.read(&moving.roster) {
                 eprintln!("handover: the list of endpoints can't be read");
             }
+            driver.sharing.iter_mut().for_each(|sharing| sharing.listed(at, &driver.roster));
             // Its own file is in force from now on.
             let (settings, shape) = own;
             if let Err(why) = driver.settle(at, settings, shape, own_text) {
@@ -319,6 +335,7 @@
         let (mut asked, mut news, mut swept, mut told) = (0, true, self.clock.moment().now, 0);
         loop {
             let at = self.clock.moment();
+            news |= self.share(at);
             let due = news || self.core.wake().is_some_and(|wake| wake <= at.now);
             if due && at.now >= asked + self.tick {
                 (asked, news) = (at.now, false);
@@ -349,6 +366,7 @@
             }
             let wake = self.core.wake().unwrap_or(Nanos::MAX);
             let next = if due { asked + self.tick } else { wake.max(asked + self.tick) };
+            let next = self.sharing.as_ref().map_or(next, |sharing| next.min(sharing.due()));
             // Never far off, so that notices, idle connections and the end are seen to.
             let soon = self.core.restless() || !self.unsent.is_empty() || self.record.waits();
             let pause = if soon { 20_000_000 } else { SWEEP };
@@ -356,13 +374,12 @@
                 biased;
                 input = inputs.recv() => {
                     let input = input?;
-                    self.take(input);
+                    news |= self.take(input);
                     // What has come by now is taken in one go: what follows once a round is done once for all of it.
                     for _ in 1..BATCH {
                         let Ok(input) = inputs.try_recv() else { break };
-                        self.take(input);
+                        news |= self.take(input);
                     }
-                    news = true;
                 }
                 () = sleep_until(self.clock.instant(next.min(at.now + pause))) => {}
             }
@@ -378,8 +395,11 @@
         }
     }
 
-    fn take(&mut self, input: Input) {
+    /// Takes in what happened. Whether the module is to decide on it: what others share is no reason for that, unless
+    /// something comes of it.
+    fn take(&mut self, input: Input) -> bool {
         let at = self.clock.moment();
+        let counts = !matches!(input, Input::Shared(_));
         match input {
             Input::Client(asked) => self.asked(at, asked),
             Input::Calls(event) => self.called(at, event),
@@ -391,6 +411,7 @@
                 }
             }
             Input::Note(Note { from, bytes }) => self.core.on_event(at, Event::Note { from, bytes }),
+            Input::Shared(frame) => self.sharing.iter_mut().for_each(|sharing| sharing.heard(at, &frame)),
             Input::Console(asked) => self.staff(at, asked),
             Input::Settle(Settle { settings, shape, text, done }) => {
                 let _ = done.send(self.settle(at, settings, shape, text));
@@ -402,6 +423,14 @@
             Input::Stop { after } => self.core.stop(at, after.as_nanos() as Nanos),
         }
         self.carry(at);
+        counts
+    }
+
+    /// What is shared by now: whether the module heard something.
+    fn share(&mut self, at: Moment) -> bool {
+        let (Some(sharing), Some(peers)) = (&mut self.sharing, &self.peers) else { return false };
+        sharing.tick(at, &self.core);
+        sharing.carry(at, &mut self.core, &mut self.record, peers)
     }
 
     fn asked(&mut self, at: Moment, asked: Asked) {
@@ -422,7 +451,9 @@
         let time_left = handed.time_left.saturating_sub(ago.as_nanos() as Nanos);
         // A copy, so that no buffer that it was read into is kept for it.
         let body = Bytes::copy_from_slice(&handed.body);
+        let dest = handed.dest;
         self.core.handed(at, Handed { time_left, body, ..handed }, ended, number);
+        self.sharing.iter_mut().for_each(|sharing| sharing.wanted(at, &self.core, dest));
     }
 
     fn called(&mut self, at: Moment, event: calls::Event) {
@@ -464,6 +495,7 @@
         // places there until they are too old.
         self.calls.retain(|endpoint| self.roster.ready(endpoint));
         self.core.listed(at, whole, entries);
+        self.sharing.iter_mut().for_each(|sharing| sharing.listed(at, &self.roster));
     }
 
     /// Somebody asks for the work. It is given away between two rounds, with nothing under way that hangs on the store,
@@ -604,6 +636,7 @@
         let idle = self.descriptors.idle(settings.slots);
         self.calls.settle_on(idle, settings.keepalive, settings.connect_timeout);
         self.roster.settle_on(shape);
+        self.sharing.iter_mut().for_each(|sharing| sharing.settle_on(settings.slots));
         self.core.settle_on(at, settings);
         self.text = text;
         Ok(())
@@ -672,6 +705,9 @@
         }
         (figures.inflight, figures.calls) = (self.core.open(), self.calls.sent().count());
         (figures.listed, figures.down) = (self.roster.all().len(), down);
+        if let (Some(sharing), Some(peers)) = (&self.sharing, &self.peers) {
+            figures.shared = Some(sharing.figures(at, peers));
+        }
     }
 
     /// Has what was written made to last, where that takes a sync: one at a time, for all that waits by then.
@@ -728,7 +764,8 @@
                     self.core.connected(at, call);
                 }
             }
-            Effect::Write { call, sure, until, messages } => {
+            Effect::Write { call, endpoint, sure, until, messages } => {
+                self.sharing.iter_mut().for_each(|sharing| sharing.sent(at, endpoint));
                 let left = Duration::from_nanos(until.saturating_sub(at.now));
                 if !self.calls.write(call, messages, sure, self.clock.instant(until), left) {
                     self.core.ended(at, call, Ended::without_answer(Outcome::NotSent));
@@ -750,6 +787,9 @@
                 self.hand_on_notices();
             }
             Effect::Learn(lessons) => self.record.learn(at, lessons),
+            Effect::Went { endpoint, outcome, wait } => {
+                self.sharing.iter_mut().for_each(|sharing| sharing.went(at, endpoint, outcome, wait));
+            }
         }
     }
 }
--- a/dispatcher/src/hands.rs
+++ b/dispatcher/src/hands.rs
@@ -152,6 +152,7 @@
             Input::Listed(_)
             | Input::Noticed(_)
             | Input::Note(_)
+            | Input::Shared(_)
             | Input::Synced(_)
             | Input::Heir(_)
             | Input::Before(_)
--- a/dispatcher/src/input.rs
+++ b/dispatcher/src/input.rs
@@ -6,6 +6,7 @@
 use millpost_handover::Frame;
 use millpost_settings::Shape;
 use millpost_store::Synced;
+use millpost_tier::frame::Frame as Shared;
 use tokio::sync::oneshot;
 
 use crate::discovery::List;
@@ -26,6 +27,8 @@
     Noticed(notices::Taken),
     /// A note from another dispatcher.
     Note(Note),
+    /// What another dispatcher shares.
+    Shared(Shared),
     /// The store's last writes last by now, or could not be made to.
     Synced(Synced),
     /// The staff asks something of this process.
@@ -67,6 +70,7 @@
     Listed(List),
     Noticed(notices::Taken),
     Note(Note),
+    Shared(Shared),
     Console(console::Asked),
     Settle(Settle),
     Heir(Heir)
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -29,11 +29,13 @@
 use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use millpost_core::{LAYOUT, Moved};
 use millpost_handover::{Frame, Moving};
 use millpost_store::{Disk, Ledger, ledger};
+use millpost_tier::sieve::Sieve;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -45,6 +47,7 @@
 use intake::{Front, Phase};
 use opening::Opening;
 use options::{Asked, Options};
+use peers::{Ear, Peers};
 use room::Room;
 
 /// After SIGTERM new connections still come for a while; so long, kept ones are answered as usual.
@@ -197,14 +200,22 @@
     let room = Room::new(descriptors.clients - theirs);
 
     let (notices, due) = mpsc::channel(256);
-    let peers = match (settings.allow.notes, config.peer_listen, config.peers_all) {
+    let of = u16::try_from(settings.dispatchers.max(config.peers.len())).unwrap_or(u16::MAX);
+    let mut terms = Some(options.tier.clone()).filter(|terms| terms.enabled);
+    let (peers, listening) = match (settings.allow.notes, config.peer_listen, config.peers_all) {
+        // Notes are a help, no need: without them the dispatcher serves all the same.
         (true, Some(listen), Some(all)) => {
-            // Notes are a help, no need: without them the dispatcher serves all the same.
-            let opened = peers::Peers::open(listen, config.peers.clone(), all, told.clone()).await;
-            opened.inspect_err(|e| eprintln!("peers: {e}")).ok()
+            let frames = || Ear::Frames(Arc::new(Mutex::new(Sieve::new(of))));
+            let ear = terms.as_ref().map_or(Ear::Notes, |_| frames());
+            let (peers, task) = Peers::open(listen, config.peers.clone(), all, ear, told.clone());
+            (Some(peers), Some(task))
         }
-        _ => None,
+        _ => (None, None),
     };
+    if terms.is_some() && (peers.is_none() || settings.me >= usize::from(of)) {
+        eprintln!("tier: dispatchers may not send one another notes here: nothing is shared");
+        terms = None;
+    }
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener)?,
         None => TcpListener::bind(config.listen).await?,
@@ -217,6 +228,7 @@
             .abort_handle(),
         tokio::spawn(notices::send(link::Agent::new(addresses), due, told.clone())).abort_handle(),
     ];
+    tasks.extend(listening);
     if config.console.is_some() {
         // Without it nothing is lost but the way to replace this process in service.
         match handover::listen(&config.state, config.name.clone(), told.clone()) {
@@ -245,6 +257,7 @@
         source: config.discovery,
         known: config.known.clone(),
         peers,
+        terms,
         notices,
         shared: shared.clone(),
     });
--- a/dispatcher/src/options.rs
+++ b/dispatcher/src/options.rs
@@ -6,7 +6,9 @@
 
 use lexopt::prelude::*;
 use millpost_store::Durability;
+use millpost_tier::Terms;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 pub const HELP: &str = "\
 millpost-dispatcher: takes messages from clients, and delivers them to partners' endpoints
@@ -14,7 +16,8 @@
 Usage: millpost-dispatcher [OPTIONS]
 
 Options:
-  --store FILE     settings of the store (deploy/store.toml is an example)
+  --settings FILE  the operators' settings (deploy/millpost.toml is an example)
+  --store FILE     settings of the store alone (deploy/store.toml is an example)
   --check-config   reads all settings, says what is wrong with them, and ends
   -h, --help       this text
 
@@ -33,29 +36,42 @@
     /// A file is not what it should be.
     #[error("{0}: {1}")]
     Malformed(PathBuf, toml::de::Error),
+    /// A setting makes no sense.
+    #[error("{0}: line {1}: {2}")]
+    Unsound(PathBuf, usize, String),
 }
 
 /// The settings that the operators own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     pub durability: Durability,
+    /// What is shared with other dispatchers.
+    pub tier: Terms,
 }
 
 /// What the command line asks for.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub enum Asked {
     Run(Options),
     Check(Options),
     Help,
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct StoreFile {
     #[serde(default)]
     durability: Outlives,
 }
 
+/// All settings in one file.
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct SettingsFile {
+    store: StoreFile,
+    tier: Terms,
+}
+
 #[derive(Clone, Copy, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Outlives {
@@ -70,7 +86,8 @@
             Durability::Process => "process",
             Durability::Machine => "machine",
         };
-        write!(f, "what is taken on outlives the {outlives}")
+        let shared = if self.tier.enabled { "shared" } else { "not shared" };
+        write!(f, "what is taken on outlives the {outlives}; budgets and judgements are {shared}")
     }
 }
 
@@ -80,13 +97,14 @@
 }
 
 fn parse(arguments: impl IntoIterator<Item = OsString>) -> Result<Asked, Error> {
-    let mut options = Options { durability: Durability::Process };
+    let mut options = Options { durability: Durability::Process, tier: Terms::default() };
     let mut check = false;
     let mut parser = lexopt::Parser::from_args(arguments);
     while let Some(argument) = parser.next()? {
         match argument {
             Short('h') | Long("help") => return Ok(Asked::Help),
             Long("check-config") => check = true,
+            Long("settings") => options = settings_file(Path::new(&parser.value()?))?,
             Long("store") => options.durability = store_file(Path::new(&parser.value()?))?,
             other => return Err(other.unexpected().into()),
         }
@@ -94,13 +112,34 @@
     Ok(if check { Asked::Check(options) } else { Asked::Run(options) })
 }
 
-fn store_file(path: &Path) -> Result<Durability, Error> {
+fn read<T: DeserializeOwned>(path: &Path) -> Result<(T, String), Error> {
     let text = std::fs::read_to_string(path).map_err(|e| Error::Unreadable(path.to_owned(), e))?;
-    let file: StoreFile = toml::from_str(&text).map_err(|e| Error::Malformed(path.to_owned(), e))?;
-    Ok(match file.durability {
-        Outlives::Process => Durability::Process,
-        Outlives::Machine => Durability::Machine,
-    })
+    let file = toml::from_str(&text).map_err(|e| Error::Malformed(path.to_owned(), e))?;
+    Ok((file, text))
+}
+
+fn store_file(path: &Path) -> Result<Durability, Error> {
+    Ok(read::<StoreFile>(path)?.0.durability.into())
+}
+
+fn settings_file(path: &Path) -> Result<Options, Error> {
+    let (file, text) = read::<SettingsFile>(path)?;
+    file.tier.check().map_err(|wrong| {
+        let section = text.lines().position(|line| line.trim() == "[tier]").unwrap_or(0);
+        let names = |line: &str| line.split('=').next().is_some_and(|key| key.trim() == wrong.key);
+        let line = text.lines().skip(section).position(names).unwrap_or(0);
+        Error::Unsound(path.to_owned(), section + line + 1, format!("tier.{wrong}"))
+    })?;
+    Ok(Options { durability: file.store.durability.into(), tier: file.tier })
+}
+
+impl From<Outlives> for Durability {
+    fn from(outlives: Outlives) -> Self {
+        match outlives {
+            Outlives::Process => Durability::Process,
+            Outlives::Machine => Durability::Machine,
+        }
+    }
 }
 
 #[cfg(test)]
@@ -117,7 +156,7 @@
 
     #[test]
     fn settings_are_read_and_what_is_wrong_is_named() {
-        let options = |durability| Options { durability };
+        let options = |durability| Options { durability, tier: Terms::default() };
         assert_eq!(with("", &[]).ok(), Some(Asked::Run(options(Durability::Process))));
         let machine = with("durability = \"machine\"", &["--check-config"]).ok();
         assert_eq!(machine, Some(Asked::Check(options(Durability::Machine))));
@@ -135,8 +174,34 @@
         assert!(parse(["--store".into()]).is_err());
     }
 
+    #[test]
+    fn all_settings_are_read_from_one_file_and_what_makes_no_sense_is_named_with_its_line() {
+        let dir = tempfile::tempdir().expect("a folder");
+        let file = dir.path().join("millpost.toml");
+        let with = |text: &str| {
+            std::fs::write(&file, text).expect("written");
+            settings_file(&file)
+        };
+        let good =
+            with("[store]\ndurability = \"machine\"\n[tier]\nenabled = true\nterm_ms = 900\n").expect("good");
+        assert_eq!((good.durability, good.tier.enabled, good.tier.term_ms), (Durability::Machine, true, 900));
+        for (text, said) in [
+            ("[tier]\nbeat_ms = 50\nwitnesses = 1\n", "line 3: tier.witnesses: one alone"),
+            ("[tier]\nbeat_ms = \"fast\"\n", "line 2"),
+            ("[tier]\nbeats = 2\n", "beats"),
+            ("[teir]\n", "teir"),
+            ("[store]\ndurability = \"disk\"\n", "line 2"),
+        ] {
+            let why = with(text).expect_err("refused").to_string();
+            assert!(why.contains(said) && why.contains("millpost.toml"), "{why}");
+        }
+    }
+
     #[test]
     fn the_example_is_good() {
+        let all = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/millpost.toml");
+        let same = Options { durability: Durability::Process, tier: Terms::default() };
+        assert_eq!(settings_file(&all).ok(), Some(same), "it shows what holds without it");
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/store.toml");
         assert_eq!(store_file(&path).ok(), Some(Durability::Process));
     }
--- a/dispatcher/src/record.rs
+++ b/dispatcher/src/record.rs
@@ -90,6 +90,12 @@
         self.noted(at, done)
     }
 
+    /// Notes which life of the dispatcher this is.
+    pub fn live(&mut self, at: Moment, incarnation: u32) {
+        let done = self.ledger.live(incarnation);
+        self.noted(at, done);
+    }
+
     /// Notes the classes that messages are of. Whether it could.
     pub fn note_classes(&mut self, at: Moment, classes: &[u8]) -> bool {
         let done = self.ledger.note_classes(classes);
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -90,6 +90,11 @@
         self.known.keys().copied()
     }
 
+    /// Endpoints in the list, by number, name and destination.
+    pub fn places(&self) -> impl Iterator<Item = (EndpointId, &str, u64)> + '_ {
+        self.known.iter().map(|(id, known)| (*id, known.name.as_str(), known.entry.dest))
+    }
+
     /// An entry as it counts here.
     fn entry(&self, known: &Known) -> Entry {
         let out = known.entry.state == State::Ready && self.cordons.has(&known.name);
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -563,7 +563,7 @@
                     self.journal.learn(at.wall, dest, route, bytes);
                 }
             }
-            Effect::CallOff { .. } | Effect::Probe { .. } | Effect::Note { .. } => {}
+            Effect::CallOff { .. } | Effect::Probe { .. } | Effect::Note { .. } | Effect::Went { .. } => {}
         }
     }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -202,6 +202,28 @@
     pub limit: f64,
 }
 
+/// What a dispatcher may send to a destination, of what all may send together.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Part {
+    /// Calls a second, until `until`.
+    pub rate: f64,
+    /// When some of it, which is borrowed, is another's again.
+    pub until: Nanos,
+    /// Calls a second from then on.
+    pub after: f64,
+}
+
+impl Part {
+    /// Calls a second at this time.
+    pub fn rate_at(&self, now: Nanos) -> f64 {
+        if now < self.until { self.rate } else { self.after }
+    }
+    /// Calls that may go at once: what a tenth of a second brings, and one at least.
+    pub fn burst(&self) -> f64 {
+        (self.rate / 10.0).max(1.0)
+    }
+}
+
 /// State of a listed endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum State {
@@ -344,6 +366,27 @@
     },
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
+    /// What this dispatcher may send to a destination from now on, whatever it knows itself; `None` lifts that.
+    Part {
+        /// The destination.
+        dest: DestId,
+        /// How much.
+        part: Option<Part>,
+    },
+    /// Other dispatchers can't reach an endpoint, and this one has not seen otherwise.
+    Hearsay {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Until when that counts; a time that has passed lifts it.
+        until: Nanos,
+        /// It is avoided while there is another. Otherwise it takes one call at a time.
+        avoid: bool,
+    },
+    /// A destination that was out for other dispatchers is back, as they say: it is cold.
+    CameBack {
+        /// The destination.
+        dest: DestId,
+    },
     /// A note from another dispatcher.
     Note {
         /// Its number.
--- a/src/control.rs
+++ b/src/control.rs
@@ -101,6 +101,10 @@
     kind: usize,
     /// When an endpoint of it was last in the list.
     listed_at: Nanos,
+    /// This dispatcher's part of what all may send together, and when borrowed parts last ended unnoticed.
+    part: Option<Part>,
+    parted: Bucket,
+    part_over: Nanos,
     news: News,
 }
 
@@ -114,6 +118,8 @@
     fails: u32,
     fail_at: Nanos,
     ok_at: Nanos,
+    /// Until when others can't reach it, and whether it is to be avoided for that.
+    hearsay: (Nanos, bool),
 }
 
 /// An attempt that is out.
@@ -242,8 +248,9 @@
         let few = if self.shut { 0.0 } else { SECOND }
             / now.saturating_sub(self.out_from).max(rules.fall / 2).max(1) as f64;
         let all = self.capacity(set);
-        let capacity =
+        let alone =
             (all / set.dispatchers.max(1) as f64).max(own).max(if all > 0.0 { few.min(all) } else { few });
+        let capacity = self.part.map_or(alone, |part| part.rate_at(now));
         let warm = match self.back_at {
             Some(at) if !self.in_trouble(now, rules) => {
                 now.saturating_sub(at) as f64 / rules.cold.max(1) as f64
@@ -259,6 +266,13 @@
         if self.wait_until > now {
             return Some(self.wait_until);
         }
+        // The sum over all dispatchers is kept by each keeping to its part.
+        if let Some(part) = self.part {
+            let ready = self.parted.ready_at(now, part.rate_at(now), part.burst());
+            if ready > now {
+                return Some(ready);
+            }
+        }
         if self.pace > 0.0 {
             // As deep as what arrives in the rule's window varies, or as goes in a T1.
             let (window, gap) = (set.rules.fall as f64 / SECOND, t1 as f64 / SECOND);
@@ -443,6 +457,31 @@
                     self.note_news(id);
                 }
             }
+            Event::Part { dest, part } => {
+                let Some(lane) = self.lanes.get_mut(&(dest, None)) else { return };
+                if let Some(old) = lane.part {
+                    lane.parted.ready_at(now, old.rate_at(now), old.burst());
+                    lane.part_over = if old.until <= now { old.until } else { lane.part_over };
+                }
+                lane.part = part;
+                self.agenda.unpark(dest);
+            }
+            Event::Hearsay { endpoint, until, avoid } => {
+                let Some(e) = self.endpoints.get_mut(&endpoint) else { return };
+                e.hearsay = (until, avoid);
+                self.agenda.unpark(e.lane.0);
+            }
+            // What others saw lifts no care that is taken already.
+            Event::CameBack { dest } => {
+                let (rules, luck) = (&self.set.rules, self.rng.share());
+                let lane = self.lanes.get_mut(&(dest, None));
+                let lane = lane.filter(|l| !l.in_trouble(now, rules) && !l.cold(now, rules));
+                if let Some(lane) = lane {
+                    lane.out_from = now;
+                    lane.comes_back(now, luck);
+                    self.note_news((dest, None));
+                }
+            }
             // What is open may have no try left by now, or has one again.
             Event::Settings { settings } => {
                 (self.t1, self.set) = (t1(&settings), settings);
@@ -665,6 +704,7 @@
                 fails: 0,
                 fail_at: 0,
                 ok_at: 0,
+                hearsay: (0, false),
             });
             e.ready = entry.state == State::Ready;
             if e.ready {
@@ -859,14 +899,20 @@
     /// that takes time. Its endpoint may have been drained meanwhile, a wait told, or the time run out.
     pub fn may_still_send(&self, now: Nanos, id: MsgId) -> bool {
         let Some(m) = self.msgs.get(&id).filter(|m| !m.ended) else { return false };
-        let Some(e) = m.out.and_then(|out| self.endpoints.get(&out.endpoint)) else { return false };
+        let Some(out) = m.out else { return false };
+        let Some(e) = self.endpoints.get(&out.endpoint) else { return false };
         let window = match (self.set.classes[m.class].effect, m.maybe) {
             (Effect::Keyed { window, .. }, Some((sent, _))) => {
                 sent.saturating_add(window).saturating_sub(self.set.tick)
             }
             _ => NEVER,
         };
-        let waits = self.lanes.get(&e.lane).is_none_or(|l| l.wait_until > now);
+        // Nor does it go on what was borrowed when it was decided and is another's by now.
+        let over = |l: &Lane| {
+            let part = l.part.filter(|p| p.until <= now).map_or(0, |p| p.until);
+            out.sent < part.max(l.part_over)
+        };
+        let waits = self.lanes.get(&e.lane).is_none_or(|l| l.wait_until > now || over(l));
         e.ready && !waits && now < m.deadline.min(window)
     }
 
@@ -891,6 +937,7 @@
         let fits = of_dest.filter(|(_, e)| {
             e.ready
                 && zone.is_none_or(|z| z == e.zone)
+                && (e.hearsay.0 <= now || e.calls == 0)
                 && lanes.get_mut(&e.lane).is_some_and(|l| {
                     // Nothing new goes out that would be cut off by the end of the process: an attempt
                     // without an outcome costs an unsafe message its life.
@@ -900,7 +947,8 @@
         });
         fits.min_by_key(|(_, e)| {
             let shunned = e.fails > 0 && now < doubled_time(e.fail_at, t1, e.fails.min(6));
-            (if shunned { e.fails } else { 0 }, e.calls, NEVER - e.ok_at)
+            let avoided = e.hearsay.1 && e.hearsay.0 > now;
+            (if shunned { e.fails } else { 0 }.max(avoided.into()), e.calls, NEVER - e.ok_at)
         })
         .map(|(id, _)| *id)
     }
@@ -1054,6 +1102,7 @@
             lane.sent_at = now;
             lane.cold_budget.tokens = (lane.cold_budget.tokens - 1.0).max(0.0);
             lane.paced.tokens -= 1.0;
+            lane.parted.tokens -= 1.0;
             lane.turn = call;
         }
         *in_call += 1;
--- a/src/control/inspect.rs
+++ b/src/control/inspect.rs
@@ -26,6 +26,13 @@
         !e.ready || shunned || closed
     }
 
+    /// What a destination takes a second from all dispatchers, as far as it or the list tells, and the messages that
+    /// wait for a call to it.
+    pub fn need(&self, dest: DestId) -> (f64, usize) {
+        let limit = self.lanes.get(&(dest, None)).map_or(0.0, |lane| lane.capacity(&self.set));
+        (limit, self.agenda.ready_for(dest).count())
+    }
+
     /// Calls that the module takes to be out by endpoint, those that it has forgotten left out.
     pub fn calls_to(&self, endpoint: EndpointId) -> usize {
         self.endpoints.get(&endpoint).map_or(0, |e| e.calls)
--- a/store/src/ledger.rs
+++ b/store/src/ledger.rs
@@ -43,6 +43,8 @@
 const MOVED: &[u8] = b"moved";
 /// Differs with each process that became the owner.
 const OWNER: &[u8] = b"owner";
+/// Which life of the dispatcher this is.
+const LIFE: &[u8] = b"life";
 /// The classes that messages name by position.
 const CLASSES: &[u8] = b"classes";
 /// Begins the keys of endpoints that are out by hand.
@@ -735,6 +737,20 @@
         self.store.apply(Batch::new().put(META, OWNER, &mark.to_le_bytes())).map(drop)
     }
 
+    /// Which life of the dispatcher was last noted, 0 where none was.
+    pub fn incarnation(&self) -> u32 {
+        let noted = self.store.get(META, LIFE).ok().flatten();
+        noted.and_then(|noted| noted.as_ref().try_into().ok().map(u32::from_le_bytes)).unwrap_or(0)
+    }
+
+    /// Notes which life of the dispatcher this is: the next one goes beyond.
+    ///
+    /// # Errors
+    /// As for [`Store::apply`].
+    pub fn live(&mut self, incarnation: u32) -> Result<(), Error> {
+        self.store.apply(Batch::new().put(META, LIFE, &incarnation.to_le_bytes())).map(drop)
+    }
+
     /// The classes that messages are of, as [`Self::note_classes`] wrote them.
     pub fn classes(&self) -> Option<Bytes> {
         self.store.get(META, CLASSES).ok().flatten()
--- /dev/null
+++ b/tier/src/evidence.rs
@@ -0,0 +1,421 @@
+//! What dispatchers saw of endpoints. Evidence travels, verdicts are each one's own.
+//!
+//! Kept invariants:
+//! - one's own eyes go before all hearsay, and all hearsay fades; in silence there is none;
+//! - nobody is avoided on fewer witnesses than the terms ask for, nor on as many as saw it work;
+//! - no more than the stated part of a destination's endpoints is avoided on hearsay;
+//! - a wait that was told binds until its end, and no evidence shortens one;
+//! - of one author an older piece never takes the place of a newer one, also once the newer is forgotten;
+//! - a dispatcher at which most fails that others reach tells nothing of failures: it is the one at fault.
+//!
+//! Kept bound: one piece for each listed endpoint and configured dispatcher.
+
+use std::collections::BTreeMap;
+
+use crate::frame::{Seen, Sight};
+use crate::planted::{Fault, Planted};
+use crate::terms::{Terms, ms};
+use crate::{Incarnation, Nanos, Peer, Place};
+
+/// A piece of evidence is passed on no further.
+const HOPS: u8 = 8;
+/// Calls in a row that failed before it is told.
+const FAILS: u32 = 2;
+/// One's own evidence on an endpoint is told no more often.
+const AGAIN: Nanos = 500_000_000;
+/// A wait is passed on for no longer than this.
+const LONGEST_WAIT: Nanos = 3_600_000_000_000;
+
+/// How a call ended, as far as it says something of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was answered: the endpoint is reached.
+    Answered,
+    /// No connection, or none that held, or no answer in time.
+    Failed,
+}
+
+/// What this dispatcher saw itself.
+#[derive(Clone, Copy, Debug, Default)]
+struct Own {
+    fails: u32,
+    failed_at: Nanos,
+    ok_at: Option<Nanos>,
+    wait_until: Nanos,
+    /// What it told last, and when.
+    told: Sight,
+    told_at: Option<Nanos>,
+    seq: u32,
+    hot: u8,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Piece {
+    incarnation: Incarnation,
+    seq: u32,
+    hops: u8,
+    sight: Sight,
+    /// When it was seen.
+    at: Nanos,
+    wait_until: Nanos,
+    /// How often it is still to be passed on.
+    hot: u8,
+}
+
+/// What is to be thought of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is against it, as far as hearsay goes.
+    Open,
+    /// Witnesses enough can't reach it, until this time at the latest.
+    Accused(Nanos),
+}
+
+/// All evidence that one dispatcher has.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    me: Peer,
+    own: BTreeMap<Place, Own>,
+    others: BTreeMap<(Place, Peer), Piece>,
+    /// Of each author: pieces up to this one are forgotten, and stay so.
+    floors: Vec<(Incarnation, u32)>,
+    seq: u32,
+    at_fault: bool,
+    pub(crate) planted: Planted,
+}
+
+impl Evidence {
+    /// Nothing was seen yet.
+    pub fn new(me: Peer, of: u16) -> Self {
+        Evidence {
+            me,
+            own: BTreeMap::new(),
+            others: BTreeMap::new(),
+            floors: vec![(0, 0); usize::from(of)],
+            seq: 0,
+            at_fault: false,
+            planted: Planted::default(),
+        }
+    }
+
+    /// A call of one's own ended.
+    pub fn saw(&mut self, now: Nanos, place: Place, end: End) {
+        let own = self.own.entry(place).or_default();
+        match end {
+            End::Answered => {
+                if own.fails >= FAILS {
+                    self.at_fault = false;
+                }
+                (own.fails, own.ok_at) = (0, Some(now));
+            }
+            End::Failed => (own.fails, own.failed_at) = (own.fails.saturating_add(1), now),
+        }
+    }
+
+    /// An endpoint asked for a wait.
+    pub fn told_to_wait(&mut self, now: Nanos, place: Place, until: Nanos) {
+        let own = self.own.entry(place).or_default();
+        if until > own.wait_until {
+            own.wait_until = until.min(now.saturating_add(LONGEST_WAIT));
+            own.told_at = None;
+        }
+    }
+
+    fn fails(own: &Own, now: Nanos, fade: Nanos) -> bool {
+        own.fails >= FAILS && now.saturating_sub(own.failed_at) < fade
+    }
+
+    fn witnesses(&self, now: Nanos, place: Place, sight: Sight, fade: Nanos) -> usize {
+        let pieces = self.others.range((place, 0)..=(place, Peer::MAX)).map(|(_, piece)| piece);
+        pieces.filter(|p| p.sight == sight && now.saturating_sub(p.at) < fade).count()
+    }
+
+    /// What there is to tell of one's own by now, in this life, with how often each is to be passed on. Called in each
+    /// round.
+    pub fn tell(&mut self, now: Nanos, terms: &Terms, pass_on: u8) {
+        let fade = terms.fade();
+        self.look_at_oneself(now, terms);
+        let places: Vec<Place> = self.own.keys().copied().collect();
+        for place in places {
+            let own = self.own[&place];
+            let accused = self.witnesses(now, place, Sight::Failing, fade);
+            let fine = self.witnesses(now, place, Sight::Fine, fade);
+            let reached = own.fails == 0 && own.ok_at.is_some_and(|at| now.saturating_sub(at) < fade / 2);
+            let sight = match own {
+                // Who can't reach what others reach accuses nobody, and takes back what it said.
+                own if Self::fails(&own, now, fade) && self.at_fault => Sight::Nothing,
+                // Enough have said so: one more says nothing new.
+                own if Self::fails(&own, now, fade)
+                    && (own.told == Sight::Failing || accused < 3 * terms.witnesses) =>
+                {
+                    Sight::Failing
+                }
+                _ if reached && (accused > 0 || own.told == Sight::Failing) && fine < 3 * terms.witnesses => {
+                    Sight::Fine
+                }
+                own if own.told == Sight::Failing && !Self::fails(&own, now, fade) => Sight::Nothing,
+                own if own.told_at.is_none() => Sight::Nothing,
+                _ => continue,
+            };
+            let waits = own.wait_until > now && own.told_at.is_none();
+            let due = own.told_at.is_none_or(|at| now.saturating_sub(at) >= AGAIN);
+            let changed = sight != own.told;
+            let fresh = sight == Sight::Failing && own.failed_at > own.told_at.unwrap_or(0)
+                || sight == Sight::Fine && own.ok_at > own.told_at;
+            if waits || due && (changed || fresh) {
+                self.seq = self.seq.saturating_add(1);
+                let (seq, own) = (self.seq, self.own.entry(place).or_default());
+                (own.told, own.told_at, own.seq, own.hot) = (sight, Some(now), seq, pass_on);
+            }
+        }
+    }
+
+    /// Most of what it called fails here, and others reach it.
+    fn look_at_oneself(&mut self, now: Nanos, terms: &Terms) {
+        let fade = terms.fade();
+        let (mut failing, mut called, mut contradicted) = (0, 0, 0);
+        for (place, own) in &self.own {
+            let fails = Self::fails(own, now, fade);
+            called += usize::from(fails || own.ok_at.is_some_and(|at| now.saturating_sub(at) < fade));
+            failing += usize::from(fails);
+            let fine = self.witnesses(now, *place, Sight::Fine, fade);
+            let accused = self.witnesses(now, *place, Sight::Failing, fade);
+            contradicted += usize::from(fails && fine >= terms.witnesses && fine > accused);
+        }
+        if failing > 0 && 2 * failing > called && 2 * contradicted >= failing {
+            self.at_fault = true;
+        }
+        // Nothing fails any more, or nothing is called: it takes a call that gets through, or time.
+        if failing == 0 && called > 0 {
+            self.at_fault = false;
+        }
+    }
+
+    /// This dispatcher is the one that can't reach what others reach.
+    pub fn at_fault(&self) -> bool {
+        self.at_fault
+    }
+
+    /// Takes in what somebody saw. Whether it is news, and the end of a wait that is.
+    pub fn heard(&mut self, now: Nanos, seen: &Seen, pass_on: u8) -> (bool, Option<Nanos>) {
+        let none = (false, None);
+        let Some(floor) = self.floors.get(usize::from(seen.who)) else { return none };
+        let version = (seen.incarnation, seen.seq);
+        let old = self.others.get(&(seen.place, seen.who));
+        let known = old.is_some_and(|p| version <= (p.incarnation, p.seq)) || version <= *floor;
+        if seen.who == self.me || known && !self.planted.has(Fault::ReviveOld) {
+            return none;
+        }
+        let wait = ms(seen.wait_ms.into()).min(LONGEST_WAIT);
+        let until = if wait > 0 { now.saturating_add(wait) } else { 0 };
+        let news = until > old.map_or(0, |p| p.wait_until).max(now);
+        let piece = Piece {
+            incarnation: seen.incarnation,
+            seq: seen.seq,
+            hops: seen.hops,
+            sight: seen.sight,
+            at: now.saturating_sub(ms(seen.age_ms.into())),
+            wait_until: until.max(old.map_or(0, |p| p.wait_until)),
+            hot: if seen.hops < HOPS { pass_on } else { 0 },
+        };
+        self.others.insert((seen.place, seen.who), piece);
+        (true, news.then_some(until))
+    }
+
+    /// What is to be thought of an endpoint now. One's own eyes go first: whoever reaches it, or found out itself that it
+    /// does not, needs no hearsay.
+    pub fn verdict(&self, now: Nanos, place: Place, terms: &Terms) -> Verdict {
+        let fade = terms.fade();
+        let own = self.own.get(&place).copied().unwrap_or_default();
+        if own.ok_at.is_some_and(|at| now.saturating_sub(at) < fade && own.fails < FAILS) {
+            return Verdict::Open;
+        }
+        let needed = if self.planted.has(Fault::OneWitness) { 1 } else { terms.witnesses };
+        let (against, fine) =
+            (self.witnesses(now, place, Sight::Failing, fade), self.witnesses(now, place, Sight::Fine, fade));
+        if against < needed || against <= fine {
+            return Verdict::Open;
+        }
+        let pieces = self.others.range((place, 0)..=(place, Peer::MAX)).map(|(_, piece)| piece);
+        let last = pieces.filter(|p| p.sight == Sight::Failing).map(|p| p.at).max().unwrap_or(0);
+        Verdict::Accused(last.saturating_add(fade))
+    }
+
+    /// Somebody tells of this endpoint.
+    pub fn spoken_of(&self) -> impl Iterator<Item = Place> + '_ {
+        let mut last = None;
+        self.others.keys().map(|(place, _)| *place).filter(move |place| last.replace(*place) != Some(*place))
+    }
+
+    /// Some reach it, by one's own eyes or by others'.
+    pub fn reached(&self, now: Nanos, place: Place, terms: &Terms) -> bool {
+        let fade = terms.fade();
+        let own = self.own.get(&place).and_then(|own| own.ok_at.filter(|_| own.fails == 0));
+        own.is_some_and(|at| now.saturating_sub(at) < fade)
+            || self.witnesses(now, place, Sight::Fine, fade) > 0
+    }
+
+    /// Pieces that are to be told, one's own first and the freshest before others; no more than so many.
+    pub fn pass_on(&mut self, now: Nanos, incarnation: Incarnation, most: usize) -> Vec<Seen> {
+        let age = |at: Nanos| (now.saturating_sub(at) / 1_000_000).min(u32::MAX.into()) as u32;
+        let left = |until: Nanos| (until.saturating_sub(now).div_ceil(1_000_000)).min(u32::MAX.into()) as u32;
+        let mut told = Vec::new();
+        for (place, own) in self.own.iter_mut().filter(|(_, own)| own.hot > 0).take(most) {
+            own.hot -= 1;
+            let at = if own.told == Sight::Fine { own.ok_at.unwrap_or(now) } else { own.failed_at };
+            told.push(Seen {
+                who: self.me,
+                incarnation,
+                seq: own.seq,
+                hops: 0,
+                place: *place,
+                sight: own.told,
+                age_ms: if own.told == Sight::Nothing { 0 } else { age(at) },
+                wait_ms: left(own.wait_until),
+            });
+        }
+        let mut hot: Vec<_> =
+            self.others.iter().filter(|(_, p)| p.hot > 0).map(|(key, p)| (p.hot, *key)).collect();
+        hot.sort_unstable_by(|a, b| b.cmp(a));
+        for (_, key) in hot.into_iter().take(most.saturating_sub(told.len())) {
+            let Some(piece) = self.others.get_mut(&key) else { continue };
+            piece.hot -= 1;
+            told.push(Seen {
+                who: key.1,
+                incarnation: piece.incarnation,
+                seq: piece.seq,
+                hops: piece.hops.saturating_add(1),
+                place: key.0,
+                sight: piece.sight,
+                age_ms: age(piece.at),
+                wait_ms: left(piece.wait_until),
+            });
+        }
+        told
+    }
+
+    /// Forgets what has faded and what is not listed. What is forgotten of an author, and all before it, is never news again.
+    pub fn retain(&mut self, now: Nanos, terms: &Terms, listed: impl Fn(Place) -> bool) {
+        let (fade, floors) = (terms.fade(), &mut self.floors);
+        let revive = self.planted.has(Fault::ReviveOld);
+        self.others.retain(|(place, who), piece| {
+            let counts = now.saturating_sub(piece.at) < 2 * fade || piece.wait_until > now;
+            if listed(*place) && counts {
+                return true;
+            }
+            if let Some(floor) = floors.get_mut(usize::from(*who)).filter(|_| !revive) {
+                *floor = (*floor).max((piece.incarnation, piece.seq));
+            }
+            false
+        });
+        self.own.retain(|place, own| {
+            let last = own.failed_at.max(own.ok_at.unwrap_or(0)).max(own.told_at.unwrap_or(0));
+            listed(*place) && (now.saturating_sub(last) < 4 * fade || own.wait_until > now)
+        });
+    }
+
+    /// Pieces that are held of others.
+    pub fn pieces(&self) -> usize {
+        self.others.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SECOND: Nanos = 1_000_000_000;
+    const PLACE: Place = 77;
+
+    fn seen(who: Peer, seq: u32, sight: Sight) -> Seen {
+        Seen { who, incarnation: 1, seq, hops: 0, place: PLACE, sight, age_ms: 0, wait_ms: 0 }
+    }
+
+    fn hear(evidence: &mut Evidence, now: Nanos, all: &[Seen]) {
+        for seen in all {
+            evidence.heard(now, seen, 3);
+        }
+    }
+
+    fn accused(evidence: &Evidence, now: Nanos) -> bool {
+        evidence.verdict(now, PLACE, &Terms::default()) != Verdict::Open
+    }
+
+    #[test]
+    fn two_witnesses_are_needed_more_than_saw_it_work_and_all_of_it_fades() {
+        let mut e = Evidence::new(0, 9);
+        hear(&mut e, 0, &[seen(1, 1, Sight::Failing), seen(1, 2, Sight::Failing)]);
+        assert!(!accused(&e, SECOND), "one witness, twice");
+        hear(&mut e, SECOND, &[seen(2, 1, Sight::Failing)]);
+        assert!(accused(&e, 2 * SECOND));
+        hear(&mut e, 2 * SECOND, &[seen(3, 1, Sight::Fine), seen(4, 1, Sight::Fine)]);
+        assert!(!accused(&e, 2 * SECOND), "as many reach it");
+        hear(&mut e, 2 * SECOND, &[seen(5, 1, Sight::Failing)]);
+        assert!(accused(&e, 2 * SECOND));
+        assert!(!accused(&e, 6 * SECOND), "what the first ones saw has faded");
+    }
+
+    #[test]
+    fn ones_own_eyes_go_before_hearsay() {
+        let mut e = Evidence::new(0, 9);
+        hear(&mut e, 0, &[seen(1, 1, Sight::Failing), seen(2, 1, Sight::Failing)]);
+        e.saw(SECOND, PLACE, End::Answered);
+        assert!(!accused(&e, 2 * SECOND));
+        // Whoever reaches it says so, since others can't.
+        e.tell(SECOND, &Terms::default(), 3);
+        let told = e.pass_on(SECOND, 1, 9);
+        assert_eq!((told[0].who, told[0].sight), (0, Sight::Fine));
+    }
+
+    #[test]
+    fn an_old_piece_is_never_taken_as_new() {
+        let mut e = Evidence::new(0, 9);
+        let old = Seen { wait_ms: 3_000, ..seen(1, 4, Sight::Failing) };
+        assert_eq!(e.heard(0, &old, 3), (true, Some(3 * SECOND)));
+        assert_eq!(e.heard(SECOND, &old, 3), (false, None), "no wait grows by being passed on");
+        assert_eq!(e.heard(SECOND, &Seen { seq: 3, ..old }, 3), (false, None));
+        e.retain(60 * SECOND, &Terms::default(), |_| true);
+        assert_eq!(e.pieces(), 0);
+        assert_eq!(e.heard(60 * SECOND, &old, 3), (false, None), "forgotten, and still no news");
+        assert!(e.heard(60 * SECOND, &seen(1, 5, Sight::Fine), 3).0);
+        assert!(e.heard(60 * SECOND, &Seen { incarnation: 2, seq: 1, ..old }, 3).0, "a new life counts anew");
+        assert_eq!(e.heard(0, &seen(9, 1, Sight::Failing), 3), (false, None), "nobody has this number");
+    }
+
+    #[test]
+    fn a_blind_one_finds_out_takes_back_what_it_said_and_sees_again() {
+        let (mut e, terms) = (Evidence::new(0, 9), Terms::default());
+        for place in [PLACE, 78, 79] {
+            e.saw(0, place, End::Failed);
+            e.saw(0, place, End::Failed);
+        }
+        e.tell(0, &terms, 3);
+        assert_eq!(e.pass_on(0, 1, 9).iter().filter(|s| s.sight == Sight::Failing).count(), 3);
+        for (who, place) in [(1, PLACE), (2, PLACE), (1, 78), (2, 78)] {
+            e.heard(SECOND, &Seen { place, seq: place as u32, ..seen(who, 0, Sight::Fine) }, 3);
+        }
+        e.tell(SECOND, &terms, 3);
+        assert!(e.at_fault());
+        let told: Vec<_> = e.pass_on(SECOND, 1, 9).into_iter().filter(|s| s.who == 0).collect();
+        assert!(told.len() == 3 && told.iter().all(|s| s.sight == Sight::Nothing), "{told:?}");
+        e.saw(2 * SECOND, 78, End::Answered);
+        assert!(!e.at_fault());
+    }
+
+    #[test]
+    fn a_wait_binds_to_its_end_and_nothing_shortens_it() {
+        let mut e = Evidence::new(0, 9);
+        let wait = |seq, wait_ms| Seen { wait_ms, ..seen(1, seq, Sight::Nothing) };
+        assert_eq!(e.heard(0, &wait(1, 5_000), 3).1, Some(5 * SECOND));
+        assert_eq!(e.heard(SECOND, &wait(2, 1_000), 3).1, None);
+        assert_eq!(e.pass_on(SECOND, 1, 9)[0].wait_ms, 4_000, "it is passed on as it stands");
+        assert_eq!(e.heard(2 * SECOND, &wait(3, 9_000), 3).1, Some(11 * SECOND));
+        // One's own is told, and only once for each.
+        e.told_to_wait(2 * SECOND, 5, 4 * SECOND);
+        e.tell(2 * SECOND, &Terms::default(), 1);
+        let own: Vec<_> = e.pass_on(2 * SECOND, 1, 9).into_iter().filter(|s| s.who == 0).collect();
+        assert_eq!((own.len(), own[0].wait_ms), (1, 2_000));
+        e.tell(2 * SECOND, &Terms::default(), 1);
+        assert_eq!(e.pass_on(2 * SECOND, 1, 9).iter().filter(|s| s.who == 0).count(), 0);
+    }
+}
--- /dev/null
+++ b/tier/src/lib.rs
@@ -0,0 +1,40 @@
+//! What the dispatchers of a fleet share, within bounds that hold while a part of the fleet hears nothing.
+//!
+//! No I/O, no clock, no randomness but a seed. A dispatcher keeps one [`Tier`]; it tells it of its own calls and of the
+//! datagrams of others, and calls [`Tier::tick`] when [`Tier::due`] says so. What comes back is datagrams to send and
+//! [`News`] for the decision module. Decisions on messages stay in the module.
+//!
+//! - [`heard`]: who is heard, by incarnation. Shares go by the configured number, never by the number heard.
+//! - [`lend`]: each owns an even part of a destination by right, and lends what it does not use, for a term.
+//! - [`counts`]: calls by destination, dispatcher and incarnation; merging them counts nothing twice.
+//! - [`limit`]: what a destination takes, where nobody tells it, from the counts of all.
+//! - [`evidence`]: what each saw of an endpoint. Evidence travels; a verdict is each one's own.
+//! - [`frame`]: the datagrams.
+//!
+//! Times are nanoseconds of one clock of the caller's that never goes back; its origin is free.
+
+pub mod counts;
+pub mod evidence;
+pub mod frame;
+pub mod heard;
+pub mod lend;
+pub mod limit;
+mod planted;
+pub mod sieve;
+pub mod terms;
+mod tier;
+
+pub use planted::Fault;
+pub use terms::Terms;
+pub use tier::{Figures, Need, News, Out, Part, Tier, Went};
+
+/// A point in time or a span, in nanoseconds.
+pub type Nanos = u64;
+/// The configured number of a dispatcher.
+pub type Peer = u16;
+/// A destination, by the number that all dispatchers know it by.
+pub type DestId = u64;
+/// An endpoint, by a hash of its name: numbers differ from one dispatcher to the next.
+pub type Place = u64;
+/// Which life of a dispatcher this is: each start has a higher one.
+pub type Incarnation = u32;
--- /dev/null
+++ b/tier/src/tier.rs
@@ -0,0 +1,636 @@
+//! All that one dispatcher shares, put together: what happens goes in, datagrams and news for the decision module come
+//! out, in the order in which they are to be carried out.
+//!
+//! Kept invariant: a part that is lent is out of use here before the word of it leaves: its [`News::Part`] comes out
+//! before the datagram.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::counts::{Counts, Sum};
+use crate::evidence::{End, Evidence, Verdict};
+use crate::frame::{Calls, Frame, Item, Packing};
+use crate::heard::{Heard, Standing};
+use crate::lend::{Loans, WHOLE, even};
+use crate::limit::Limit;
+use crate::planted::{Fault, Planted};
+use crate::terms::Terms;
+use crate::{DestId, Incarnation, Nanos, Peer, Place};
+
+/// Peers beside those of the fanout that are sent something in a round, since it is for them alone.
+const DIRECT: usize = 8;
+/// Items for one peer alone that wait for a round.
+const FOR_ONE: usize = 6;
+/// Lenders that are asked at once.
+const LENDERS: usize = 3;
+/// A destination without traffic for so long is left alone.
+const IDLE: Nanos = 10_000_000_000;
+/// What somebody could lend is believed for so long.
+const SPARE_FOR: Nanos = 5_000_000_000;
+/// Weight of a round in the averaged use.
+const WEIGHT: f64 = 0.2;
+const SECOND: f64 = 1e9;
+
+/// What there is to do at a destination.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    /// Which.
+    pub dest: DestId,
+    /// Calls a second that it takes from all dispatchers together, as far as it or the list tells; 0 if unknown.
+    pub limit: f64,
+    /// Messages that wait for a call.
+    pub waiting: usize,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Went {
+    /// Served.
+    Served,
+    /// Turned away as too many.
+    Refused,
+    /// Answered otherwise.
+    Answered,
+    /// No connection, or none that held, or no answer in time.
+    Failed,
+}
+
+/// Calls a second that this dispatcher may send to a destination.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Part {
+    /// Now, until `until`.
+    pub rate: f64,
+    /// When the first borrowed part ends; `Nanos::MAX` without any.
+    pub until: Nanos,
+    /// From then on.
+    pub after: f64,
+}
+
+/// Something for the decision module.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum News {
+    /// What may be sent to a destination; nobody knows a limit of it where there is none.
+    Part {
+        /// Which.
+        dest: DestId,
+        /// How much.
+        part: Option<Part>,
+    },
+    /// An endpoint asked another dispatcher for a wait.
+    Wait {
+        /// Which.
+        place: Place,
+        /// Until when.
+        until: Nanos,
+    },
+    /// Others can't reach an endpoint; nothing is against it any more where `until` has passed.
+    Hearsay {
+        /// Which.
+        place: Place,
+        /// Until when this counts.
+        until: Nanos,
+        /// Nothing goes there; otherwise one call at a time.
+        hold: bool,
+    },
+    /// A destination that was out for others is back, as they say: it is cold.
+    Cold {
+        /// Which.
+        dest: DestId,
+    },
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    /// Tell the decision module.
+    News(News),
+    /// Send a datagram.
+    Send {
+        /// To whom.
+        to: Peer,
+        /// The datagram.
+        bytes: Vec<u8>,
+    },
+    /// This life has another number from now on, for the next start to go beyond.
+    Lives(Incarnation),
+}
+
+/// What operators are shown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Peers that are alive.
+    pub alive: usize,
+    /// Suspected.
+    pub suspected: usize,
+    /// Silent.
+    pub silent: usize,
+    /// Gone, or never heard of.
+    pub gone: usize,
+    /// Nobody is heard here.
+    pub hears_nobody: bool,
+    /// This dispatcher can't reach what others reach.
+    pub at_fault: bool,
+    /// Parts lent and borrowed now, in thousandths of an even part, over all destinations.
+    pub lent: u64,
+    /// See there.
+    pub borrowed: u64,
+    /// Endpoints that are avoided, or used with care, on hearsay.
+    pub hearsay: usize,
+    /// Age of the oldest counts that are heeded, milliseconds.
+    pub oldest_ms: u64,
+    /// Datagrams sent, and their bytes.
+    pub sent: u64,
+    /// See there.
+    pub bytes: u64,
+}
+
+/// One destination, as far as it has traffic here.
+#[derive(Clone, Debug, Default)]
+struct Traffic {
+    active: Nanos,
+    /// What was sent by the last round, and calls a second since, averaged, and at most of late.
+    sent: u64,
+    rate: f64,
+    peak: f64,
+    told_limit: f64,
+    estimate: Limit,
+    waiting: usize,
+    part: Option<Part>,
+}
+
+impl Traffic {
+    fn limit(&self, terms: &Terms) -> f64 {
+        let estimate = if terms.estimate { self.estimate.per_second() } else { 0.0 };
+        if self.told_limit > 0.0 { self.told_limit } else { estimate }
+    }
+    /// The part that is in use, with a margin.
+    fn used(&self, terms: &Terms) -> u32 {
+        let limit = self.limit(terms);
+        if limit <= 0.0 || self.waiting > 0 {
+            return WHOLE;
+        }
+        (self.peak * 1.2 / limit * f64::from(WHOLE)).min(f64::from(WHOLE)) as u32
+    }
+}
+
+/// See the module.
+pub struct Tier {
+    terms: Terms,
+    me: Peer,
+    heard: Heard,
+    loans: Loans,
+    counts: Counts,
+    evidence: Evidence,
+    rng: Pcg64Mcg,
+    traffic: BTreeMap<DestId, Traffic>,
+    /// Listed endpoints of each destination, and the destination of each.
+    places: BTreeMap<DestId, BTreeSet<Place>>,
+    dests: BTreeMap<Place, DestId>,
+    /// What was last said of endpoints.
+    hearsay: BTreeMap<Place, (Nanos, bool)>,
+    /// Destinations of which all endpoints are accused.
+    out: BTreeSet<DestId>,
+    /// What is for one peer alone.
+    direct: BTreeMap<Peer, Vec<Item>>,
+    due: Nanos,
+    /// Places in turns that go round.
+    next_own: DestId,
+    next_passed: (DestId, Peer),
+    next_life: Peer,
+    outs: VecDeque<Out>,
+    sent: u64,
+    bytes: u64,
+    planted: Planted,
+}
+
+impl Tier {
+    /// A life begins: number `me` of `of`, in this incarnation, which was noted.
+    pub fn new(now: Nanos, terms: Terms, me: Peer, of: u16, incarnation: Incarnation, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        Tier {
+            heard: Heard::new(now, me, of, incarnation),
+            loans: Loans::new(now, of, &terms, rng.next_u32()),
+            counts: Counts::new(me, of),
+            evidence: Evidence::new(me, of),
+            rng,
+            traffic: BTreeMap::new(),
+            places: BTreeMap::new(),
+            dests: BTreeMap::new(),
+            hearsay: BTreeMap::new(),
+            out: BTreeSet::new(),
+            direct: BTreeMap::new(),
+            due: now,
+            next_own: 0,
+            next_passed: (0, 0),
+            next_life: 0,
+            outs: VecDeque::new(),
+            sent: 0,
+            bytes: 0,
+            planted: Planted::default(),
+            terms,
+            me,
+        }
+    }
+
+    /// Puts a fault in place.
+    #[cfg(feature = "faults")]
+    pub fn plant(&mut self, fault: Fault) {
+        let planted = Planted { fault: Some(fault) };
+        (self.planted, self.loans.planted, self.evidence.planted) = (planted, planted, planted);
+    }
+
+    /// The next thing to be done.
+    pub fn out(&mut self) -> Option<Out> {
+        self.outs.pop_front()
+    }
+
+    /// When the next round is due.
+    pub fn due(&self) -> Nanos {
+        self.due
+    }
+
+    /// The endpoints that are listed from now on.
+    pub fn listed(&mut self, now: Nanos, all: impl IntoIterator<Item = (DestId, Place)>) {
+        (self.places, self.dests) = (BTreeMap::new(), BTreeMap::new());
+        for (dest, place) in all {
+            self.places.entry(dest).or_default().insert(place);
+            self.dests.insert(place, dest);
+        }
+        let Tier { places, dests, .. } = self;
+        self.loans.retain(now, |dest| places.contains_key(&dest));
+        self.counts.retain(|dest| places.contains_key(&dest));
+        self.traffic.retain(|dest, _| places.contains_key(dest));
+        self.out.retain(|dest| places.contains_key(dest));
+        self.hearsay.retain(|place, _| dests.contains_key(place));
+        self.evidence.retain(now, &self.terms, |place| dests.contains_key(&place));
+    }
+
+    /// A message for a destination has come: its budget is kept from now on.
+    pub fn wanted(&mut self, now: Nanos, need: Need) {
+        if !self.places.contains_key(&need.dest) {
+            return;
+        }
+        let traffic = self.traffic.entry(need.dest).or_default();
+        let new = traffic.part.is_none();
+        (traffic.active, traffic.told_limit) = (now, need.limit);
+        if new {
+            self.tell_part(now, need.dest);
+        }
+    }
+
+    /// Destinations whose needs are to be told in the next round.
+    pub fn active(&self) -> impl Iterator<Item = DestId> + '_ {
+        self.traffic.keys().copied()
+    }
+
+    /// A call was written to a destination.
+    pub fn sent(&mut self, now: Nanos, dest: DestId) {
+        if self.places.contains_key(&dest) {
+            self.counts.own(dest).sent += 1;
+            self.traffic.entry(dest).or_default().active = now;
+        }
+    }
+
+    /// A call ended, and whether the endpoint asked for a wait.
+    pub fn went(&mut self, now: Nanos, place: Place, went: Went, wait_until: Option<Nanos>) {
+        let Some(dest) = self.dests.get(&place) else { return };
+        let calls = self.counts.own(*dest);
+        match went {
+            Went::Served => calls.served += 1,
+            Went::Refused => calls.refused += 1,
+            Went::Answered | Went::Failed => {}
+        }
+        self.evidence.saw(now, place, if went == Went::Failed { End::Failed } else { End::Answered });
+        if let Some(until) = wait_until.filter(|until| *until > now) {
+            self.evidence.told_to_wait(now, place, until);
+        }
+    }
+
+    /// How many rounds a piece of news is passed on for.
+    fn pass_on(&self) -> u8 {
+        let of = u32::from(self.heard.speaker().of);
+        3 + of.checked_ilog2().unwrap_or(0) as u8
+    }
+
+    /// A datagram has come.
+    pub fn hear(&mut self, now: Nanos, frame: &Frame) {
+        let (speaker, pass_on) = (&frame.speaker, self.pass_on());
+        let from = speaker.who;
+        if from == self.me {
+            return;
+        }
+        let known = self.heard.life(from);
+        self.heard.speaks(now, speaker);
+        if speaker.life < known {
+            // It does not know of a life that it had, or is late: it is told.
+            self.say_to(from, Item::Lives { who: from, life: known });
+            if speaker.life.incarnation < known.incarnation {
+                return;
+            }
+        }
+        for item in &frame.items {
+            match item {
+                Item::Lives { who, life } => {
+                    if let Some(incarnation) = self.heard.lives(now, *who, *life) {
+                        self.outs.push_back(Out::Lives(incarnation));
+                    }
+                }
+                Item::Counted(counted) if self.places.contains_key(&counted.dest) => {
+                    self.counts.merge(now, counted, pass_on.min(3));
+                }
+                Item::Seen(seen) if self.dests.contains_key(&seen.place) => {
+                    let (_, wait) = self.evidence.heard(now, seen, pass_on);
+                    if let Some(until) = wait {
+                        self.outs.push_back(Out::News(News::Wait { place: seen.place, until }));
+                    }
+                }
+                Item::Ask { dest, seq, part } => {
+                    self.asked(now, (from, speaker.life.incarnation), *dest, *seq, *part)
+                }
+                Item::Grant { dest, seq, incarnation, part } => {
+                    let mine = *incarnation == self.heard.speaker().life.incarnation;
+                    if mine && self.loans.granted(now, from, *dest, *seq, *part, &self.terms) {
+                        self.tell_part(now, *dest);
+                    }
+                }
+                Item::Counted(_) | Item::Seen(_) => {}
+            }
+        }
+    }
+
+    fn asked(&mut self, now: Nanos, from: (Peer, Incarnation), dest: DestId, seq: u32, part: u32) {
+        if !self.terms.lend || !self.places.contains_key(&dest) {
+            return;
+        }
+        let right = self.right(now);
+        // Nothing was sent there of late: all of it is unused. What the limit is does not matter then.
+        let used = self.traffic.get(&dest).map_or(0, |t| t.used(&self.terms));
+        let lent = self.loans.asked(now, from, dest, seq, part, right, used, &self.terms);
+        if let Some(part) = lent {
+            self.tell_part(now, dest);
+            self.say_to(from.0, Item::Grant { dest, seq, incarnation: from.1, part });
+        }
+    }
+
+    /// The even part that is this one's by right.
+    fn right(&self, now: Nanos) -> u32 {
+        if self.planted.has(Fault::SharesByHeard) {
+            return even(self.heard.heard(now, &self.terms));
+        }
+        even(self.heard.configured())
+    }
+
+    fn say_to(&mut self, to: Peer, item: Item) {
+        if self.direct.len() >= DIRECT && !self.direct.contains_key(&to) {
+            return;
+        }
+        let items = self.direct.entry(to).or_default();
+        if items.len() < FOR_ONE {
+            items.push(item);
+        }
+    }
+
+    /// Tells the module what it may send, where that has changed.
+    fn tell_part(&mut self, now: Nanos, dest: DestId) {
+        let right = self.right(now);
+        // A round and a half: the next one comes before what is used now ends.
+        let share = self.loans.share(now, dest, right, 3 * self.terms.beat() / 2);
+        let Some(traffic) = self.traffic.get_mut(&dest) else { return };
+        let limit = traffic.limit(&self.terms);
+        let rate = |part: u32| limit * f64::from(part) / f64::from(WHOLE);
+        let part = (limit > 0.0).then(|| Part {
+            rate: rate(share.part),
+            until: share.until,
+            after: rate(share.after),
+        });
+        if part != traffic.part {
+            traffic.part = part;
+            self.outs.push_back(Out::News(News::Part { dest, part }));
+        }
+    }
+
+    /// A round: what has changed by now, and the datagrams that go out. `needs`: of the destinations that are
+    /// [`Self::active`].
+    pub fn tick(&mut self, now: Nanos, needs: &[Need]) {
+        let passed = (now.saturating_sub(self.due) + self.terms.beat()) as f64 / SECOND;
+        // No round is made up for: who was paused goes on from now.
+        self.due = now.saturating_add(self.terms.beat());
+        self.heard.beat();
+        self.loans.retain(now, |dest| self.places.contains_key(&dest));
+        for need in needs {
+            self.look_at(now, need, passed);
+        }
+        self.traffic.retain(|_, t| now.saturating_sub(t.active) < IDLE || t.waiting > 0 || t.part.is_some());
+        let pass_on = self.pass_on();
+        self.evidence.tell(now, &self.terms, pass_on);
+        self.judge(now);
+        let Tier { evidence, dests, terms, .. } = self;
+        evidence.retain(now, terms, |place| dests.contains_key(&place));
+        self.speak(now);
+    }
+
+    fn look_at(&mut self, now: Nanos, need: &Need, passed: f64) {
+        let dest = need.dest;
+        let sum = self.counts.sum(now, dest);
+        let sent = self.counts.own(dest).sent;
+        let Some(traffic) = self.traffic.get_mut(&dest) else { return };
+        traffic.rate += WEIGHT * ((sent.saturating_sub(traffic.sent)) as f64 / passed - traffic.rate);
+        traffic.peak = traffic.rate.max(traffic.peak * 0.97);
+        traffic.sent = sent;
+        (traffic.told_limit, traffic.waiting) = (need.limit, need.waiting);
+        if need.waiting > 0 {
+            traffic.active = now;
+        }
+        traffic.estimate.step(now, sum.calls);
+        let (limit, wants, used) =
+            (traffic.limit(&self.terms), traffic.rate + need.waiting as f64, traffic.used(&self.terms));
+        let right = self.right(now);
+        let spare = self.loans.spare(now, dest, right, if need.waiting > 0 { right } else { used });
+        self.counts.set_spare(dest, (u64::from(spare) * 255 / u64::from(right.max(1))).min(255) as u8);
+        self.tell_part(now, dest);
+        if !self.terms.lend || limit <= 0.0 || need.waiting == 0 {
+            return;
+        }
+        // What will be in use once this round's grants are here, against what waits.
+        let soon = now.saturating_add(2 * self.terms.beat());
+        let have = self.loans.share(soon, dest, right, 3 * self.terms.beat() / 2).part;
+        let wanted = (wants / limit * f64::from(WHOLE)).min(f64::from(WHOLE)) as u32;
+        let missing = wanted.saturating_sub(have);
+        if missing < right / 16 || self.loans.asks(now, dest, 2 * self.terms.beat()) {
+            return;
+        }
+        let lenders = self.lenders(now, dest);
+        if lenders.is_empty() {
+            return;
+        }
+        let seq = self.loans.ask(now, dest, &self.terms);
+        let part = missing.div_ceil(lenders.len() as u32);
+        lenders.into_iter().for_each(|lender| self.say_to(lender, Item::Ask { dest, seq, part }));
+    }
+
+    /// Whom to ask: those who have most to spare as far as is known; where nobody has, some that live.
+    fn lenders(&mut self, now: Nanos, dest: DestId) -> Vec<Peer> {
+        let alive = |who: Peer| self.heard.standing(now, &self.terms, who) == Standing::Alive;
+        let mut spares: Vec<_> = self.counts.spares(dest, now.saturating_sub(SPARE_FOR)).collect();
+        spares.retain(|(_, who)| alive(*who));
+        spares.sort_unstable_by(|a, b| b.cmp(a));
+        if !spares.is_empty() {
+            return spares.into_iter().take(LENDERS).map(|(_, who)| who).collect();
+        }
+        // Whoever never called a destination does not speak of it, and has all of its part to spare.
+        let mut all: Vec<Peer> = self.heard.others().filter(|who| alive(*who)).collect();
+        let mut some = Vec::new();
+        while some.len() < LENDERS && !all.is_empty() {
+            some.push(all.swap_remove(self.rng.next_u32() as usize % all.len()));
+        }
+        some
+    }
+
+    /// What is to be thought of endpoints by now.
+    fn judge(&mut self, now: Nanos) {
+        let mut accused: BTreeMap<DestId, Vec<(Place, Nanos)>> = BTreeMap::new();
+        if self.terms.hearsay {
+            for place in self.evidence.spoken_of() {
+                let Some(dest) = self.dests.get(&place) else { continue };
+                if let Verdict::Accused(until) = self.evidence.verdict(now, place, &self.terms) {
+                    accused.entry(*dest).or_default().push((place, until));
+                }
+            }
+        }
+        let mut said = BTreeMap::new();
+        let mut out = BTreeSet::new();
+        for (dest, places) in accused {
+            let listed = self.places.get(&dest).map_or(0, BTreeSet::len);
+            let most = listed * self.terms.avoid_percent as usize / 100;
+            if places.len() >= listed {
+                out.insert(dest);
+            }
+            said.extend(places.into_iter().enumerate().map(|(n, (place, until))| (place, (until, n < most))));
+        }
+        for place in self.hearsay.keys().filter(|place| !said.contains_key(place)) {
+            self.outs.push_back(Out::News(News::Hearsay { place: *place, until: 0, hold: false }));
+        }
+        for (place, (until, hold)) in &said {
+            if self.hearsay.get(place) != Some(&(*until, *hold)) {
+                self.outs.push_back(Out::News(News::Hearsay { place: *place, until: *until, hold: *hold }));
+            }
+        }
+        for dest in self.out.difference(&out) {
+            self.outs.push_back(Out::News(News::Cold { dest: *dest }));
+        }
+        (self.hearsay, self.out) = (said, out);
+    }
+
+    /// The datagrams of a round.
+    fn speak(&mut self, now: Nanos) {
+        let speaker = self.heard.speaker();
+        let mut others: Vec<Peer> = self.heard.others().collect();
+        let mut to: BTreeSet<Peer> = self.direct.keys().copied().collect();
+        let mut left = self.terms.fanout;
+        while left > 0 && !others.is_empty() {
+            to.insert(others.swap_remove(self.rng.next_u32() as usize % others.len()));
+            left -= 1;
+        }
+        let seen = self.evidence.pass_on(now, speaker.life.incarnation, 6);
+        let own = self.own_counts(speaker.life.incarnation, 4);
+        let passed = self.counts.pass_on(now, self.next_passed, 4);
+        if let Some(last) = passed.last() {
+            self.next_passed = (last.dest, last.who);
+        }
+        let lives = self.lives(now, 12);
+        for to in to {
+            let mut packing = Packing::new(&speaker);
+            for item in self.direct.remove(&to).unwrap_or_default() {
+                packing.add(&item);
+            }
+            let items = seen.iter().map(|seen| Item::Seen(*seen));
+            let items = items.chain(own.iter().chain(&passed).map(|counted| Item::Counted(*counted)));
+            for item in items {
+                // Some room is always left for who lives.
+                if packing.room() < 72 || !packing.add(&item) {
+                    break;
+                }
+            }
+            lives.iter().all(|item| packing.add(item));
+            let bytes = packing.bytes();
+            (self.sent, self.bytes) = (self.sent + 1, self.bytes + bytes.len() as u64);
+            self.outs.push_back(Out::Send { to, bytes });
+        }
+        self.direct.clear();
+    }
+
+    fn own_counts(&mut self, incarnation: Incarnation, most: usize) -> Vec<crate::frame::Counted> {
+        let from = self.next_own;
+        let mut dests: Vec<DestId> = self.traffic.keys().copied().collect();
+        let start = dests.partition_point(|dest| *dest < from);
+        dests.rotate_left(start);
+        dests.truncate(most);
+        if let Some(last) = dests.last() {
+            self.next_own = last.saturating_add(1);
+        }
+        dests.into_iter().filter_map(|dest| self.counts.tell(dest, incarnation)).collect()
+    }
+
+    /// Who lives, in turns round all.
+    fn lives(&mut self, now: Nanos, most: usize) -> Vec<Item> {
+        let mut all: Vec<Peer> = self
+            .heard
+            .others()
+            .filter(|who| self.heard.standing(now, &self.terms, *who) <= Standing::Suspected)
+            .collect();
+        let start = all.partition_point(|who| *who < self.next_life);
+        all.rotate_left(start);
+        all.truncate(most);
+        if let Some(last) = all.last() {
+            self.next_life = last + 1;
+        }
+        all.into_iter().map(|who| Item::Lives { who, life: self.heard.life(who) }).collect()
+    }
+
+    /// What is known of all dispatchers' calls to a destination.
+    pub fn sum(&self, now: Nanos, dest: DestId) -> Sum {
+        self.counts.sum(now, dest)
+    }
+
+    /// One's own calls to a destination.
+    pub fn own_calls(&mut self, dest: DestId) -> Calls {
+        *self.counts.own(dest)
+    }
+
+    /// How a peer is seen.
+    pub fn standing(&self, now: Nanos, who: Peer) -> Standing {
+        self.heard.standing(now, &self.terms, who)
+    }
+
+    /// Calls a second that a destination takes from all, as far as that is known.
+    pub fn limit(&self, dest: DestId) -> f64 {
+        self.traffic.get(&dest).map_or(0.0, |t| t.limit(&self.terms))
+    }
+
+    /// For the console.
+    pub fn figures(&self, now: Nanos) -> Figures {
+        let count = |standing| self.heard.count(now, &self.terms, standing);
+        let right = u64::from(self.right(now)).max(1);
+        let mut figures = Figures {
+            alive: count(Standing::Alive),
+            suspected: count(Standing::Suspected),
+            silent: count(Standing::Silent),
+            gone: count(Standing::Gone),
+            hears_nobody: self.heard.hears_nobody(now, &self.terms),
+            at_fault: self.evidence.at_fault(),
+            hearsay: self.hearsay.len(),
+            sent: self.sent,
+            bytes: self.bytes,
+            ..Figures::default()
+        };
+        for dest in self.traffic.keys() {
+            let (lent, borrowed) = self.loans.out_and_in(now, *dest);
+            figures.lent += u64::from(lent) * 1_000 / right;
+            figures.borrowed += u64::from(borrowed) * 1_000 / right;
+            figures.oldest_ms = figures.oldest_ms.max(self.counts.sum(now, *dest).oldest / 1_000_000);
+        }
+        figures
+    }
+}
