Faults between real dispatchers: each ordered pair, pauses, lost folders; shared state under them

The relay between dispatchers had one switch for all.

Found on the way: messages restored at a start went out before their part was known; parts are told for all destinations with messages from the first round on.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -223,6 +223,11 @@
         self.watched = true;
     }
 
+    /// Destinations that have a message without a final answer.
+    pub fn destinations(&self) -> impl Iterator<Item = millpost::api::DestId> + '_ {
+        self.control.destinations()
+    }
+
     /// What a destination takes a second from all dispatchers, as far as that is told, and the messages that wait for it.
     pub fn need(&self, dest: millpost::api::DestId) -> (f64, usize) {
         self.control.need(dest)
--- a/dispatcher/examples/loopback.rs
+++ b/dispatcher/examples/loopback.rs
@@ -28,6 +28,7 @@
         discovery: discovery.server.address,
         known: entry("partner", &partner, 7, "in_service"),
         store: None,
+        settings: None,
         file_bytes: None,
         peers: None,
         log: None,
--- a/dispatcher/examples/service.rs
+++ b/dispatcher/examples/service.rs
@@ -98,6 +98,7 @@
         discovery: discovery.server.address,
         known: known.join(","),
         store: None,
+        settings: None,
         file_bytes: None,
         peers: None,
         log: Some(log.clone()),
--- a/dispatcher/src/peers/sharing.rs
+++ b/dispatcher/src/peers/sharing.rs
@@ -1,6 +1,6 @@
 //! What the dispatchers share, between the loop and [`Tier`]: names here are numbers there. Nothing is decided here.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use millpost::api::{DestId, EndpointId, Event, Nanos, Outcome, Part};
 use millpost_core::{Core, Moment};
@@ -27,8 +27,6 @@
         let incarnation = record.ledger().incarnation().saturating_add(1);
         record.live(at, incarnation);
         let tier = Tier::new(at.now, terms, me, of, incarnation, seed);
-        #[cfg(feature = "faults")]
-        let tier = plant(tier);
         Sharing { tier, slots: 0, endpoints: HashMap::new(), places: HashMap::new() }
     }
 
@@ -85,7 +83,9 @@
     /// The round that is due, if it is.
     pub fn tick(&mut self, at: Moment, core: &Core) {
         if at.now >= self.tier.due() {
-            let needs: Vec<Need> = self.tier.active().map(|dest| need(core, self.slots, dest)).collect();
+            // Also of messages that were there before this process, or that nothing was sent of for a while.
+            let all: BTreeSet<DestId> = self.tier.active().chain(core.destinations()).collect();
+            let needs: Vec<Need> = all.into_iter().map(|dest| need(core, self.slots, dest)).collect();
             self.tier.tick(at.now, &needs);
         }
     }
@@ -139,14 +139,3 @@
     let (limit, waiting) = core.need(dest);
     Need { dest, limit, waiting: if core.slots_taken() < slots { waiting } else { 0 } }
 }
-
-/// Tests that pass with a fault in place prove nothing.
-#[cfg(feature = "faults")]
-fn plant(mut tier: Tier) -> Tier {
-    let name = std::env::var("MILLPOST_PLANT").unwrap_or_default();
-    if let Some(fault) = millpost_tier::Fault::named(&name) {
-        eprintln!("tier: the fault {name} is in place");
-        tier.plant(fault);
-    }
-    tier
-}
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -114,6 +114,7 @@
             discovery: discovery.server.address,
             known: known.join(","),
             store: options.store,
+            settings: None,
             file_bytes: options.file_bytes,
             peers: None,
             log: None,
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -11,8 +11,8 @@
 use millpost_standins::discovery::{Discovery, line};
 use millpost_standins::node::{Node, Spec};
 use millpost_standins::partner::Partners;
-use millpost_standins::peers::Relay;
-use millpost_standins::plan::{Fault, Plan, Target, What};
+use millpost_standins::peers::{Path as Way, Relay};
+use millpost_standins::plan::{Dispatchers, Fault, Plan, Target, What};
 use serde::Serialize;
 use tokio::time::sleep;
 
@@ -163,7 +163,8 @@
     recorder.audit().reserve(room(plan));
     let partners = Arc::new(Partners::start(plan, recorder.clone()).await?);
     let of = plan.dispatchers.count;
-    let relay = if plan.dispatchers.peers && of > 1 { Some(Relay::start(of)?) } else { None };
+    let relay =
+        if plan.dispatchers.peers && of > 1 { Some(Arc::new(Relay::seeded(of, plan.seed)?)) } else { None };
     let agents: Arc<Vec<Discovery>> =
         Arc::new((0..of).map(|node| Discovery::audited(recorder.clone(), node)).collect());
     let weight = plan.partners.per_second;
@@ -178,7 +179,8 @@
             endpoints.iter().map(of_one).collect()
         };
     let every: Vec<usize> = (0..partners.endpoints().len()).collect();
-    let store = format!("durability = \"{}\"", plan.dispatchers.durability);
+    let Dispatchers { durability, tier, .. } = &plan.dispatchers;
+    let settings = format!("[store]\ndurability = \"{durability}\"\n[tier]\n{tier}\n");
     let mut slots = Vec::new();
     for (number, agent) in agents.iter().enumerate() {
         agent.list(lines(number, &every, "in_service"));
@@ -190,9 +192,10 @@
                 of,
                 discovery: agent.server.address,
                 known: agent.known(),
-                store: Some(&store),
+                store: None,
+                settings: Some(&settings),
                 file_bytes: None,
-                peers: relay.as_ref(),
+                peers: relay.as_deref(),
                 log: watch.logs.map(|folder| folder.join(format!("dispatcher-{number}.log"))),
                 console: false,
             })
@@ -211,6 +214,7 @@
     let mut running = Vec::new();
     for (number, fault) in faults.iter().cloned() {
         let (partners, agents, slots) = (partners.clone(), agents.clone(), slots.clone());
+        let relay = relay.clone();
         let (recorder, clients) = (recorder.clone(), clients.clone());
         let pin = plan.dispatchers.one_core.then(|| deal.dispatchers.clone());
         let lines_of: Vec<Vec<(String, String, usize, bool)>> = (0..of)
@@ -221,7 +225,7 @@
             .collect();
         running.push(tokio::spawn(async move {
             sleep(Duration::from_secs_f64(fault.at)).await;
-            let on = On { partners, agents, slots, recorder, clients, lines: lines_of, pin };
+            let on = On { partners, agents, slots, recorder, clients, lines: lines_of, pin, relay };
             strike(number, &fault, &on).await;
         }));
     }
@@ -341,6 +345,7 @@
     lines: Vec<Vec<(String, String, usize, bool)>>,
     /// The core of each dispatcher.
     pin: Option<Vec<usize>>,
+    relay: Option<Arc<Relay>>,
 }
 
 /// Health calls of a crowd.
@@ -349,7 +354,7 @@
 const FRONT_LEAVES: Duration = Duration::from_millis(300);
 
 async fn strike(number: usize, fault: &Fault, on: &On) {
-    let On { partners, agents, slots, recorder, clients, lines, pin } = on;
+    let On { partners, agents, slots, recorder, clients, lines, pin, relay } = on;
     let lasts = Duration::from_secs_f64(fault.lasts);
     let list = |status: &str| {
         for (agent, lines) in agents.iter().zip(lines) {
@@ -380,8 +385,32 @@
                 agent.spoil(false);
             }
         }
+        (what, Target::Peers(from, to)) => {
+            let Some(relay) = relay else { return };
+            let path = match what {
+                What::Lossy => Way { loss: fault.share, ..Way::default() },
+                What::Repeated => Way { repeated: fault.share, ..Way::default() },
+                What::Delayed => {
+                    let most = Duration::from_millis(fault.wait_ms.max(0) as u64);
+                    Way { delay: [Duration::ZERO, most], ..Way::default() }
+                }
+                _ => Way::CUT,
+            };
+            let all = || 0..slots.len();
+            let is = |n: usize, named: Option<usize>| named.is_none_or(|named| named == n);
+            let pairs =
+                || all().flat_map(|a| all().map(move |b| (a, b))).filter(|(a, b)| is(*a, from) && is(*b, to));
+            pairs().for_each(|(a, b)| relay.set(a, b, path));
+            sleep(lasts).await;
+            pairs().for_each(|(a, b)| relay.set(a, b, Way::default()));
+        }
+        (What::Pause, Target::Dispatcher(node)) => {
+            slots[node].node().signal("STOP");
+            sleep(lasts).await;
+            slots[node].node().signal("CONT");
+        }
         (What::Crowd, Target::Dispatcher(node)) => clients.crowd(node, CROWD, lasts).await,
-        (What::Kill | What::Terminate, Target::Dispatcher(node)) => {
+        (What::Kill | What::Terminate | What::Lose, Target::Dispatcher(node)) => {
             let (slot, what, recorder) = (slots[node].clone(), fault.what, recorder.clone());
             let core = pin.as_ref().map(|cores| cores[node]);
             let front = clients.clone();
@@ -403,6 +432,9 @@
                     }
                 }
                 process.kill();
+                if what == What::Lose {
+                    process.lose_folder();
+                }
                 std::thread::sleep(lasts.saturating_sub(began.elapsed()));
                 process.relaunch();
                 if let Some(core) = core {
--- a/src/agenda.rs
+++ b/src/agenda.rs
@@ -148,6 +148,11 @@
     pub fn held_for(&self, dest: DestId) -> impl Iterator<Item = MsgId> + '_ {
         self.held.range((dest, MsgId::MIN)..=(dest, MsgId::MAX)).map(|(_, id)| *id)
     }
+    /// Destinations that have a message without a final answer.
+    pub fn destinations(&self) -> impl Iterator<Item = DestId> + '_ {
+        let from = |from: DestId| self.held.range((from, MsgId::MIN)..).next().map(|(dest, _)| *dest);
+        std::iter::successors(from(DestId::MIN), move |dest| from(dest.checked_add(1)?))
+    }
     /// How many messages have no final answer.
     pub fn held(&self) -> usize {
         self.held.len()
--- a/src/control/inspect.rs
+++ b/src/control/inspect.rs
@@ -33,6 +33,11 @@
         (limit, self.agenda.ready_for(dest).count())
     }
 
+    /// Destinations that have a message without a final answer.
+    pub fn destinations(&self) -> impl Iterator<Item = DestId> + '_ {
+        self.agenda.destinations()
+    }
+
     /// Calls that the module takes to be out by endpoint, those that it has forgotten left out.
     pub fn calls_to(&self, endpoint: EndpointId) -> usize {
         self.endpoints.get(&endpoint).map_or(0, |e| e.calls)
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod audit;
 pub mod client;
 pub mod discovery;
+pub mod fleet;
 pub mod link;
 pub mod node;
 pub mod partner;
--- a/standins/src/node.rs
+++ b/standins/src/node.rs
@@ -30,6 +30,8 @@
     pub known: String,
     /// Settings of the store, if any.
     pub store: Option<&'a str>,
+    /// All operators' settings in one file, if any; in place of the store's alone.
+    pub settings: Option<&'a str>,
     /// Writes to a file fail beyond so many bytes, until [`Node::make_room`].
     pub file_bytes: Option<u64>,
     /// Where it hears other dispatchers: its place in a relay.
@@ -52,7 +54,8 @@
     pub state: tempfile::TempDir,
     program: PathBuf,
     config: PathBuf,
-    store: Option<PathBuf>,
+    /// The file of settings, and the option that names it.
+    store: Option<(&'static str, PathBuf)>,
     log: Option<PathBuf>,
     child: Child,
 }
@@ -109,13 +112,14 @@
             text["settings"]["limits"]["peerMessages"] = json!(true);
         }
         std::fs::write(&config, text.to_string()).expect("the configuration");
-        let store = spec.store.map(|text| {
+        let given = spec.settings.map(|text| ("--settings", text));
+        let store = given.or(spec.store.map(|text| ("--store", text))).map(|(option, text)| {
             let file = state.path().with_extension("toml");
             std::fs::write(&file, text).expect("the settings");
-            file
+            (option, file)
         });
         let console = spec.console.then(own_address);
-        let mut command = command(spec.program, &config, state.path(), store.as_deref(), spec.log.as_deref());
+        let mut command = command(spec.program, &config, state.path(), store.as_ref(), spec.log.as_deref());
         command.envs(in_service(console, listener.as_ref()));
         if let Some(bytes) = spec.file_bytes {
             // The limit is the shell's to set, and its signal to be ignored, before the program takes its place.
@@ -132,7 +136,7 @@
     }
 
     fn command(&self) -> Command {
-        let (store, log) = (self.store.as_deref(), self.log.as_deref());
+        let (store, log) = (self.store.as_ref(), self.log.as_deref());
         let mut command = command(&self.program, &self.config, self.state.path(), store, log);
         command.envs(in_service(self.console, self.listener.as_ref()));
         command
@@ -274,6 +278,16 @@
         self.child = self.command().spawn().expect("it starts");
     }
 
+    /// Its folder is lost, with all that is in it: the process that it was the folder of is to be gone.
+    ///
+    /// # Panics
+    /// Where something can't be removed.
+    pub fn lose_folder(&self) {
+        for entry in std::fs::read_dir(self.state.path()).expect("the folder").flatten() {
+            std::fs::remove_file(entry.path()).expect("removed");
+        }
+    }
+
     /// Sends a signal, by name.
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
@@ -370,11 +384,17 @@
     console.into_iter().chain(listener).collect()
 }
 
-fn command(program: &Path, config: &Path, state: &Path, store: Option<&Path>, log: Option<&Path>) -> Command {
+fn command(
+    program: &Path,
+    config: &Path,
+    state: &Path,
+    store: Option<&(&'static str, PathBuf)>,
+    log: Option<&Path>,
+) -> Command {
     let mut command = Command::new(program);
     command.env("NODE_CONFIG", config).env("NODE_STATE", state);
-    if let Some(store) = store {
-        command.arg("--store").arg(store);
+    if let Some((option, file)) = store {
+        command.arg(option).arg(file);
     }
     let file = log.and_then(|log| std::fs::OpenOptions::new().create(true).append(true).open(log).ok());
     if let Some(file) = file {
@@ -388,6 +408,6 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
-        self.store.iter().for_each(|file| drop(std::fs::remove_file(file)));
+        self.store.iter().for_each(|(_, file)| drop(std::fs::remove_file(file)));
     }
 }
--- a/standins/src/plan.rs
+++ b/standins/src/plan.rs
@@ -63,11 +63,19 @@
     pub peers: bool,
     /// `durability` of their stores.
     pub durability: String,
+    /// What they share: the lines of the section `[tier]` of their settings.
+    pub tier: String,
 }
 
 impl Default for Dispatchers {
     fn default() -> Self {
-        Dispatchers { count: 2, one_core: true, peers: true, durability: "process".to_owned() }
+        Dispatchers {
+            count: 2,
+            one_core: true,
+            peers: true,
+            durability: "process".to_owned(),
+            tier: String::new(),
+        }
     }
 }
 
@@ -169,6 +177,8 @@
     Discovery,
     /// The links to a destination.
     Link(u64),
+    /// Datagrams from one dispatcher to another; `None` for all.
+    Peers(Option<usize>, Option<usize>),
 }
 
 impl fmt::Display for Target {
@@ -180,6 +190,10 @@
             Target::Dispatcher(n) => write!(f, "dispatcher {n}"),
             Target::Discovery => f.write_str("discovery"),
             Target::Link(n) => write!(f, "link {n}"),
+            Target::Peers(from, to) => {
+                let name = |n: Option<usize>| n.map_or("*".to_owned(), |n| n.to_string());
+                write!(f, "peers {}>{}", name(*from), name(*to))
+            }
         }
     }
 }
@@ -194,6 +208,10 @@
             ("destination", n) => n.parse().ok().map(Target::Destination),
             ("dispatcher", n) => n.parse().ok().map(Target::Dispatcher),
             ("link", n) => n.parse().ok().map(Target::Link),
+            ("peers", n) => n.split_once('>').and_then(|(from, to)| {
+                let one = |n: &str| if n == "*" { Some(None) } else { n.parse().ok().map(Some) };
+                Some(Target::Peers(one(from)?, one(to)?))
+            }),
             ("endpoint", n) => {
                 n.split_once('/').and_then(|(d, e)| Some(Target::Endpoint(d.parse().ok()?, e.parse().ok()?)))
             }
@@ -201,7 +219,7 @@
         };
         target.ok_or_else(|| {
             D::Error::custom(format!(
-                "`{text}` is none of: destinations, destination N, endpoint N/E, dispatcher N, discovery, link N"
+                "`{text}` is none of: destinations, destination N, endpoint N/E, dispatcher N, discovery, link N, peers N>N"
             ))
         })
     }
@@ -244,6 +262,16 @@
     Kill,
     /// SIGTERM, SIGKILL if it still runs after 3.7 s; started again at the end.
     Terminate,
+    /// SIGSTOP; SIGCONT at the end.
+    Pause,
+    /// SIGKILL, and the folder is lost; started again with an empty one at the end.
+    Lose,
+    /// A share of the datagrams is lost.
+    Lossy,
+    /// A share of the datagrams comes twice.
+    Repeated,
+    /// Datagrams take up to `wait_ms`, and come in any order.
+    Delayed,
     /// A thousand health calls come, each on a new connection.
     Crowd,
     /// Discovery answers 503.
@@ -252,7 +280,7 @@
     Late,
     /// An entry of each list can't be read.
     Unreadable,
-    /// Connections through the link are cut, and new ones refused.
+    /// Connections through the link are cut, and new ones refused; no datagram passes.
     Cut,
     /// Nothing passes the link, in either direction; it stays open.
     Hang,
@@ -302,11 +330,15 @@
     }
 
     fn fits(self, target: Target) -> bool {
-        use Target::{Destination, Destinations, Discovery, Dispatcher, Endpoint, Link};
+        use Target::{Destination, Destinations, Discovery, Dispatcher, Endpoint, Link, Peers};
         match self {
-            What::Kill | What::Terminate | What::Crowd => matches!(target, Dispatcher(_)),
+            What::Kill | What::Terminate | What::Crowd | What::Pause | What::Lose => {
+                matches!(target, Dispatcher(_))
+            }
+            What::Lossy | What::Repeated | What::Delayed => matches!(target, Peers(..)),
+            What::Cut => matches!(target, Link(_) | Peers(..)),
             What::Mute | What::Late | What::Unreadable => target == Discovery,
-            What::Cut | What::Hang | What::OneWay => matches!(target, Link(_)),
+            What::Hang | What::OneWay => matches!(target, Link(_)),
             _ => matches!(target, Destinations | Destination(_) | Endpoint(..)),
         }
     }
@@ -432,6 +464,10 @@
             Target::Link(n) => self.partners.links && n < self.partners.destinations as u64,
             Target::Endpoint(n, e) => n < self.partners.destinations as u64 && e < self.partners.endpoints,
             Target::Dispatcher(n) => n < self.dispatchers.count,
+            Target::Peers(from, to) => {
+                let all = [from, to].into_iter().flatten().all(|n| n < self.dispatchers.count);
+                all && self.dispatchers.peers && self.dispatchers.count > 1
+            }
             Target::Destinations | Target::Discovery => true,
         };
         if !there {
--- a/tier/src/lend.rs
+++ b/tier/src/lend.rs
@@ -104,11 +104,11 @@
         if unsure { known.max(right / 2) } else { known }
     }
 
-    /// Of a destination, what is lent and what is borrowed.
-    pub fn out_and_in(&self, now: Nanos, dest: DestId) -> (u32, u32) {
-        let Some(book) = self.books.get(&dest) else { return (0, 0) };
-        let lent = book.lent.iter().filter(|l| l.until > now).map(|l| l.part).sum();
-        (lent, book.borrowed.iter().filter(|b| b.until > now).map(|b| b.part).sum())
+    /// What is lent and what is borrowed, over all destinations.
+    pub fn out_and_in(&self, now: Nanos) -> (u64, u64) {
+        let lent = self.books.values().flat_map(|book| &book.lent).filter(|l| l.until > now);
+        let borrowed = self.books.values().flat_map(|book| &book.borrowed).filter(|b| b.until > now);
+        (lent.map(|l| u64::from(l.part)).sum(), borrowed.map(|b| u64::from(b.part)).sum())
     }
 
     /// What may be used of a destination of which `right` is this dispatcher's. What ends within `margin` is left already:
--- a/tier/src/planted.rs
+++ b/tier/src/planted.rs
@@ -1,7 +1,8 @@
 //! Faults that can be planted: tests that pass with one of them in place prove nothing.
 
 /// A fault.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Fault {
     /// A borrower forgets that what it borrowed ends.
     ForgetEnds,
@@ -15,20 +16,6 @@
     ReviveOld,
 }
 
-impl Fault {
-    /// The fault of this name.
-    pub fn named(name: &str) -> Option<Fault> {
-        Some(match name {
-            "forget-ends" => Fault::ForgetEnds,
-            "shares-by-heard" => Fault::SharesByHeard,
-            "one-witness" => Fault::OneWitness,
-            "forget-lent" => Fault::ForgetLent,
-            "revive-old" => Fault::ReviveOld,
-            _ => return None,
-        })
-    }
-}
-
 /// The fault that is in place, if any; nothing at all without the feature.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Planted {
--- a/tier/src/terms.rs
+++ b/tier/src/terms.rs
@@ -47,6 +47,9 @@
     pub fade_ms: u64,
     /// Budgets are kept where nobody tells the limit: it is worked out from the counts of all.
     pub estimate: bool,
+    /// A fault that is in place.
+    #[cfg(feature = "faults")]
+    pub planted: Option<crate::Fault>,
 }
 
 impl Default for Terms {
@@ -66,6 +69,8 @@
             avoid_percent: 50,
             fade_ms: 5_000,
             estimate: true,
+            #[cfg(feature = "faults")]
+            planted: None,
         }
     }
 }
--- a/tier/src/tier.rs
+++ b/tier/src/tier.rs
@@ -209,11 +209,18 @@
     /// A life begins: number `me` of `of`, in this incarnation, which was noted.
     pub fn new(now: Nanos, terms: Terms, me: Peer, of: u16, incarnation: Incarnation, seed: u64) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let planted = Planted {
+            #[cfg(feature = "faults")]
+            fault: terms.planted,
+        };
+        let mut loans = Loans::new(now, of, &terms, rng.next_u32());
+        let mut evidence = Evidence::new(me, of);
+        (loans.planted, evidence.planted) = (planted, planted);
         Tier {
             heard: Heard::new(now, me, of, incarnation),
-            loans: Loans::new(now, of, &terms, rng.next_u32()),
+            loans,
             counts: Counts::new(me, of),
-            evidence: Evidence::new(me, of),
+            evidence,
             rng,
             traffic: BTreeMap::new(),
             places: BTreeMap::new(),
@@ -228,19 +235,12 @@
             outs: VecDeque::new(),
             sent: 0,
             bytes: 0,
-            planted: Planted::default(),
+            planted,
             terms,
             me,
         }
     }
 
-    /// Puts a fault in place.
-    #[cfg(feature = "faults")]
-    pub fn plant(&mut self, fault: Fault) {
-        let planted = Planted { fault: Some(fault) };
-        (self.planted, self.loans.planted, self.evidence.planted) = (planted, planted, planted);
-    }
-
     /// The next thing to be done.
     pub fn out(&mut self) -> Option<Out> {
         self.outs.pop_front()
@@ -273,16 +273,18 @@
             return;
         }
         let traffic = self.traffic.entry(need.dest).or_default();
-        let new = traffic.part.is_none();
-        (traffic.active, traffic.told_limit) = (now, need.limit);
-        if new {
-            self.tell_part(now, need.dest);
+        traffic.told_limit = need.limit;
+        if need.waiting > 0 {
+            traffic.active = now;
         }
+        self.tell_part(now, need.dest);
     }
 
     /// Destinations whose needs are to be told in the next round.
     pub fn active(&self) -> impl Iterator<Item = DestId> + '_ {
-        self.traffic.keys().copied()
+        let busy =
+            |t: &Traffic| t.active + IDLE > self.due || t.part.is_some_and(|part| part.until != Nanos::MAX);
+        self.traffic.iter().filter(move |(_, t)| busy(t)).map(|(dest, _)| *dest)
     }
 
     /// A call was written to a destination.
@@ -412,7 +414,7 @@
     }
 
     /// A round: what has changed by now, and the datagrams that go out. `needs`: of the destinations that are
-    /// [`Self::active`].
+    /// [`Self::active`], and of all that messages are held for.
     pub fn tick(&mut self, now: Nanos, needs: &[Need]) {
         let passed = (now.saturating_sub(self.due) + self.terms.beat()) as f64 / SECOND;
         // No round is made up for: who was paused goes on from now.
@@ -420,9 +422,9 @@
         self.heard.beat();
         self.loans.retain(now, |dest| self.places.contains_key(&dest));
         for need in needs {
+            self.wanted(now, *need);
             self.look_at(now, need, passed);
         }
-        self.traffic.retain(|_, t| now.saturating_sub(t.active) < IDLE || t.waiting > 0 || t.part.is_some());
         let pass_on = self.pass_on();
         self.evidence.tell(now, &self.terms, pass_on);
         self.judge(now);
@@ -625,12 +627,10 @@
             bytes: self.bytes,
             ..Figures::default()
         };
-        for dest in self.traffic.keys() {
-            let (lent, borrowed) = self.loans.out_and_in(now, *dest);
-            figures.lent += u64::from(lent) * 1_000 / right;
-            figures.borrowed += u64::from(borrowed) * 1_000 / right;
-            figures.oldest_ms = figures.oldest_ms.max(self.counts.sum(now, *dest).oldest / 1_000_000);
-        }
+        let (lent, borrowed) = self.loans.out_and_in(now);
+        (figures.lent, figures.borrowed) = (lent * 1_000 / right, borrowed * 1_000 / right);
+        let ages = self.traffic.keys().map(|dest| self.counts.sum(now, *dest).oldest / 1_000_000);
+        figures.oldest_ms = ages.max().unwrap_or(0);
         figures
     }
 }
