Fleets of the machines simulated and explored; budgets can be left off

The machines of what dispatchers share are simulated in fleets of 3 to 300 with clocks apart, loss, splits, pauses and restarts, and lending is explored exhaustively among three.

--- a/explore/src/lib.rs
+++ b/explore/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cases;
 pub mod hop;
 mod journal;
+pub mod lend;
 pub mod property;
 pub mod search;
 pub mod step;
--- a/tier/src/lend.rs
+++ b/tier/src/lend.rs
@@ -16,6 +16,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::Serialize;
+
 use crate::planted::{Fault, Planted};
 use crate::terms::Terms;
 use crate::{DestId, Incarnation, Nanos, Peer};
@@ -34,19 +36,19 @@
     WHOLE / u32::from(of.max(1))
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize)]
 struct Lent {
     part: u32,
     until: Nanos,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize)]
 struct Borrowed {
     part: u32,
     until: Nanos,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 struct Asked {
     seq: u32,
     at: Nanos,
@@ -54,7 +56,7 @@
     granted: Vec<Peer>,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize)]
 struct Book {
     lent: Vec<Lent>,
     borrowed: Vec<Borrowed>,
@@ -62,7 +64,7 @@
 }
 
 /// What one dispatcher has lent and borrowed. Books of destinations leave with [`Loans::retain`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Loans {
     books: BTreeMap<DestId, Book>,
     /// Until then this life does not know what the one before lent.
@@ -70,6 +72,7 @@
     next_seq: u32,
     /// The last asking of each peer, and in which life of its.
     heard: Vec<(Incarnation, u32)>,
+    #[serde(skip)]
     pub(crate) planted: Planted,
 }
 
@@ -97,6 +100,12 @@
         }
     }
 
+    /// The same with a fault in place.
+    #[cfg(feature = "faults")]
+    pub fn planted(now: Nanos, of: u16, terms: &Terms, drawn: u32, fault: Option<Fault>) -> Self {
+        Loans { planted: Planted { fault }, ..Loans::new(now, of, terms, drawn) }
+    }
+
     fn lent(&self, now: Nanos, dest: DestId, right: u32) -> u32 {
         let of = |book: &Book| book.lent.iter().filter(|l| l.until > now).map(|l| l.part).sum::<u32>();
         let known = self.books.get(&dest).map_or(0, of);
@@ -176,7 +185,8 @@
         if part < right / LEAST || part == 0 || lent.len() >= LENT {
             return None;
         }
-        lent.push(Lent { part, until: now.saturating_add(terms.hold()) });
+        let hold = if self.planted.has(Fault::NoMargin) { terms.term() } else { terms.hold() };
+        lent.push(Lent { part, until: now.saturating_add(hold) });
         Some(part)
     }
 
@@ -193,7 +203,8 @@
         let Some(book) = self.books.get_mut(&dest) else { return false };
         let Some(asked) = book.asked.iter_mut().find(|a| a.seq == seq) else { return false };
         let until = asked.at.saturating_add(terms.term());
-        if until <= now || asked.granted.contains(&from) || part > WHOLE {
+        let again = asked.granted.contains(&from) && !self.planted.has(Fault::LendTwice);
+        if until <= now || again || part > WHOLE {
             return false;
         }
         asked.granted.push(from);
--- a/tier/src/planted.rs
+++ b/tier/src/planted.rs
@@ -12,6 +12,10 @@
     OneWitness,
     /// A lender that was started anew does not wait for what it may have lent before.
     ForgetLent,
+    /// A lender waits no longer than the borrower, whatever their clocks.
+    NoMargin,
+    /// A grant that comes twice is taken twice.
+    LendTwice,
     /// An old piece of evidence is taken as new.
     ReviveOld,
 }
--- a/tier/src/terms.rs
+++ b/tier/src/terms.rs
@@ -31,6 +31,8 @@
     pub silent_ms: u64,
     /// ... is gone.
     pub gone_ms: u64,
+    /// Each keeps to its part of a destination's budgets. Without it nothing is lent either.
+    pub budgets: bool,
     /// Unused parts of budgets are lent.
     pub lend: bool,
     /// How long a borrowed part may be used, from the asking, milliseconds.
@@ -61,6 +63,7 @@
             suspected_ms: 2_000,
             silent_ms: 5_000,
             gone_ms: 60_000,
+            budgets: true,
             lend: true,
             term_ms: 2_000,
             clock_rate_permille: 10,
@@ -99,6 +102,9 @@
         }
     }
 
+    pub(crate) fn lends(&self) -> bool {
+        self.budgets && self.lend
+    }
     pub(crate) fn beat(&self) -> Nanos {
         ms(self.beat_ms)
     }
--- a/tier/src/tier.rs
+++ b/tier/src/tier.rs
@@ -363,7 +363,7 @@
     }
 
     fn asked(&mut self, now: Nanos, from: (Peer, Incarnation), dest: DestId, seq: u32, part: u32) {
-        if !self.terms.lend || !self.places.contains_key(&dest) {
+        if !self.terms.lends() || !self.places.contains_key(&dest) {
             return;
         }
         let right = self.right(now);
@@ -400,7 +400,7 @@
         // A round and a half: the next one comes before what is used now ends.
         let share = self.loans.share(now, dest, right, 3 * self.terms.beat() / 2);
         let Some(traffic) = self.traffic.get_mut(&dest) else { return };
-        let limit = traffic.limit(&self.terms);
+        let limit = if self.terms.budgets { traffic.limit(&self.terms) } else { 0.0 };
         let rate = |part: u32| limit * f64::from(part) / f64::from(WHOLE);
         let part = (limit > 0.0).then(|| Part {
             rate: rate(share.part),
@@ -452,7 +452,7 @@
         let spare = self.loans.spare(now, dest, right, if need.waiting > 0 { right } else { used });
         self.counts.set_spare(dest, (u64::from(spare) * 255 / u64::from(right.max(1))).min(255) as u8);
         self.tell_part(now, dest);
-        if !self.terms.lend || limit <= 0.0 || need.waiting == 0 {
+        if !self.terms.lends() || limit <= 0.0 || need.waiting == 0 {
             return;
         }
         // What will be in use once this round's grants are here, against what waits.
