--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -15,6 +15,7 @@
 mod report;
 mod restart;
 mod scale;
+mod shared;
 
 /// What is played where no plan is named.
 const SAMPLE: &str = include_str!("../plans/sample.toml");
@@ -113,6 +114,15 @@
         #[arg(long)]
         crowd: bool,
     },
+    /// Measure what sharing brings: dispatchers that share and that do not, in turns, from one up.
+    Shared {
+        /// Most dispatchers.
+        #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u64).range(1..=16))]
+        most: u64,
+        /// Times that each day is played.
+        #[arg(long, default_value_t = 3)]
+        turns: u32,
+    },
     /// The bare forwarder, to these addresses.
     #[command(hide = true)]
     Forward {
@@ -224,6 +234,23 @@
             );
             Ok(done.through.iter().any(|t| t.broken > 0))
         }
+        Verb::Shared { most, turns } => {
+            let program = program(a.dispatcher)?;
+            let deal = proc::deal(&proc::cores(), most as usize);
+            let bar = bar(12.0, a.quiet || a.json);
+            let progress = |s: &play::Sample, v: &Verdict| show(&bar, s, v);
+            let watch = play::Watch { progress: &progress, logs: None, ends: false };
+            let options = shared::Options { most: most as usize, turns, seed: seed.unwrap_or(1) };
+            println!("{}", shared::HEAD);
+            let done = |row: &shared::Row| bar.suspend(|| println!("{}", shared::line(row)));
+            let measured = shared::measure(&options, &program, &deal, &watch, done);
+            let rows = threads(&deal)?.block_on(measured)?;
+            bar.finish_and_clear();
+            if a.json {
+                println!("{}", json(&rows)?);
+            }
+            Ok(rows.iter().any(|row| row.broken > 0))
+        }
         Verb::Restart { rate, latency, silent, crowd } => {
             std::fs::create_dir_all(&a.out).map_err(|e| format!("{}: {e}", a.out.display()))?;
             let program = program(a.dispatcher)?;
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -120,6 +120,12 @@
     pub costs: Vec<Cost>,
     pub partner_connections: u64,
     pub over_limit: u64,
+    /// Calls to what was down: silent, or shut.
+    pub to_what_is_down: u64,
+    /// Between dispatchers, and their bytes.
+    pub datagrams: (u64, u64),
+    /// From the first arrival to the end, seconds.
+    pub lasted: f64,
     /// How dispatchers ended after the run, where they were told to: exit codes, none for one that did not end.
     pub ends: Vec<Option<i32>>,
     /// Highest share of its own cores that the rig used in a sample, and whether it stood in its own way.
@@ -292,6 +298,11 @@
         costs: costs.collect(),
         partner_connections: partners.counts().connections.load(Ordering::Relaxed),
         over_limit: partners.counts().over_limit.load(Ordering::Relaxed),
+        to_what_is_down: partners.counts().down.load(Ordering::Relaxed),
+        datagrams: relay.as_ref().map_or((0, 0), |relay| {
+            (relay.carried.load(Ordering::Relaxed), relay.bytes.load(Ordering::Relaxed))
+        }),
+        lasted: spent,
         ends,
         rig_busy,
         rig_bound: rig_busy > 0.9 || seen.dropped_by_rig > 0 || seen.rig_lag_ms > 20.0,
--- a/standins/src/partner.rs
+++ b/standins/src/partner.rs
@@ -101,6 +101,8 @@
     pub open: AtomicUsize,
     /// Calls turned away above a limit.
     pub over_limit: AtomicU64,
+    /// Calls to what was down: silent, or shut.
+    pub down: AtomicU64,
 }
 
 struct World {
@@ -445,6 +447,12 @@
             let told = |ms: i64| Some(Duration::from_millis(ms.max(0) as u64));
             match fault.what {
                 What::Refuse | What::ResetBefore => return Act::Reset,
+                What::Silent | What::Shut => {
+                    self.counts.down.fetch_add(1, Ordering::Relaxed);
+                }
+                _ => {}
+            }
+            match fault.what {
                 What::Silent => return Act::Silent,
                 What::Shut if fault.wait_ms < 0 => return answer(false, 503),
                 What::Shut => {
--- a/tier/tests/model/mod.rs
+++ b/tier/tests/model/mod.rs
@@ -18,6 +18,9 @@
 /// What a stopped process finds of what came meanwhile.
 const SOCKET: usize = 200;
 
+/// A datagram on its way: when it comes, its number, from, to, the bytes.
+type Flying = Reverse<(u64, u64, u16, u16, Vec<u8>)>;
+
 /// What is simulated.
 #[derive(Clone, Debug)]
 pub struct Shape {
@@ -55,7 +58,7 @@
     pub shape: Shape,
     pub nodes: Vec<Node>,
     rng: Pcg64Mcg,
-    flying: BinaryHeap<Reverse<(u64, u64, u16, u16, Vec<u8>)>>,
+    flying: BinaryHeap<Flying>,
     number: u64,
     /// Which side of a split each is on.
     pub side: Vec<u8>,
@@ -239,7 +242,7 @@
 
 /// A few are busy, and most are not: the sum is `load` times the limit.
 pub fn uneven(dispatchers: u16, limit: f64, load: f64) -> Vec<f64> {
-    let weight = |n: u16| if n % 5 == 0 { 4.0 } else { 0.25 };
+    let weight = |n: u16| if n.is_multiple_of(5) { 4.0 } else { 0.25 };
     let all: f64 = (0..dispatchers).map(weight).sum();
     (0..dispatchers).map(|n| weight(n) / all * limit * load).collect()
 }
