--- a/tier/src/evidence.rs
+++ b/tier/src/evidence.rs
@@ -81,6 +81,8 @@
     floors: Vec<(Incarnation, u32)>,
     seq: u32,
     at_fault: bool,
+    /// Which piece was last told once more.
+    repeated: (Place, Peer),
     pub(crate) planted: Planted,
 }
 
@@ -94,6 +96,7 @@
             floors: vec![(0, 0); usize::from(of)],
             seq: 0,
             at_fault: false,
+            repeated: (0, 0),
             planted: Planted::default(),
         }
     }
@@ -255,43 +258,52 @@
             || self.witnesses(now, place, Sight::Fine, fade) > 0
     }
 
-    /// Pieces that are to be told, one's own first and the freshest before others; no more than so many.
-    pub fn pass_on(&mut self, now: Nanos, incarnation: Incarnation, most: usize) -> Vec<Seen> {
+    /// Pieces that are to be told, one's own first and the freshest before others; no more than so many. In a quiet round
+    /// what still counts is told once more, in turns: rumours die out, and a part that was cut off has heard none of them.
+    pub fn pass_on(&mut self, now: Nanos, incarnation: Incarnation, most: usize, quiet: bool) -> Vec<Seen> {
+        let own = self.own.iter().filter(|(_, own)| own.hot > 0).map(|(place, _)| (*place, self.me));
+        let mut told: Vec<(Place, Peer)> = own.take(most).collect();
+        let others = self.others.iter().filter(|(_, p)| p.hot > 0).map(|(key, p)| (p.hot, *key));
+        let mut hot: Vec<_> = others.collect();
+        hot.sort_unstable_by(|a, b| b.cmp(a));
+        told.extend(hot.into_iter().map(|(_, key)| key).take(most - told.len()));
+        if quiet && told.len() < most {
+            let counts = |(key, piece): (&(Place, Peer), &Piece)| (piece.wait_until > now).then_some(*key);
+            let own = |(place, own): (&Place, &Own)| (own.wait_until > now).then_some((*place, self.me));
+            let mut live: Vec<_> = self.others.iter().filter_map(counts).collect();
+            live.extend(self.own.iter().filter_map(own));
+            live.sort_unstable();
+            let start = live.partition_point(|key| *key <= self.repeated);
+            live.rotate_left(start);
+            live.retain(|key| !told.contains(key));
+            live.truncate(most - told.len());
+            self.repeated = live.last().copied().unwrap_or(self.repeated);
+            told.extend(live);
+        }
+        told.into_iter().filter_map(|key| self.said(now, incarnation, key)).collect()
+    }
+
+    /// A piece as it is told now.
+    fn said(&mut self, now: Nanos, incarnation: Incarnation, (place, who): (Place, Peer)) -> Option<Seen> {
         let age = |at: Nanos| (now.saturating_sub(at) / 1_000_000).min(u32::MAX.into()) as u32;
         let left = |until: Nanos| (until.saturating_sub(now).div_ceil(1_000_000)).min(u32::MAX.into()) as u32;
-        let mut told = Vec::new();
-        for (place, own) in self.own.iter_mut().filter(|(_, own)| own.hot > 0).take(most) {
-            own.hot -= 1;
-            let at = if own.told == Sight::Fine { own.ok_at.unwrap_or(now) } else { own.failed_at };
-            told.push(Seen {
-                who: self.me,
-                incarnation,
-                seq: own.seq,
-                hops: 0,
-                place: *place,
-                sight: own.told,
-                age_ms: if own.told == Sight::Nothing { 0 } else { age(at) },
-                wait_ms: left(own.wait_until),
-            });
+        if who != self.me {
+            let piece = self.others.get_mut(&(place, who))?;
+            piece.hot = piece.hot.saturating_sub(1);
+            let Piece { incarnation, seq, hops, sight, at, wait_until, .. } = *piece;
+            let hops = hops.saturating_add(1);
+            let (age_ms, wait_ms) = (age(at), left(wait_until));
+            return Some(Seen { who, incarnation, seq, hops, place, sight, age_ms, wait_ms });
         }
-        let mut hot: Vec<_> =
-            self.others.iter().filter(|(_, p)| p.hot > 0).map(|(key, p)| (p.hot, *key)).collect();
-        hot.sort_unstable_by(|a, b| b.cmp(a));
-        for (_, key) in hot.into_iter().take(most.saturating_sub(told.len())) {
-            let Some(piece) = self.others.get_mut(&key) else { continue };
-            piece.hot -= 1;
-            told.push(Seen {
-                who: key.1,
-                incarnation: piece.incarnation,
-                seq: piece.seq,
-                hops: piece.hops.saturating_add(1),
-                place: key.0,
-                sight: piece.sight,
-                age_ms: age(piece.at),
-                wait_ms: left(piece.wait_until),
-            });
-        }
-        told
+        let own = self.own.get_mut(&place)?;
+        own.hot = own.hot.saturating_sub(1);
+        let at = match own.told {
+            Sight::Fine => own.ok_at.unwrap_or(now),
+            Sight::Failing => own.failed_at,
+            Sight::Nothing => now,
+        };
+        let (seq, sight, age_ms, wait_ms) = (own.seq, own.told, age(at), left(own.wait_until));
+        Some(Seen { who, incarnation, seq, hops: 0, place, sight, age_ms, wait_ms })
     }
 
     /// Forgets what has faded and what is not listed. What is forgotten of an author, and all before it, is never news again.
@@ -363,7 +375,7 @@
         assert!(!accused(&e, 2 * SECOND));
         // Whoever reaches it says so, since others can't.
         e.tell(SECOND, &Terms::default(), 3);
-        let told = e.pass_on(SECOND, 1, 9);
+        let told = e.pass_on(SECOND, 1, 9, false);
         assert_eq!((told[0].who, told[0].sight), (0, Sight::Fine));
     }
 
@@ -390,13 +402,13 @@
             e.saw(0, place, End::Failed);
         }
         e.tell(0, &terms, 3);
-        assert_eq!(e.pass_on(0, 1, 9).iter().filter(|s| s.sight == Sight::Failing).count(), 3);
+        assert_eq!(e.pass_on(0, 1, 9, false).iter().filter(|s| s.sight == Sight::Failing).count(), 3);
         for (who, place) in [(1, PLACE), (2, PLACE), (1, 78), (2, 78)] {
             e.heard(SECOND, &Seen { place, seq: place as u32, ..seen(who, 0, Sight::Fine) }, 3);
         }
         e.tell(SECOND, &terms, 3);
         assert!(e.at_fault());
-        let told: Vec<_> = e.pass_on(SECOND, 1, 9).into_iter().filter(|s| s.who == 0).collect();
+        let told: Vec<_> = e.pass_on(SECOND, 1, 9, false).into_iter().filter(|s| s.who == 0).collect();
         assert!(told.len() == 3 && told.iter().all(|s| s.sight == Sight::Nothing), "{told:?}");
         e.saw(2 * SECOND, 78, End::Answered);
         assert!(!e.at_fault());
@@ -408,14 +420,17 @@
         let wait = |seq, wait_ms| Seen { wait_ms, ..seen(1, seq, Sight::Nothing) };
         assert_eq!(e.heard(0, &wait(1, 5_000), 3).1, Some(5 * SECOND));
         assert_eq!(e.heard(SECOND, &wait(2, 1_000), 3).1, None);
-        assert_eq!(e.pass_on(SECOND, 1, 9)[0].wait_ms, 4_000, "it is passed on as it stands");
+        assert_eq!(e.pass_on(SECOND, 1, 9, false)[0].wait_ms, 4_000, "it is passed on as it stands");
         assert_eq!(e.heard(2 * SECOND, &wait(3, 9_000), 3).1, Some(11 * SECOND));
         // One's own is told, and only once for each.
         e.told_to_wait(2 * SECOND, 5, 4 * SECOND);
         e.tell(2 * SECOND, &Terms::default(), 1);
-        let own: Vec<_> = e.pass_on(2 * SECOND, 1, 9).into_iter().filter(|s| s.who == 0).collect();
+        let own: Vec<_> = e.pass_on(2 * SECOND, 1, 9, false).into_iter().filter(|s| s.who == 0).collect();
         assert_eq!((own.len(), own[0].wait_ms), (1, 2_000));
         e.tell(2 * SECOND, &Terms::default(), 1);
-        assert_eq!(e.pass_on(2 * SECOND, 1, 9).iter().filter(|s| s.who == 0).count(), 0);
+        assert_eq!(e.pass_on(2 * SECOND, 1, 9, false).iter().filter(|s| s.who == 0).count(), 0);
+        // Once more in a quiet round, for whoever has missed it; not once it is over.
+        let again = |e: &mut Evidence, at| e.pass_on(at, 1, 9, true).iter().filter(|s| s.who == 0).count();
+        assert_eq!((again(&mut e, 3 * SECOND), again(&mut e, 4 * SECOND)), (1, 0));
     }
 }
--- a/tier/src/terms.rs
+++ b/tier/src/terms.rs
@@ -21,8 +21,11 @@
 pub struct Terms {
     /// Anything is shared at all.
     pub enabled: bool,
-    /// Time between two rounds of datagrams, milliseconds.
+    /// Time between two rounds, in which what is urgent is sent: news of endpoints, and what is asked for or lent;
+    /// milliseconds.
     pub beat_ms: u64,
+    /// With nothing urgent to say, datagrams go out this often, milliseconds.
+    pub quiet_ms: u64,
     /// Peers that are sent a datagram in each round.
     pub fanout: usize,
     /// A peer of which nothing new was heard for so long is suspected, milliseconds.
@@ -35,6 +38,8 @@
     pub budgets: bool,
     /// Unused parts of budgets are lent.
     pub lend: bool,
+    /// Peers that are asked to lend, a second.
+    pub asks_per_second: u64,
     /// How long a borrowed part may be used, from the asking, milliseconds.
     pub term_ms: u64,
     /// Clocks of two dispatchers may run apart by this, in parts of a thousand.
@@ -59,12 +64,14 @@
         Terms {
             enabled: false,
             beat_ms: 100,
+            quiet_ms: 500,
             fanout: 4,
             suspected_ms: 2_000,
             silent_ms: 5_000,
             gone_ms: 60_000,
             budgets: true,
             lend: true,
+            asks_per_second: 30,
             term_ms: 2_000,
             clock_rate_permille: 10,
             hearsay: true,
@@ -88,7 +95,11 @@
         match self {
             t if !(10..=10_000).contains(&t.beat_ms) => wrong("beat_ms", "not between 10 and 10000"),
             t if !(1..=32).contains(&t.fanout) => wrong("fanout", "not between 1 and 32"),
-            t if t.suspected_ms < 2 * t.beat_ms => wrong("suspected_ms", "under two beats"),
+            t if !(t.beat_ms..=60_000).contains(&t.quiet_ms) => {
+                wrong("quiet_ms", "under a beat, or over a minute")
+            }
+            t if t.asks_per_second > 1_000 => wrong("asks_per_second", "over 1000"),
+            t if t.suspected_ms < 2 * t.quiet_ms => wrong("suspected_ms", "under two of quiet_ms"),
             t if t.silent_ms < t.suspected_ms => wrong("silent_ms", "under suspected_ms"),
             t if t.gone_ms < t.silent_ms => wrong("gone_ms", "under silent_ms"),
             t if t.gone_ms > 86_400_000 => wrong("gone_ms", "over a day"),
@@ -108,6 +119,9 @@
     pub(crate) fn beat(&self) -> Nanos {
         ms(self.beat_ms)
     }
+    pub(crate) fn quiet(&self) -> Nanos {
+        ms(self.quiet_ms)
+    }
     pub(crate) fn fade(&self) -> Nanos {
         ms(self.fade_ms)
     }
--- a/tier/src/tier.rs
+++ b/tier/src/tier.rs
@@ -195,6 +195,10 @@
     /// What is for one peer alone.
     direct: BTreeMap<Peer, Vec<Item>>,
     due: Nanos,
+    /// When something is said though nothing is urgent.
+    quiet_until: Nanos,
+    /// Askings that may still go out now.
+    asks: f64,
     /// Places in turns that go round.
     next_own: DestId,
     next_passed: (DestId, Peer),
@@ -229,6 +233,8 @@
             out: BTreeSet::new(),
             direct: BTreeMap::new(),
             due: now,
+            quiet_until: now,
+            asks: terms.asks_per_second as f64,
             next_own: 0,
             next_passed: (0, 0),
             next_life: 0,
@@ -417,6 +423,8 @@
     /// [`Self::active`], and of all that messages are held for.
     pub fn tick(&mut self, now: Nanos, needs: &[Need]) {
         let passed = (now.saturating_sub(self.due) + self.terms.beat()) as f64 / SECOND;
+        let each_second = self.terms.asks_per_second as f64;
+        self.asks = (self.asks + passed * each_second).min(each_second);
         // No round is made up for: who was paused goes on from now.
         self.due = now.saturating_add(self.terms.beat());
         self.heard.beat();
@@ -463,28 +471,29 @@
         if missing < right / 16 || self.loans.asks(now, dest, 2 * self.terms.beat()) {
             return;
         }
-        let lenders = self.lenders(now, dest);
+        let lenders = self.lenders(now, dest, (self.asks as usize).min(LENDERS));
         if lenders.is_empty() {
             return;
         }
+        self.asks -= lenders.len() as f64;
         let seq = self.loans.ask(now, dest, &self.terms);
         let part = missing.div_ceil(lenders.len() as u32);
         lenders.into_iter().for_each(|lender| self.say_to(lender, Item::Ask { dest, seq, part }));
     }
 
     /// Whom to ask: those who have most to spare as far as is known; where nobody has, some that live.
-    fn lenders(&mut self, now: Nanos, dest: DestId) -> Vec<Peer> {
-        let alive = |who: Peer| self.heard.standing(now, &self.terms, who) == Standing::Alive;
+    fn lenders(&mut self, now: Nanos, dest: DestId, most: usize) -> Vec<Peer> {
+        let alive = |who: Peer| self.heard.standing(now, &self.terms, who) <= Standing::Suspected;
         let mut spares: Vec<_> = self.counts.spares(dest, now.saturating_sub(SPARE_FOR)).collect();
         spares.retain(|(_, who)| alive(*who));
         spares.sort_unstable_by(|a, b| b.cmp(a));
         if !spares.is_empty() {
-            return spares.into_iter().take(LENDERS).map(|(_, who)| who).collect();
+            return spares.into_iter().take(most).map(|(_, who)| who).collect();
         }
         // Whoever never called a destination does not speak of it, and has all of its part to spare.
         let mut all: Vec<Peer> = self.heard.others().filter(|who| alive(*who)).collect();
         let mut some = Vec::new();
-        while some.len() < LENDERS && !all.is_empty() {
+        while some.len() < most && !all.is_empty() {
             some.push(all.swap_remove(self.rng.next_u32() as usize % all.len()));
         }
         some
@@ -530,12 +539,19 @@
         let speaker = self.heard.speaker();
         let mut others: Vec<Peer> = self.heard.others().collect();
         let mut to: BTreeSet<Peer> = self.direct.keys().copied().collect();
-        let mut left = self.terms.fanout;
+        let quiet = now >= self.quiet_until;
+        let seen = self.evidence.pass_on(now, speaker.life.incarnation, 6, quiet);
+        let mut left = if seen.is_empty() && !quiet { 0 } else { self.terms.fanout };
+        if quiet {
+            self.quiet_until = now.saturating_add(self.terms.quiet());
+        }
         while left > 0 && !others.is_empty() {
             to.insert(others.swap_remove(self.rng.next_u32() as usize % others.len()));
             left -= 1;
         }
-        let seen = self.evidence.pass_on(now, speaker.life.incarnation, 6);
+        if to.is_empty() {
+            return;
+        }
         let own = self.own_counts(speaker.life.incarnation, 4);
         let passed = self.counts.pass_on(now, self.next_passed, 4);
         if let Some(last) = passed.last() {
--- a/tier/tests/fleet.rs
+++ b/tier/tests/fleet.rs
@@ -79,7 +79,7 @@
 
 #[test]
 fn unused_parts_reach_those_who_need_them_and_nobody_is_under_its_own_when_cut_off() {
-    let mut model = Model::new(shape(30, 7, 0.05));
+    let mut model = Model::new(Shape { delay: [MS, 50 * MS], ..shape(30, 7, 0.05) });
     model.pass(10 * SECOND);
     let before = model.sent();
     model.pass(10 * SECOND);
