--- a/dispatcher/tests/shared.rs
+++ b/dispatcher/tests/shared.rs
@@ -7,6 +7,7 @@
 
 mod together;
 
+use millpost_store::{Disk, Ledger};
 use together::*;
 
 /// Long, so that a machine with other things to do than to run tests moves few calls from one window to another.
@@ -242,3 +243,45 @@
     let most = most(&fleet, from);
     assert!(most < bound(4) * 6 / 10, "{most} calls in a window, of half the limit");
 }
+
+/// The folder of a process that has ended says that the clock was an hour ahead once: the next one goes by that.
+fn an_hour_ahead(folder: &std::path::Path) {
+    let open = |now| {
+        let options = millpost_store::Options::new(3_000_000, millpost_store::Durability::Process);
+        Ledger::open(Disk::open_within(folder, SECOND).expect("the folder"), options, now, 7, None)
+            .expect("a store")
+    };
+    let hour = 3_600_000_000_000;
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+    let later = now.as_nanos() as u64 + hour;
+    open(0).0.learn(later, [(99, None, Some(vec![0]))]).expect("written");
+    assert!(open(0).1.latest >= later);
+}
+
+#[test]
+fn eight_with_clocks_an_hour_apart_some_deaf_and_one_mute_keep_the_bound() {
+    let mut fleet = fleet(&[8; 8], 2, None, 20);
+    for node in [0, 1] {
+        fleet.nodes[node].kill();
+        an_hour_ahead(fleet.nodes[node].state.path());
+        fleet.nodes[node].start_again();
+    }
+    met(&fleet, 7);
+    let busy = fleet.load(0, 0, LIMIT as f64);
+    until("one whose clock is ahead borrows", || {
+        (fleet.nodes[0].figure("tier_borrowed_permille") > 500).then_some(())
+    });
+    for other in 0..8 {
+        [2, 3].into_iter().for_each(|deaf| fleet.relay.set(other, deaf, Way::CUT));
+        fleet.relay.set(4, other, Way::CUT);
+    }
+    let _all = overload(&fleet, 0..8);
+    pass(&fleet, 2 * WINDOW);
+    let healed = fleet.now();
+    fleet.relay.heal();
+    met(&fleet, 7);
+    println!("all hear all {:?} after it has healed", fleet.now() - healed);
+    pass(&fleet, WINDOW);
+    within(&fleet, Duration::ZERO);
+    drop(busy);
+}
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -8,6 +8,7 @@
 use millpost_core::Fault;
 use millpost_explore::cases::{Case, Kept, large, small};
 use millpost_explore::hop;
+use millpost_explore::lend;
 use millpost_explore::search::{Explored, Limits, State, Way, search};
 use millpost_explore::trace;
 use millpost_explore::world::World;
@@ -63,6 +64,12 @@
         #[arg(long)]
         large: bool,
     },
+    /// Parts that are lent among three dispatchers: words that are late, lost or come twice, pauses and restarts.
+    Lend {
+        /// More at once, too.
+        #[arg(long)]
+        large: bool,
+    },
     /// Plays a kept way again: exit code 1 if the breach is still there.
     Replay {
         /// The file that `--keep` wrote.
@@ -81,6 +88,7 @@
         What::Large => cases(&asked, &large()),
         What::Faults { fault } => faults(&asked, fault),
         What::Hop { large } => hop(&asked, *large),
+        What::Lend { large } => lend(&asked, *large),
         What::Replay { file, planted } => match replay(&asked, file, *planted) {
             Ok(good) => good,
             Err(why) => {
@@ -160,6 +168,32 @@
     good
 }
 
+fn lend(asked: &Asked, large: bool) -> bool {
+    let (mut good, mut states) = (true, 0);
+    head();
+    let more = if large { lend::large() } else { Vec::new() };
+    for case in lend::cases().iter().chain(&more).filter(|case| case.name.contains(&asked.only)) {
+        let found = search(case.start(None, false), &limits(asked));
+        row(case.name, &found);
+        if let Some((_, way)) = &found.breach {
+            print!("{}", lend::text(way));
+        }
+        good &= found.exhausted;
+        states += found.unique;
+    }
+    println!("{states} states");
+    let faults = lend::FAULTS.map(|fault| (format!("{fault:?}"), Some(fault), false));
+    for (name, fault, same) in faults.into_iter().chain([("SameNumbers".to_owned(), None, true)]) {
+        let hit = lend::cases().into_iter().find_map(|case| {
+            let (name, way) = search(case.start(fault, same), &limits(asked)).breach?;
+            Some(format!("found by `{name}` after {} steps in {}", way.len() - 1, case.name))
+        });
+        good &= hit.is_some();
+        println!("{name:<26} {}", hit.as_deref().unwrap_or("NOT FOUND"));
+    }
+    good
+}
+
 fn show(asked: &Asked, way: &Way<World>, kept: &Kept) {
     print!("{}", trace::text(way));
     let write = |file: &Option<PathBuf>, text: String| {
--- a/tier/src/heard.rs
+++ b/tier/src/heard.rs
@@ -20,6 +20,9 @@
     Gone,
 }
 
+/// Among so many the times of the terms hold as they are; among twice as many they are twice as long.
+const FEW: usize = 32;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Known {
     life: Life,
@@ -87,7 +90,9 @@
     pub fn standing(&self, now: Nanos, terms: &Terms, who: Peer) -> Standing {
         let since = self.peers.get(usize::from(who)).and_then(|known| known.since);
         let Some(since) = since else { return Standing::Gone };
-        match now.saturating_sub(since) {
+        // Of many, each is heard of more seldom.
+        let scale = self.peers.len().div_ceil(FEW) as u64;
+        match now.saturating_sub(since) / scale.max(1) {
             age if age < ms(terms.suspected_ms) => Standing::Alive,
             age if age < ms(terms.silent_ms) => Standing::Suspected,
             age if age < ms(terms.gone_ms) => Standing::Silent,
