--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -119,6 +119,9 @@
         /// Most dispatchers.
         #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u64).range(1..=16))]
         most: u64,
+        /// Fewest.
+        #[arg(long, default_value_t = 1)]
+        least: usize,
         /// Times that each day is played.
         #[arg(long, default_value_t = 3)]
         turns: u32,
@@ -234,13 +237,13 @@
             );
             Ok(done.through.iter().any(|t| t.broken > 0))
         }
-        Verb::Shared { most, turns } => {
+        Verb::Shared { most, least, turns } => {
             let program = program(a.dispatcher)?;
             let deal = proc::deal(&proc::cores(), most as usize);
             let bar = bar(12.0, a.quiet || a.json);
             let progress = |s: &play::Sample, v: &Verdict| show(&bar, s, v);
             let watch = play::Watch { progress: &progress, logs: None, ends: false };
-            let options = shared::Options { most: most as usize, turns, seed: seed.unwrap_or(1) };
+            let options = shared::Options { most: most as usize, least, turns, seed: seed.unwrap_or(1) };
             println!("{}", shared::HEAD);
             let done = |row: &shared::Row| bar.suspend(|| println!("{}", shared::line(row)));
             let measured = shared::measure(&options, &program, &deal, &watch, done);
--- a/rig/src/shared.rs
+++ b/rig/src/shared.rs
@@ -12,8 +12,9 @@
 /// What is asked for.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Most dispatchers; halved down to one.
+    /// Most dispatchers; halved down to the least.
     pub most: usize,
+    pub least: usize,
     /// Times that each is played.
     pub turns: u32,
     pub seed: u64,
@@ -51,7 +52,7 @@
     );
     let day = if outage {
         "[service]\nslots = 32\nweights = \"unknown\"\n[load]\nper_second = 300.0\n[partners]\ndestinations = 2\n\
-         endpoints = 3\nlatency_ms = 20.0\n[[fault]]\nat = 3.0\nfor = 4.0\nwhere = \"endpoint 0/1\"\nwhat = \"silent\"\n"
+         endpoints = 3\nlatency_ms = 20.0\n[[fault]]\nat = 3.0\nfor = 6.0\nwhere = \"destination 0\"\nwhat = \"silent\"\n"
     } else {
         "[service]\nslots = 32\nweights = \"unknown\"\n[load]\nper_second = 200.0\n[partners]\ndestinations = 2\n\
          endpoints = 2\nlatency_ms = 20.0\nper_second = 60.0\nwindow_ms = 1000\n[[fault]]\nat = 4.0\nfor = 2.0\n\
@@ -77,7 +78,7 @@
     watch: &Watch<'_>,
     done: impl Fn(&Row),
 ) -> Result<Vec<Row>, String> {
-    let numbers = std::iter::successors(Some(o.most), |n| (*n > 1).then_some(n / 2));
+    let numbers = std::iter::successors(Some(o.most), |n| (n / 2 >= o.least.max(1)).then_some(n / 2));
     let mut rows = Vec::new();
     for dispatchers in numbers.collect::<Vec<_>>().into_iter().rev() {
         let mut days: [Vec<(Outcome, Outcome)>; 2] = Default::default();
