--- a/dispatcher/tests/hearsay.rs
+++ b/dispatcher/tests/hearsay.rs
@@ -153,3 +153,30 @@
     until("it is delivered", || fleet.calls().iter().any(|c| c.reference == "through").then_some(()));
     met(&fleet, 3);
 }
+
+/// Only the first has traffic while the destination is down. What it sends afterwards keeps to its part of a cold
+/// destination's budget; what all send keeps to the whole, whoever saw it.
+#[test]
+fn an_outage_that_only_one_saw_costs_it_a_cold_return_and_nobody_sends_more_than_the_budget() {
+    let fleet = fleet(&[4; 4], 1, None, 27);
+    let first = fleet.load(0, 0, 2.0 * EVEN as f64);
+    until("it is served", || fleet.calls().iter().any(|c| c.status == 200).then_some(()));
+    fleet.unreached(0, &[0, 1, 2, 3]);
+    pass(&fleet, Duration::from_secs(5));
+    assert!(fleet.nodes[1..].iter().all(|node| node.figure("tier_hearsay") == 0), "one witness");
+    fleet.unreached(0, &[]);
+    let down = fleet.calls().len();
+    until("a call gets through", || fleet.calls()[down..].iter().any(|c| c.status == 200).then_some(()));
+    let back = fleet.now();
+    let _others: Vec<_> = (1..4).map(|node| fleet.load(node, 0, LIMIT as f64 / 2.0)).collect();
+    let window = Duration::from_secs(4);
+    pass(&fleet, window);
+    let calls: Vec<Call> = fleet.calls().into_iter().filter(|c| c.at >= back).collect();
+    // 1.5 times what a destination can do that is up to a half warm by then, of which a quarter is its own.
+    let own = sent(&calls, 0, back, back + window);
+    let cold = 1.5 * 0.5 * EVEN as f64 * window.as_secs_f64();
+    assert!(own > 0 && (own as f64) <= cold + 2.0, "{own} calls, {cold} in its budget");
+    let all = most_in(&calls, window);
+    assert!(all <= (LIMIT * 4 * 11 / 10) as usize + 8, "{all} calls in a window");
+    drop(first);
+}
