A part of a budget ends with the process that had it

A process that takes the work over and shares nothing went on with the part of the one before, without an end: the module's parts and hearsay are dropped where it goes on, and the process is told anew before its first round. Found on reading the change; the new test leaves a message unsent without it.

--- a/core/tests/life.rs
+++ b/core/tests/life.rs
@@ -367,6 +367,24 @@
     assert!(told.filter(dead).count() + ends.iter().filter(failed).count() > 0, "{again:?} {ends:?}");
 }
 
+/// A process that shares nothing may take over from one that had no part of a destination: it is bound by none.
+#[test]
+fn a_part_of_a_budget_ends_with_the_process_that_had_it() {
+    let mut b = Bench::new(1);
+    let none = Part { rate: 0.0, until: Nanos::MAX, after: 0.0 };
+    b.core.on_event(at(0), Event::Part { dest: 7, part: Some(none) });
+    b.take(at(1), "waits", 0, 10);
+    b.core.decide(at(1));
+    let connects = |all: Vec<Effect>| all.iter().filter(|e| matches!(e, Effect::Connect { .. })).count();
+    assert_eq!(connects(b.effects(at(1), true)), 0);
+    let bytes = postcard::to_stdvec(&b.core).expect("bytes");
+    let moved: Moved = postcard::from_bytes(&bytes).expect("they are read");
+    let core = Core::take_over(settings(1), moved, &[].into(), |_| Bytes::from_static(b"x"));
+    let mut other = Bench { core, shelf: Shelf::default(), written: 0 };
+    other.core.decide(at(2));
+    assert_eq!(connects(other.effects(at(2), true)), 1);
+}
+
 /// The bytes of a known core: where they change, another version of the program reads them wrongly. Raise
 /// [`LAYOUT`], then the sum.
 #[test]
--- a/src/control/inspect.rs
+++ b/src/control/inspect.rs
@@ -67,11 +67,17 @@
 pub struct Frozen(Dice, Messages, (Lanes, Endpoints), Times, BTreeMap<LaneId, News>, bool);
 
 impl Control {
-    /// Goes on where the module that was written stopped. The process that goes on does not end.
+    /// Goes on where the module that was written stopped. The process that goes on does not end. What dispatchers share is
+    /// not passed on: a process that shares something is told anew before its first round.
     pub fn thaw(settings: Arc<Settings>, frozen: Frozen) -> Self {
         let Frozen(rng, messages, (lanes, endpoints), times, news, grave) = frozen;
-        let (msgs, agenda, keys, rests, calls, next_call) = messages;
-        let ((lanes, busy, unlisted), (endpoints, leaving, by_dest)) = (lanes, endpoints);
+        let (msgs, mut agenda, keys, rests, calls, next_call) = messages;
+        let ((mut lanes, busy, unlisted), (mut endpoints, leaving, by_dest)) = (lanes, endpoints);
+        for ((dest, _), lane) in lanes.iter_mut().filter(|(_, lane)| lane.part.is_some()) {
+            lane.part = None;
+            agenda.unpark(*dest);
+        }
+        endpoints.values_mut().for_each(|endpoint| endpoint.hearsay = (0, false));
         let (subscribe_at, subscribe_fails, wake_at, _, unsure_until) = times;
         let (t1, set, stops_at) = (t1(&settings), settings, NEVER);
         Control {
