Sums of calls on the console; pause, restart and lost folder explored together

On reading the change: functions that nobody called are gone, an older version of datagrams is tested beside a newer one, and the sum of calls is shown with what the silent ones may have sent since. The world with a copy, a pause, a restart and a lost folder together has 588,651 states, none with a breach, and is explored with the others.

--- a/dispatcher/src/console/line.rs
+++ b/dispatcher/src/console/line.rs
@@ -100,6 +100,8 @@
             ("borrowed_permille", tier.borrowed),
             ("hearsay", tier.hearsay as u64),
             ("oldest_ms", tier.oldest_ms),
+            ("calls", tier.calls),
+            ("calls_untold_at_most", tier.untold),
             ("sent", tier.sent),
             ("sent_bytes", tier.bytes),
             ("read", sifted.read),
--- a/dispatcher/tests/hearsay.rs
+++ b/dispatcher/tests/hearsay.rs
@@ -139,11 +139,13 @@
         stranger.send_to(&real, fleet.relay.listens[0]).expect("sent");
         fleet.relay.forge(2, 0, &real).expect("sent");
         fleet.relay.forge(1, 0, &[7; 90]).expect("sent");
-        let newer: Vec<u8> = [9].into_iter().chain(real[1..].iter().copied()).collect();
-        fleet.relay.forge(1, 0, &newer).expect("sent");
+        for version in [0, 9] {
+            let other: Vec<u8> = [version].into_iter().chain(real[1..].iter().copied()).collect();
+            fleet.relay.forge(1, 0, &other).expect("sent");
+        }
     }
     until("they are counted", || {
-        (node.figure("tier_unknown") >= 40 && node.figure("tier_other_version") >= 20).then_some(())
+        (node.figure("tier_unknown") >= 40 && node.figure("tier_other_version") >= 40).then_some(())
     });
     until("so is the flood", || {
         (0..400).for_each(|_| fleet.relay.forge(3, 0, &real).expect("sent"));
--- a/explore/src/lend.rs
+++ b/explore/src/lend.rs
@@ -59,6 +59,10 @@
     vec![
         case("lend: one asking, a copy, a pause", Bounds { copies: 1, pauses: 1, ..calm }),
         case("lend: one asking, a copy, a restart", Bounds { copies: 1, restarts: 1, ..calm }),
+        case(
+            "lend: one asking, a copy, a pause, a restart, a lost folder",
+            Bounds { asks: 1, copies: 1, restarts: 1, lost: 1, pauses: 1 },
+        ),
         case("lend: two askings, a copy", Bounds { asks: 2, copies: 1, ..calm }),
         case("lend: two askings, a restart, a lost folder", Bounds { asks: 2, restarts: 1, lost: 1, ..calm }),
     ]
@@ -67,11 +71,7 @@
 /// More at once: minutes.
 pub fn large() -> Vec<Case> {
     let case = |name, bounds| Case { name, bounds };
-    let all = Bounds { asks: 1, copies: 1, restarts: 1, lost: 1, pauses: 1 };
-    vec![
-        case("lend: one asking, a copy, a pause, a restart, a lost folder", all),
-        case("lend: two askings, a pause", Bounds { asks: 2, copies: 0, restarts: 0, lost: 0, pauses: 1 }),
-    ]
+    vec![case("lend: two askings, a pause", Bounds { asks: 2, copies: 0, restarts: 0, lost: 0, pauses: 1 })]
 }
 
 /// Faults of the machines that must be found here.
--- a/tier/src/counts.rs
+++ b/tier/src/counts.rs
@@ -130,11 +130,6 @@
         rows.filter(move |(_, row)| row.at >= since && row.spare > 0).map(|((_, who), row)| (row.spare, *who))
     }
 
-    /// Destinations that this one has called.
-    pub fn called(&self) -> impl Iterator<Item = DestId> + '_ {
-        self.own.keys().copied()
-    }
-
     /// One's own counts, to be told.
     pub fn tell(&self, dest: DestId, incarnation: Incarnation) -> Option<Counted> {
         let (calls, spare) = *self.own.get(&dest)?;
--- a/tier/src/evidence.rs
+++ b/tier/src/evidence.rs
@@ -250,14 +250,6 @@
         self.others.keys().map(|(place, _)| *place).filter(move |place| last.replace(*place) != Some(*place))
     }
 
-    /// Some reach it, by one's own eyes or by others'.
-    pub fn reached(&self, now: Nanos, place: Place, terms: &Terms) -> bool {
-        let fade = terms.fade();
-        let own = self.own.get(&place).and_then(|own| own.ok_at.filter(|_| own.fails == 0));
-        own.is_some_and(|at| now.saturating_sub(at) < fade)
-            || self.witnesses(now, place, Sight::Fine, fade) > 0
-    }
-
     /// Pieces that are to be told, one's own first and the freshest before others; no more than so many. In a quiet round
     /// what still counts is told once more, in turns: rumours die out, and a part that was cut off has heard none of them.
     pub fn pass_on(&mut self, now: Nanos, incarnation: Incarnation, most: usize, quiet: bool) -> Vec<Seen> {
--- a/tier/src/tier.rs
+++ b/tier/src/tier.rs
@@ -11,7 +11,7 @@
 
 use crate::counts::{Counts, Sum};
 use crate::evidence::{End, Evidence, Verdict};
-use crate::frame::{Calls, Frame, Item, Packing};
+use crate::frame::{Frame, Item, Packing};
 use crate::heard::{Heard, Standing};
 use crate::lend::{Loans, WHOLE, even};
 use crate::limit::Limit;
@@ -140,6 +140,10 @@
     pub hearsay: usize,
     /// Age of the oldest counts that are heeded, milliseconds.
     pub oldest_ms: u64,
+    /// Calls of all dispatchers, as far as they were told, to destinations with traffic here.
+    pub calls: u64,
+    /// What the others may have sent beyond that since they last told, at most: each its even part.
+    pub untold: u64,
     /// Datagrams sent, and their bytes.
     pub sent: u64,
     /// See there.
@@ -612,21 +616,11 @@
         self.counts.sum(now, dest)
     }
 
-    /// One's own calls to a destination.
-    pub fn own_calls(&mut self, dest: DestId) -> Calls {
-        *self.counts.own(dest)
-    }
-
     /// How a peer is seen.
     pub fn standing(&self, now: Nanos, who: Peer) -> Standing {
         self.heard.standing(now, &self.terms, who)
     }
 
-    /// Calls a second that a destination takes from all, as far as that is known.
-    pub fn limit(&self, dest: DestId) -> f64 {
-        self.traffic.get(&dest).map_or(0.0, |t| t.limit(&self.terms))
-    }
-
     /// For the console.
     pub fn figures(&self, now: Nanos) -> Figures {
         let count = |standing| self.heard.count(now, &self.terms, standing);
@@ -645,8 +639,14 @@
         };
         let (lent, borrowed) = self.loans.out_and_in(now);
         (figures.lent, figures.borrowed) = (lent * 1_000 / right, borrowed * 1_000 / right);
-        let ages = self.traffic.keys().map(|dest| self.counts.sum(now, *dest).oldest / 1_000_000);
-        figures.oldest_ms = ages.max().unwrap_or(0);
+        let share = f64::from(self.right(now)) / f64::from(WHOLE);
+        for (dest, traffic) in &self.traffic {
+            let sum = self.counts.sum(now, *dest);
+            figures.oldest_ms = figures.oldest_ms.max(sum.oldest / 1_000_000);
+            figures.calls += sum.calls.sent;
+            figures.untold +=
+                (traffic.limit(&self.terms) * share * sum.unknown as f64 / SECOND).ceil() as u64;
+        }
         figures
     }
 }
