--- a/standins/src/node.rs
+++ b/standins/src/node.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 
 use crate::peers::Relay;
 use crate::scripted::{PATIENCE, until};
@@ -66,8 +67,12 @@
     let number = std::process::id() * 64 + NEXT.fetch_add(1, Ordering::Relaxed);
     let [_, a, b, c] = number.to_be_bytes();
     let ip = Ipv4Addr::new(127, 64 | (a & 63), b, c);
-    let free = TcpListener::bind((ip, 0)).expect("a port");
-    free.local_addr().expect("an address")
+    // Bound and never listening. A child that another thread forks meanwhile holds whatever is open until it has begun its
+    // own program: a listener would take connections there, and stand in the way of the one that the address is for.
+    let free = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    free.set_reuse_address(true).expect("an address that others may bind");
+    free.bind(&SocketAddr::from((ip, 0)).into()).expect("a port");
+    free.local_addr().ok().and_then(|address| address.as_socket()).expect("an address")
 }
 
 impl Node {
