--- a/dispatcher/src/peers/sharing.rs
+++ b/dispatcher/src/peers/sharing.rs
@@ -104,6 +104,8 @@
                     continue;
                 }
                 Out::News(told) => told,
+                // No roll is kept here.
+                Out::Act(_) | Out::Loan(_) => continue,
             };
             let event = match told {
                 News::Part { dest, part } => {
--- a/tier/examples/fleet.rs
+++ b/tier/examples/fleet.rs
@@ -20,6 +20,7 @@
         loss,
         repeated: 0.0,
         delay: [MS, 20 * MS],
+        rules: None,
     }
 }
 
--- a/tier/src/counts.rs
+++ b/tier/src/counts.rs
@@ -57,12 +57,14 @@
     of: u16,
     rows: BTreeMap<(DestId, Peer), Row>,
     own: BTreeMap<DestId, (Calls, u8)>,
+    /// One's own of earlier lives.
+    past: BTreeMap<DestId, Calls>,
 }
 
 impl Counts {
     /// Nothing counted yet.
     pub fn new(me: Peer, of: u16) -> Self {
-        Counts { me, of, rows: BTreeMap::new(), own: BTreeMap::new() }
+        Counts { me, of, rows: BTreeMap::new(), own: BTreeMap::new(), past: BTreeMap::new() }
     }
 
     /// One's own counts of a destination.
@@ -70,6 +72,13 @@
         &mut self.own.entry(dest).or_default().0
     }
 
+    /// This life has another number from now on, under which nothing is counted yet.
+    pub fn renew(&mut self) {
+        for (dest, (calls, _)) in &mut self.own {
+            self.past.entry(*dest).or_default().add(std::mem::take(calls));
+        }
+    }
+
     /// What one could lend, in 255ths of an even part.
     pub fn set_spare(&mut self, dest: DestId, spare: u8) {
         if let Some((_, own)) = self.own.get_mut(&dest) {
@@ -112,6 +121,7 @@
     pub fn sum(&self, now: Nanos, dest: DestId) -> Sum {
         let mut sum =
             Sum { calls: self.own.get(&dest).map_or(Calls::default(), |own| own.0), ..Sum::default() };
+        sum.calls.add(self.past.get(&dest).copied().unwrap_or_default());
         let mut told = 0;
         for row in self.rows.range((dest, 0)..=(dest, Peer::MAX)).map(|(_, row)| row) {
             sum.calls.add(row.calls);
@@ -156,6 +166,7 @@
     pub fn retain(&mut self, listed: impl Fn(DestId) -> bool) {
         self.rows.retain(|(dest, _), _| listed(*dest));
         self.own.retain(|dest, _| listed(*dest));
+        self.past.retain(|dest, _| listed(*dest));
     }
 
     /// Rows that are held.
--- a/tier/src/frame.rs
+++ b/tier/src/frame.rs
@@ -4,12 +4,17 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::judge::Finding;
+use crate::records::{BUCKETS, Word};
+use crate::standing::Stands;
 use crate::{DestId, Incarnation, Peer, Place};
 
 /// The longest datagram, bytes.
 pub const LONGEST: usize = 256;
 /// The version that is spoken. Others are counted and not heard.
 pub const VERSION: u8 = 1;
+/// The version of datagrams on standings: programs before them count these as of another version, and hear the rest.
+pub const OF_STANDINGS: u8 = 2;
 const HEAD: usize = 5;
 
 /// How far a dispatcher has lived: its incarnation, and its rounds in it.
@@ -94,7 +99,7 @@
 }
 
 /// What is said.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Item {
     /// Somebody lives.
     Lives {
@@ -127,6 +132,14 @@
         /// What is lent.
         part: u32,
     },
+    /// What somebody acts on; this and all that follow only in [`OF_STANDINGS`].
+    Stands(Stands),
+    /// Who is found behind.
+    Finding(Finding),
+    /// Digests of the parts of what the speaker knows of cordons and drains: whoever knows others is to send them.
+    Buckets([u32; BUCKETS]),
+    /// A cordon or a drain.
+    Word(Word),
 }
 
 /// What a datagram says.
@@ -154,6 +167,7 @@
 
 /// Puts a datagram together, item by item, for as long as there is room.
 pub struct Packing {
+    version: u8,
     bytes: Vec<u8>,
     items: usize,
 }
@@ -161,10 +175,14 @@
 impl Packing {
     /// A datagram without items.
     pub fn new(speaker: &Speaker) -> Self {
+        Self::of(VERSION, speaker)
+    }
+    /// The same in one of the versions.
+    pub fn of(version: u8, speaker: &Speaker) -> Self {
         let mut bytes = vec![0; HEAD];
         // Into memory: it can't fail.
         bytes.extend(postcard::to_stdvec(speaker).unwrap_or_default());
-        Packing { bytes, items: 0 }
+        Packing { version, bytes, items: 0 }
     }
     /// Adds an item; whether there was room.
     pub fn add(&mut self, item: &Item) -> bool {
@@ -176,22 +194,30 @@
         }
         fits
     }
+    /// Nothing was added.
+    pub fn is_empty(&self) -> bool {
+        self.items == 0
+    }
+    /// Bytes so far.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
     /// Bytes that are left.
     pub fn room(&self) -> usize {
         LONGEST - self.bytes.len()
     }
     /// The datagram.
     pub fn bytes(mut self) -> Vec<u8> {
-        self.bytes[0] = VERSION;
-        let sum = sum(&self.bytes[HEAD..]);
+        self.bytes[0] = self.version;
+        let sum = sum(self.version, &self.bytes[HEAD..]);
         self.bytes[1..HEAD].copy_from_slice(&sum);
         self.bytes
     }
 }
 
-fn sum(body: &[u8]) -> [u8; 4] {
+fn sum(version: u8, body: &[u8]) -> [u8; 4] {
     let mut hasher = crc32fast::Hasher::new();
-    hasher.update(&[VERSION]);
+    hasher.update(&[version]);
     hasher.update(body);
     hasher.finalize().to_le_bytes()
 }
@@ -205,10 +231,10 @@
         return Err(Error::TooLong(bytes.len()));
     }
     let (head, body) = bytes.split_first_chunk::<HEAD>().ok_or(Error::Unreadable)?;
-    if head[0] != VERSION {
+    if !(VERSION..=OF_STANDINGS).contains(&head[0]) {
         return Err(Error::Version(head[0]));
     }
-    if head[1..] != sum(body) {
+    if head[1..] != sum(head[0], body) {
         return Err(Error::Unreadable);
     }
     let (speaker, mut rest) = postcard::take_from_bytes::<Speaker>(body).map_err(|_| Error::Unreadable)?;
--- a/tier/src/heard.rs
+++ b/tier/src/heard.rs
@@ -9,7 +9,7 @@
 
 /// How a dispatcher is seen from here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Standing {
+pub enum Presence {
     /// Its life went on of late.
     Alive,
     /// Not for a while.
@@ -59,6 +59,12 @@
         self.own.beat = self.own.beat.saturating_add(1);
     }
 
+    /// A new epoch of one's own: what was said before of lendings is void.
+    pub fn renew(&mut self) -> Incarnation {
+        self.own = Life { incarnation: self.own.incarnation.saturating_add(1), beat: 0 };
+        self.own.incarnation
+    }
+
     /// Somebody speaks here itself.
     pub fn speaks(&mut self, now: Nanos, speaker: &Speaker) {
         if let Some(known) = self.peers.get_mut(usize::from(speaker.who))
@@ -87,16 +93,16 @@
     }
 
     /// How somebody is seen from here.
-    pub fn standing(&self, now: Nanos, terms: &Terms, who: Peer) -> Standing {
+    pub fn presence(&self, now: Nanos, terms: &Terms, who: Peer) -> Presence {
         let since = self.peers.get(usize::from(who)).and_then(|known| known.since);
-        let Some(since) = since else { return Standing::Gone };
+        let Some(since) = since else { return Presence::Gone };
         // Of many, each is heard of more seldom.
         let scale = self.peers.len().div_ceil(FEW) as u64;
         match now.saturating_sub(since) / scale.max(1) {
-            age if age < ms(terms.suspected_ms) => Standing::Alive,
-            age if age < ms(terms.silent_ms) => Standing::Suspected,
-            age if age < ms(terms.gone_ms) => Standing::Silent,
-            _ => Standing::Gone,
+            age if age < ms(terms.suspected_ms) => Presence::Alive,
+            age if age < ms(terms.silent_ms) => Presence::Suspected,
+            age if age < ms(terms.gone_ms) => Presence::Silent,
+            _ => Presence::Gone,
         }
     }
 
@@ -115,8 +121,8 @@
     }
 
     /// How many others are seen so.
-    pub fn count(&self, now: Nanos, terms: &Terms, standing: Standing) -> usize {
-        self.others().filter(|who| self.standing(now, terms, *who) == standing).count()
+    pub fn count(&self, now: Nanos, terms: &Terms, presence: Presence) -> usize {
+        self.others().filter(|who| self.presence(now, terms, *who) == presence).count()
     }
 
     /// Nobody has spoken here for so long that a peer would be silent: it is this one that hears nothing, or all the
@@ -135,7 +141,7 @@
 
     /// How many dispatchers are heard, this one included. For no share, but to show what goes wrong by it.
     pub(crate) fn heard(&self, now: Nanos, terms: &Terms) -> u16 {
-        1 + self.count(now, terms, Standing::Alive) as u16
+        1 + self.count(now, terms, Presence::Alive) as u16
     }
 }
 
@@ -153,20 +159,20 @@
     fn a_peer_is_alive_suspected_silent_and_gone_as_time_passes_and_its_life_never_goes_back() {
         let terms = Terms::default();
         let mut heard = Heard::new(0, 0, 3, 7);
-        assert_eq!(heard.standing(0, &terms, 1), Standing::Gone, "never heard of");
+        assert_eq!(heard.presence(0, &terms, 1), Presence::Gone, "never heard of");
         heard.lives(SECOND, 1, life(4, 10));
         for (at, standing) in
-            [(2, Standing::Alive), (4, Standing::Suspected), (7, Standing::Silent), (62, Standing::Gone)]
+            [(2, Presence::Alive), (4, Presence::Suspected), (7, Presence::Silent), (62, Presence::Gone)]
         {
-            assert_eq!(heard.standing(at * SECOND, &terms, 1), standing, "{at}");
+            assert_eq!(heard.presence(at * SECOND, &terms, 1), standing, "{at}");
         }
         // What was heard before is no life; a new one is.
         for old in [life(4, 10), life(4, 9), life(3, 99)] {
             heard.lives(70 * SECOND, 1, old);
-            assert_eq!(heard.standing(70 * SECOND, &terms, 1), Standing::Gone);
+            assert_eq!(heard.presence(70 * SECOND, &terms, 1), Presence::Gone);
         }
         heard.lives(70 * SECOND, 1, life(5, 0));
-        assert_eq!(heard.standing(70 * SECOND, &terms, 1), Standing::Alive);
+        assert_eq!(heard.presence(70 * SECOND, &terms, 1), Presence::Alive);
     }
 
     #[test]
--- a/tier/src/lend.rs
+++ b/tier/src/lend.rs
@@ -218,6 +218,14 @@
         book.is_some_and(|b| b.asked.iter().any(|a| now.saturating_sub(a.at) < within))
     }
 
+    /// Gives back all that is borrowed; what was asked for is not taken any more.
+    pub fn give_back(&mut self) {
+        for book in self.books.values_mut() {
+            book.borrowed.clear();
+            book.asked.clear();
+        }
+    }
+
     /// Forgets what is over, and destinations that are not listed. What was lent of one keeps its book.
     pub fn retain(&mut self, now: Nanos, listed: impl Fn(DestId) -> bool) {
         let ends = self.planted.has(Fault::ForgetEnds);
--- a/tier/src/lib.rs
+++ b/tier/src/lib.rs
@@ -10,6 +10,8 @@
 //! - [`limit`]: what a destination takes, where nobody tells it, from the counts of all.
 //! - [`evidence`]: what each saw of an endpoint. Evidence travels; a verdict is each one's own.
 //! - [`frame`]: the datagrams.
+//! - [`standing`]: what each acts on; [`judge`]: who is behind, and who is shut out for it; [`records`]: cordons and drains
+//!   that are taken over from others; [`roll`]: these together.
 //!
 //! Times are nanoseconds of one clock of the caller's that never goes back; its origin is free.
 
@@ -17,16 +19,24 @@
 pub mod evidence;
 pub mod frame;
 pub mod heard;
+pub mod judge;
 pub mod lend;
 pub mod limit;
 mod planted;
+pub mod records;
+pub mod roll;
+pub mod rules;
 pub mod sieve;
+pub mod standing;
 pub mod terms;
 mod tier;
 
 pub use planted::Fault;
+pub use roll::{Act, Roll};
+pub use rules::Rules;
+pub use standing::{Kind, Standing};
 pub use terms::Terms;
-pub use tier::{Figures, Need, News, Out, Part, Tier, Went};
+pub use tier::{Figures, Loan, Need, News, Out, Part, Tier, Went};
 
 /// A point in time or a span, in nanoseconds.
 pub type Nanos = u64;
--- a/tier/src/planted.rs
+++ b/tier/src/planted.rs
@@ -18,6 +18,24 @@
     LendTwice,
     /// An old piece of evidence is taken as new.
     ReviveOld,
+    /// Most of those that are heard can find another behind.
+    MostOfHeard,
+    /// As many are shut out as are behind.
+    NobodyServes,
+    /// An older word takes the place of a newer one.
+    OldWord,
+    /// A drain is lifted by hearsay.
+    LiftByHearsay,
+    /// One that is shut out takes messages all the same.
+    TakeWhileOut,
+    /// One that is shut out lends all the same, and is lent to.
+    LendWhileOut,
+    /// Calls go to endpoints that drain.
+    CallDrained,
+    /// A list that is older than the one in force is taken for a newer one.
+    OldList,
+    /// A message is taken on whoever else has it.
+    TakeTwice,
 }
 
 /// The fault that is in place, if any; nothing at all without the feature.
--- /dev/null
+++ b/tier/src/roll.rs
@@ -0,0 +1,403 @@
+//! The roll of the fleet: what each acts on goes round, who is behind is brought up, and who stays behind is shut out.
+//!
+//! It speaks in datagrams of its own, on the rounds of [`crate::Tier`], and knows who is heard from there.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::frame::{Item, OF_STANDINGS, Packing};
+use crate::heard::Heard;
+use crate::judge::{Change, Judge, Service, View};
+use crate::records::{BUCKETS, Held, Records, What, Word};
+use crate::rules::Rules;
+use crate::standing::{Kind, Standing, Stands};
+use crate::terms::{Terms, ms};
+use crate::{DestId, Incarnation, Nanos, Peer, Place};
+
+/// Peers that are told something in a round without news.
+const QUIET_FANOUT: usize = 2;
+/// Digests of parts go to one peer no more often.
+const COMPARE: Nanos = 500_000_000;
+/// Words sent to one peer in a round.
+const AT_ONCE: usize = 8;
+/// The longest that a word takes in a datagram, bytes.
+const WORD: f64 = 24.0;
+/// All that is judged is judged anew this often.
+const LOOK: Nanos = 250_000_000;
+
+/// Something to be done for the roll.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// This dispatcher is behind: its own source of this is asked again.
+    Ask(Kind),
+    /// It takes no new messages from now on, since it is behind on this.
+    ShutOut(Kind),
+    /// It takes messages again.
+    Back,
+    /// Nothing goes to an endpoint: the staff took it out at another dispatcher, or its list did.
+    Hold(Place, What),
+    /// The own list has an endpoint in service that others were told drains no more.
+    Release(Place),
+    /// Words have changed: they are to be noted.
+    Note,
+}
+
+/// What a roll begins with.
+#[derive(Clone, Debug, Default)]
+pub struct Begin {
+    /// The rules.
+    pub rules: Rules,
+    /// What is acted on; its incarnation and epoch are filled in.
+    pub standing: Standing,
+    /// How long each has been acted on already, by [`crate::standing::KINDS`]; long where it is not known.
+    pub held: [Nanos; 4],
+    /// Words that were noted.
+    pub words: Vec<Word>,
+}
+
+/// What a peer said of its words, and the last word that it was sent.
+type Theirs = ([u32; BUCKETS], Option<(Place, What)>);
+
+/// See the module.
+pub struct Roll {
+    rules: Rules,
+    judge: Judge,
+    records: Records,
+    rng: Pcg64Mcg,
+    acts: Vec<Act>,
+    /// Endpoints in service by the own list, and by destination how many there are of all.
+    ready: BTreeMap<Place, DestId>,
+    listed: BTreeMap<DestId, usize>,
+    begun: bool,
+    look_at: Nanos,
+    quiet_until: Nanos,
+    /// Peers whose words differ, and when they were last sent digests.
+    differ: BTreeMap<Peer, Option<Nanos>>,
+    /// Who asked for what differs.
+    theirs: BTreeMap<Peer, Theirs>,
+    /// Bytes that may be sent now to bring others up.
+    allowed: f64,
+    last: Nanos,
+    sent: u64,
+    bytes: u64,
+}
+
+impl Roll {
+    /// Number `me` of `of` in this life.
+    pub fn new(now: Nanos, me: Peer, of: u16, incarnation: Incarnation, begin: Begin, seed: u64) -> Self {
+        let Begin { rules, mut standing, held, words } = begin;
+        let records = Records::new(me, words);
+        (standing.incarnation, standing.epoch) = (incarnation, incarnation);
+        standing.cordons.digest = records.digest();
+        Roll {
+            judge: Judge::new(now, me, of, rules.clone(), standing, held, seed),
+            records,
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x7011),
+            acts: Vec::new(),
+            ready: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            begun: false,
+            look_at: now,
+            quiet_until: now,
+            differ: BTreeMap::new(),
+            theirs: BTreeMap::new(),
+            allowed: 0.0,
+            last: now,
+            sent: 0,
+            bytes: 0,
+            rules,
+        }
+    }
+
+    #[cfg(feature = "faults")]
+    pub(crate) fn plant(&mut self, planted: crate::planted::Planted) {
+        (self.judge.planted, self.records.planted) = (planted, planted);
+    }
+
+    /// What there is to do.
+    pub fn acts(&mut self) -> Vec<Act> {
+        std::mem::take(&mut self.acts)
+    }
+
+    /// What is acted on.
+    pub fn standing(&self) -> Standing {
+        self.judge.standing()
+    }
+
+    /// How this one stands in the service.
+    pub fn service(&self) -> Service {
+        self.judge.service()
+    }
+
+    /// One takes no part in lending.
+    pub fn is_out(&self, heard: &Heard, who: Peer) -> bool {
+        self.judge.is_out(heard, who)
+    }
+
+    /// Cordons and drains, as they are to be noted.
+    pub fn words(&self) -> impl ExactSizeIterator<Item = &Word> {
+        self.records.all()
+    }
+
+    /// Another content is acted on.
+    pub fn moves(&mut self, now: Nanos, kind: Kind, digest: u32, pass_on: u8) {
+        if self.judge.moves(now, kind, digest) {
+            self.judge.heat(pass_on);
+            self.look_at = now;
+        }
+    }
+
+    /// Its source has said for the first time what is in force.
+    pub fn confirmed(&mut self, now: Nanos, kind: Kind, pass_on: u8) {
+        self.judge.confirmed(now, kind);
+        self.judge.heat(pass_on);
+    }
+
+    /// The number of the list in force, and whose it is.
+    pub fn numbered(&mut self, agent: u32, index: u64) {
+        self.judge.listed(agent, index);
+    }
+
+    /// Settings were turned down.
+    pub fn refused(&mut self, digest: u32, pass_on: u8) {
+        self.judge.refused(digest);
+        self.judge.heat(pass_on);
+    }
+
+    /// Others knew a later life under this name.
+    pub fn lives(&mut self, incarnation: Incarnation, pass_on: u8) {
+        self.judge.lives(incarnation);
+        self.judge.heat(pass_on);
+    }
+
+    /// A new epoch.
+    pub fn epoch(&mut self, epoch: Incarnation) {
+        self.judge.epoch(epoch);
+    }
+
+    /// The list in force: its endpoints, and whether each is in service by it. The first one is what the store or the
+    /// configuration had; from then on what changed is a word of this dispatcher's.
+    pub fn listed(&mut self, now: Nanos, all: impl IntoIterator<Item = (Place, DestId, bool)>, pass_on: u8) {
+        let (mut ready, mut listed, mut known) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
+        for (place, dest, in_service) in all {
+            known.insert(place);
+            *listed.entry(dest).or_default() += 1;
+            if in_service {
+                ready.insert(place, dest);
+            }
+        }
+        let before = std::mem::replace(&mut self.ready, ready);
+        self.listed = listed;
+        if self.begun {
+            let drained: Vec<Place> =
+                before.keys().filter(|p| !self.ready.contains_key(p) && known.contains(p)).copied().collect();
+            let back: Vec<Place> = self.ready.keys().filter(|p| !before.contains_key(p)).copied().collect();
+            for (places, out) in [(drained, true), (back, false)] {
+                for place in places {
+                    self.say(place, What::Drain, out);
+                }
+            }
+            let held = self.records.answered();
+            self.carry(held);
+        } else {
+            self.begun = true;
+            let ready = &self.ready;
+            let held = self.records.begin(|place| ready.contains_key(&place));
+            self.carry(held);
+        }
+        self.records.retain(|place| known.contains(&place));
+        self.changed(now, pass_on);
+    }
+
+    /// The staff takes an endpoint out here, or puts it back.
+    pub fn cordoned(&mut self, now: Nanos, place: Place, out: bool, pass_on: u8) {
+        self.say(place, What::Cordon, out);
+        self.changed(now, pass_on);
+    }
+
+    fn say(&mut self, place: Place, what: What, out: bool) {
+        if self.records.say(place, what, out).is_some() {
+            self.acts.push(Act::Note);
+        }
+    }
+
+    fn carry(&mut self, held: impl IntoIterator<Item = Held>) {
+        for held in held {
+            self.acts.push(match held {
+                Held::Out(place, what) => Act::Hold(place, what),
+                Held::Back(place) => Act::Release(place),
+            });
+        }
+    }
+
+    fn changed(&mut self, now: Nanos, pass_on: u8) {
+        let digest = self.records.digest();
+        self.moves(now, Kind::Cordons, digest, pass_on);
+    }
+
+    /// No more of a destination's endpoints are held on hearsay than may be.
+    fn may_hold(&self, place: Place) -> bool {
+        let Some(dest) = self.ready.get(&place) else { return false };
+        let held = self.records.held().filter(|p| self.ready.get(p) == Some(dest)).count();
+        let listed = self.listed.get(dest).copied().unwrap_or(0);
+        (held + 1) * 100 <= listed * self.rules.drained_percent as usize
+    }
+
+    /// Somebody says something.
+    pub fn hear(&mut self, now: Nanos, from: Peer, item: &Item, pass_on: u8) {
+        match item {
+            Item::Stands(stands) => {
+                let news = self.judge.hear(now, stands, pass_on);
+                if stands.who == from {
+                    self.compare(from, stands);
+                }
+                if news {
+                    self.look_at = now;
+                }
+            }
+            Item::Finding(finding) if self.judge.find(finding, pass_on) => self.look_at = now,
+            Item::Buckets(buckets) if self.rules.catch_up => {
+                let after = self.theirs.get(&from).and_then(|(_, after)| *after);
+                self.theirs.insert(from, (*buckets, after));
+            }
+            Item::Word(word) if self.rules.catch_up => {
+                let ready = self.may_hold(word.place);
+                let (news, held) = self.records.hear(*word, ready);
+                if news {
+                    self.acts.push(Act::Note);
+                    self.carry(held);
+                    self.changed(now, pass_on);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn compare(&mut self, from: Peer, stands: &Stands) {
+        if stands.standing.cordons.digest == self.records.digest() || !self.rules.catch_up {
+            self.differ.remove(&from);
+            self.theirs.remove(&from);
+        } else {
+            self.differ.entry(from).or_default();
+        }
+    }
+
+    /// A round: judges, and packs datagrams. Whether this one is shut out or let back by it, with what goes out.
+    pub fn round(&mut self, now: Nanos, heard: &Heard, terms: &Terms, pass_on: u8) -> Vec<(Peer, Vec<u8>)> {
+        let passed = now.saturating_sub(std::mem::replace(&mut self.last, now)) as f64 / 1e9;
+        let each_second = self.rules.sync_bytes_per_second as f64;
+        self.allowed = (self.allowed + passed * each_second).min(each_second);
+        if now >= self.look_at {
+            self.look_at = now.saturating_add(LOOK);
+            for change in self.judge.look(now, heard, terms, pass_on) {
+                self.acts.push(match change {
+                    Change::Ask(kind) => Act::Ask(kind),
+                    Change::Out(kind) => Act::ShutOut(kind),
+                    Change::Back => Act::Back,
+                });
+                self.judge.heat(pass_on);
+            }
+        }
+        let mut out = self.bring_up(now, heard);
+        out.extend(self.speak(now, heard, terms));
+        self.sent += out.len() as u64;
+        self.bytes += out.iter().map(|(_, bytes)| bytes.len() as u64).sum::<u64>();
+        out
+    }
+
+    /// What differs at others, a little at a time.
+    fn bring_up(&mut self, now: Nanos, heard: &Heard) -> Vec<(Peer, Vec<u8>)> {
+        let (mut out, speaker) = (Vec::new(), heard.speaker());
+        let buckets = self.records.buckets();
+        for (peer, last) in &mut self.differ {
+            if last.is_some_and(|last| now.saturating_sub(last) < COMPARE) || self.allowed < 128.0 {
+                continue;
+            }
+            *last = Some(now);
+            let mut packing = Packing::of(OF_STANDINGS, &speaker);
+            packing.add(&Item::Buckets(buckets));
+            self.allowed -= packing.len() as f64;
+            out.push((*peer, packing.bytes()));
+        }
+        for (peer, (theirs, after)) in &mut self.theirs {
+            let may = (self.allowed / WORD) as usize;
+            let some = self.records.differing(theirs, *after, may.min(AT_ONCE));
+            let Some(last) = some.last() else { continue };
+            *after = Some((last.place, last.what));
+            let mut packing = Packing::of(OF_STANDINGS, &speaker);
+            some.iter().all(|word| packing.add(&Item::Word(*word)));
+            self.allowed -= packing.len() as f64;
+            out.push((*peer, packing.bytes()));
+        }
+        out
+    }
+
+    fn speak(&mut self, now: Nanos, heard: &Heard, terms: &Terms) -> Vec<(Peer, Vec<u8>)> {
+        let quiet = now >= self.quiet_until;
+        let hot = self.judge.is_urgent();
+        if !quiet && !hot {
+            return Vec::new();
+        }
+        if quiet {
+            self.quiet_until = now.saturating_add(ms(terms.quiet_ms));
+        }
+        let own =
+            (self.judge.cools() || quiet).then(|| self.judge.say(now, heard.speaker().life.beat)).flatten();
+        let findings = self.judge.findings(quiet, 3);
+        let others = self.judge.pass_on(now, quiet, 3);
+        let items: Vec<Item> = own
+            .map(Item::Stands)
+            .into_iter()
+            .chain(findings.into_iter().map(Item::Finding))
+            .chain(others.into_iter().map(Item::Stands))
+            .collect();
+        let mut packing = Packing::of(OF_STANDINGS, &heard.speaker());
+        for item in &items {
+            packing.add(item);
+        }
+        if packing.is_empty() {
+            return Vec::new();
+        }
+        let bytes = packing.bytes();
+        let mut all: Vec<Peer> = heard.others().collect();
+        let mut to = Vec::new();
+        let fanout = if hot { terms.fanout } else { QUIET_FANOUT };
+        while to.len() < fanout && !all.is_empty() {
+            to.push(all.swap_remove(self.rng.next_u32() as usize % all.len()));
+        }
+        to.into_iter().map(|to| (to, bytes.clone())).collect()
+    }
+
+    /// How all are seen from here.
+    pub fn view(&mut self, now: Nanos, heard: &Heard, terms: &Terms) -> Vec<Row> {
+        let all = self.judge.all(now, heard, terms);
+        let of = all[0].0.len() as Peer;
+        let row = |who: Peer| {
+            let (stands, since) = self.judge.word(who)?;
+            let views = [0, 1, 2, 3].map(|n: usize| all[n].0[usize::from(who)]);
+            let held = since.map(|since| now.saturating_sub(since));
+            Some(Row { stands: *stands, held, views, found: self.judge.found(heard, who) })
+        };
+        (0..of).filter_map(row).collect()
+    }
+
+    /// Datagrams sent, and their bytes; words that found no room.
+    pub fn cost(&self) -> (u64, u64, u64) {
+        (self.sent, self.bytes, self.records.turned_away)
+    }
+}
+
+/// One dispatcher as another sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Its last word.
+    pub stands: Stands,
+    /// How long it has acted on each.
+    pub held: [Nanos; 4],
+    /// What is to be thought of it.
+    pub views: [View; 4],
+    /// Most have found it behind on this.
+    pub found: Option<Kind>,
+}
--- /dev/null
+++ b/tier/src/rules.rs
@@ -0,0 +1,209 @@
+//! The rules on dispatchers that are behind, as operators give them.
+
+use serde::Deserialize;
+
+use crate::standing::Kind;
+use crate::terms::{Wrong, ms};
+use crate::{Nanos, Peer};
+
+/// No more dispatchers than this can find another behind: their votes travel in one datagram.
+pub const MOST_DISPATCHERS: u16 = 1_024;
+
+/// The rules.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rules {
+    /// What each dispatcher acts on is told to the others.
+    pub enabled: bool,
+    /// Who is behind asks its own sources again, and takes over cordons and drains that others know.
+    pub catch_up: bool,
+    /// Who is behind for longer than its bound takes no new messages.
+    pub shut_out: bool,
+    /// A list that most have left may be acted on for so long, milliseconds; 0 for any time.
+    pub list_ms: u64,
+    /// The same of settings.
+    pub settings_ms: u64,
+    /// The same of cordons and drains.
+    pub cordons_ms: u64,
+    /// The same of the program.
+    pub program_ms: u64,
+    /// Layouts of state under this one are out of service at once; 0 for none.
+    pub floor_layout: u32,
+    /// At least so many of the configured dispatchers are never shut out, percent.
+    pub serve_percent: u64,
+    /// With more of them than this behind on one kind, or two at least, it is a roll-out, and nobody is shut out for it;
+    /// percent.
+    pub rollout_percent: u64,
+    /// Its own source is asked again no more often than this, milliseconds.
+    pub ask_again_ms: u64,
+    /// Who has caught up takes messages again after a time drawn up to this; twice as long each time in a row;
+    /// milliseconds.
+    pub return_ms: u64,
+    /// Bytes a second that are sent to bring others up.
+    pub sync_bytes_per_second: u64,
+    /// No more of a destination's endpoints are held on drains that only others were told, percent.
+    pub drained_percent: u64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules {
+            enabled: false,
+            catch_up: true,
+            shut_out: true,
+            list_ms: 30_000,
+            settings_ms: 300_000,
+            cordons_ms: 30_000,
+            program_ms: 0,
+            floor_layout: 0,
+            serve_percent: 66,
+            rollout_percent: 25,
+            ask_again_ms: 5_000,
+            return_ms: 2_000,
+            sync_bytes_per_second: 2_000,
+            drained_percent: 50,
+        }
+    }
+}
+
+impl Rules {
+    /// Whether they make sense.
+    ///
+    /// # Errors
+    /// The first setting that does not.
+    pub fn check(&self) -> Result<(), Wrong> {
+        let wrong = |key, reason| Err(Wrong { key, reason });
+        let bound = |ms: u64| ms == 0 || (1_000..=86_400_000).contains(&ms);
+        match self {
+            r if !bound(r.list_ms) => wrong("list_ms", "neither 0 nor between a second and a day"),
+            r if !bound(r.settings_ms) => wrong("settings_ms", "neither 0 nor between a second and a day"),
+            r if !bound(r.cordons_ms) => wrong("cordons_ms", "neither 0 nor between a second and a day"),
+            r if !bound(r.program_ms) => wrong("program_ms", "neither 0 nor between a second and a day"),
+            r if !(50..=100).contains(&r.serve_percent) => wrong("serve_percent", "not between 50 and 100"),
+            r if !(1..=50).contains(&r.rollout_percent) => wrong("rollout_percent", "not between 1 and 50"),
+            r if !(200..=3_600_000).contains(&r.ask_again_ms) => {
+                wrong("ask_again_ms", "not between 200 and 3600000")
+            }
+            r if !(100..=600_000).contains(&r.return_ms) => wrong("return_ms", "not between 100 and 600000"),
+            r if !(256..=100_000).contains(&r.sync_bytes_per_second) => {
+                wrong("sync_bytes_per_second", "not between 256 and 100000")
+            }
+            r if r.drained_percent > 90 => wrong("drained_percent", "over 90"),
+            _ => Ok(()),
+        }
+    }
+
+    /// For how long one may be behind; `None` for ever.
+    pub(crate) fn bound(&self, kind: Kind) -> Option<Nanos> {
+        let bound = match kind {
+            Kind::List => self.list_ms,
+            Kind::Settings => self.settings_ms,
+            Kind::Cordons => self.cordons_ms,
+            Kind::Program => self.program_ms,
+        };
+        (bound > 0).then(|| ms(bound))
+    }
+
+    /// How many of so many may be shut out at once.
+    pub fn may_be_out(&self, of: u16) -> usize {
+        let serve = (u64::from(of) * self.serve_percent).div_ceil(100);
+        usize::from(of) - serve.min(of.into()) as usize
+    }
+
+    /// How many a dispatcher votes against at once. Each that is shut out has the votes of more than half, so that fewer
+    /// than twice as many are out as each votes against, whatever each of them knows.
+    pub(crate) fn votes(&self, of: u16) -> usize {
+        self.may_be_out(of).div_ceil(2)
+    }
+
+    /// So many behind on one kind are stragglers; more are a roll-out.
+    pub(crate) fn stragglers(&self, of: u16) -> usize {
+        (usize::from(of) * self.rollout_percent as usize / 100).max(1)
+    }
+}
+
+/// More than half of the configured dispatchers.
+pub(crate) fn most(count: usize, of: u16) -> bool {
+    2 * count > usize::from(of)
+}
+
+/// Dispatchers, as a set that travels.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Voters(Vec<u8>);
+
+impl Voters {
+    /// Adds one. Whether it is new.
+    pub fn add(&mut self, who: Peer) -> bool {
+        let (byte, bit) = (usize::from(who) / 8, 1 << (who % 8));
+        if who >= MOST_DISPATCHERS {
+            return false;
+        }
+        if self.0.len() <= byte {
+            self.0.resize(byte + 1, 0);
+        }
+        let new = self.0[byte] & bit == 0;
+        self.0[byte] |= bit;
+        new
+    }
+
+    /// Adds all of these that there are. Whether one is new.
+    pub fn join(&mut self, other: &Voters, of: u16) -> bool {
+        let before = self.count();
+        for who in (0..of.min(MOST_DISPATCHERS)).filter(|who| other.has(*who)) {
+            self.add(who);
+        }
+        self.count() > before
+    }
+
+    /// Whether one is among them.
+    pub fn has(&self, who: Peer) -> bool {
+        self.0.get(usize::from(who) / 8).is_some_and(|byte| byte & (1 << (who % 8)) != 0)
+    }
+
+    /// How many.
+    pub fn count(&self) -> usize {
+        self.0.iter().map(|byte| byte.count_ones() as usize).sum()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn with_any_votes_a_stated_part_serves() {
+        for of in 1..=300 {
+            for serve_percent in [50, 66, 75, 90, 100] {
+                let rules = Rules { serve_percent, ..Rules::default() };
+                let (votes, may) = (rules.votes(of), rules.may_be_out(of));
+                // Each that is out took more than half of all votes that there are.
+                let needed = usize::from(of) / 2 + 1;
+                assert!(votes * usize::from(of) / needed <= may, "{of} at {serve_percent}");
+                assert!((usize::from(of) - may) * 100 >= usize::from(of) * serve_percent as usize);
+            }
+        }
+        assert_eq!(Rules::default().may_be_out(3), 1);
+    }
+
+    #[test]
+    fn voters_are_a_set() {
+        let (mut a, mut b) = (Voters::default(), Voters::default());
+        assert!(a.add(3) && !a.add(3) && a.add(17) && !a.add(MOST_DISPATCHERS));
+        assert!(b.add(200) && b.join(&a, 18) && !b.join(&a, 18));
+        assert_eq!((a.count(), b.count(), b.has(17), b.has(16)), (2, 3, true, false));
+        assert!(!a.join(&b, 200), "there is no such dispatcher");
+    }
+
+    #[test]
+    fn rules_that_make_no_sense_are_named() {
+        assert_eq!(Rules::default().check(), Ok(()));
+        for (wrong, key) in [
+            (Rules { list_ms: 10, ..Rules::default() }, "list_ms"),
+            (Rules { serve_percent: 20, ..Rules::default() }, "serve_percent"),
+            (Rules { rollout_percent: 0, ..Rules::default() }, "rollout_percent"),
+            (Rules { sync_bytes_per_second: 1, ..Rules::default() }, "sync_bytes_per_second"),
+        ] {
+            assert_eq!(wrong.check().map_err(|wrong| wrong.key), Err(key));
+        }
+    }
+}
--- a/tier/src/sieve.rs
+++ b/tier/src/sieve.rs
@@ -76,7 +76,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::frame::{Life, Packing, Speaker, VERSION};
+    use crate::frame::{Life, OF_STANDINGS, Packing, Speaker, VERSION};
 
     fn datagram(who: Peer) -> Vec<u8> {
         Packing::new(&Speaker { who, of: 3, life: Life { incarnation: 1, beat: 1 } }).bytes()
@@ -90,7 +90,7 @@
         assert!(sieve.read(0, None, &datagram(1)).is_none());
         assert!(sieve.read(0, Some(7), &datagram(7)).is_none());
         let mut newer = datagram(1);
-        newer[0] = VERSION + 1;
+        newer[0] = OF_STANDINGS + 1;
         assert!(sieve.read(0, Some(1), &newer).is_none());
         for n in 0..datagram(1).len() {
             let mut damaged = datagram(1);
--- a/tier/src/tier.rs
+++ b/tier/src/tier.rs
@@ -11,11 +11,14 @@
 
 use crate::counts::{Counts, Sum};
 use crate::evidence::{End, Evidence, Verdict};
-use crate::frame::{Frame, Item, Packing};
-use crate::heard::{Heard, Standing};
+use crate::frame::{Frame, Item, Life, Packing, Speaker};
+use crate::heard::{Heard, Presence};
+use crate::judge::Service;
 use crate::lend::{Loans, WHOLE, even};
 use crate::limit::Limit;
 use crate::planted::{Fault, Planted};
+use crate::roll::{Act, Begin, Roll, Row};
+use crate::standing::Standing;
 use crate::terms::Terms;
 use crate::{DestId, Incarnation, Nanos, Peer, Place};
 
@@ -115,6 +118,27 @@
     },
     /// This life has another number from now on, for the next start to go beyond.
     Lives(Incarnation),
+    /// Something of the roll; only where one is [kept](Tier::keep_roll).
+    Act(Act),
+    /// A part was lent or borrowed; only where that is [traced](Tier::trace).
+    Loan(Loan),
+}
+
+/// A part that was lent, or borrowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loan {
+    /// Of which destination.
+    pub dest: DestId,
+    /// To whom, or from whom.
+    pub peer: Peer,
+    /// Lent; else borrowed.
+    pub lent: bool,
+    /// How much, in parts of [`WHOLE`].
+    pub part: u32,
+    /// Until then.
+    pub until: Nanos,
+    /// The epoch of the other one, as it was known.
+    pub epoch: Incarnation,
 }
 
 /// What operators are shown.
@@ -210,6 +234,8 @@
     outs: VecDeque<Out>,
     sent: u64,
     bytes: u64,
+    roll: Option<Roll>,
+    traced: bool,
     planted: Planted,
 }
 
@@ -245,12 +271,77 @@
             outs: VecDeque::new(),
             sent: 0,
             bytes: 0,
+            roll: None,
+            traced: false,
             planted,
             terms,
             me,
         }
     }
 
+    /// A roll is kept of what all act on.
+    pub fn keep_roll(&mut self, now: Nanos, begin: Begin, seed: u64) {
+        let Speaker { who, of, life } = self.heard.speaker();
+        #[allow(unused_mut, reason = "where faults can be planted")]
+        let mut roll = Roll::new(now, who, of, life.incarnation, begin, seed);
+        #[cfg(feature = "faults")]
+        roll.plant(self.planted);
+        self.roll = Some(roll);
+    }
+
+    /// From now on what is lent and borrowed is told.
+    pub fn trace(&mut self) {
+        self.traced = true;
+    }
+
+    /// What this one acts on, where a roll is kept.
+    pub fn acts_on(&self) -> Option<Standing> {
+        self.roll.as_ref().map(Roll::standing)
+    }
+
+    /// The roll, and how many rounds a piece of its news is passed on for.
+    pub fn roll(&mut self) -> Option<(&mut Roll, u8)> {
+        let pass_on = self.pass_on();
+        self.roll.as_mut().map(|roll| (roll, pass_on))
+    }
+
+    /// This dispatcher takes new messages: it is not shut out.
+    pub fn serves(&self) -> bool {
+        self.roll.as_ref().is_none_or(|roll| roll.service() == Service::In)
+    }
+
+    /// All dispatchers as they are seen from here, where a roll is kept.
+    pub fn rows(&mut self, now: Nanos) -> Vec<Row> {
+        let Tier { roll, heard, terms, .. } = self;
+        roll.as_mut().map_or(Vec::new(), |roll| roll.view(now, heard, terms))
+    }
+
+    /// Its last beat, by which others know how far it has lived.
+    pub fn life(&self) -> Life {
+        self.heard.speaker().life
+    }
+
+    /// A new epoch: what was asked for before is not taken, and what is said before it is void with others.
+    fn renew(&mut self) {
+        let incarnation = self.heard.renew();
+        self.renewed(incarnation);
+    }
+
+    fn renewed(&mut self, incarnation: Incarnation) {
+        self.counts.renew();
+        self.traffic.values_mut().for_each(|traffic| traffic.sent = 0);
+        if let Some(roll) = &mut self.roll {
+            roll.epoch(incarnation);
+        }
+        self.outs.push_back(Out::Lives(incarnation));
+    }
+
+    /// Takes no part in lending.
+    fn is_out(&self, who: Peer) -> bool {
+        let out = self.roll.as_ref().is_some_and(|roll| roll.is_out(&self.heard, who));
+        out && !self.planted.has(Fault::LendWhileOut)
+    }
+
     /// The next thing to be done.
     pub fn out(&mut self) -> Option<Out> {
         self.outs.pop_front()
@@ -346,7 +437,10 @@
             match item {
                 Item::Lives { who, life } => {
                     if let Some(incarnation) = self.heard.lives(now, *who, *life) {
-                        self.outs.push_back(Out::Lives(incarnation));
+                        self.renewed(incarnation);
+                        if let Some(roll) = &mut self.roll {
+                            roll.lives(incarnation, pass_on);
+                        }
                     }
                 }
                 Item::Counted(counted) if self.places.contains_key(&counted.dest) => {
@@ -363,17 +457,25 @@
                 }
                 Item::Grant { dest, seq, incarnation, part } => {
                     let mine = *incarnation == self.heard.speaker().life.incarnation;
-                    if mine && self.loans.granted(now, from, *dest, *seq, *part, &self.terms) {
+                    let out = self.is_out(from) || self.is_out(self.me);
+                    if mine && !out && self.loans.granted(now, from, *dest, *seq, *part, &self.terms) {
                         self.tell_part(now, *dest);
+                        self.loan(now, *dest, from, *part, false);
                     }
                 }
                 Item::Counted(_) | Item::Seen(_) => {}
+                Item::Stands(_) | Item::Finding(_) | Item::Buckets(_) | Item::Word(_) => {
+                    if let Some(roll) = &mut self.roll {
+                        roll.hear(now, from, item, pass_on);
+                    }
+                }
             }
         }
     }
 
     fn asked(&mut self, now: Nanos, from: (Peer, Incarnation), dest: DestId, seq: u32, part: u32) {
-        if !self.terms.lends() || !self.places.contains_key(&dest) {
+        let out = self.is_out(from.0) || self.is_out(self.me);
+        if !self.terms.lends() || !self.places.contains_key(&dest) || out {
             return;
         }
         let right = self.right(now);
@@ -383,6 +485,16 @@
         if let Some(part) = lent {
             self.tell_part(now, dest);
             self.say_to(from.0, Item::Grant { dest, seq, incarnation: from.1, part });
+            self.loan(now, dest, from.0, part, true);
+        }
+    }
+
+    fn loan(&mut self, now: Nanos, dest: DestId, peer: Peer, part: u32, lent: bool) {
+        if self.traced {
+            // Of what is borrowed this is the latest that it can end.
+            let until = now.saturating_add(if lent { self.terms.hold() } else { self.terms.term() });
+            let epoch = self.heard.life(peer).incarnation;
+            self.outs.push_back(Out::Loan(Loan { dest, peer, lent, part, until, epoch }));
         }
     }
 
@@ -443,6 +555,29 @@
         let Tier { evidence, dests, terms, .. } = self;
         evidence.retain(now, terms, |place| dests.contains_key(&place));
         self.speak(now);
+        self.call_roll(now);
+    }
+
+    fn call_roll(&mut self, now: Nanos) {
+        let pass_on = self.pass_on();
+        let Tier { roll: Some(roll), heard, terms, .. } = self else { return };
+        let datagrams = roll.round(now, heard, terms, pass_on);
+        let acts = roll.acts();
+        // Out of service before anything else is said.
+        for act in acts {
+            match act {
+                Act::ShutOut(_) => {
+                    self.loans.give_back();
+                    let dests: Vec<DestId> = self.traffic.keys().copied().collect();
+                    dests.into_iter().for_each(|dest| self.tell_part(now, dest));
+                    self.renew();
+                }
+                Act::Back => self.renew(),
+                _ => {}
+            }
+            self.outs.push_back(Out::Act(act));
+        }
+        self.outs.extend(datagrams.into_iter().map(|(to, bytes)| Out::Send { to, bytes }));
     }
 
     fn look_at(&mut self, now: Nanos, need: &Need, passed: f64) {
@@ -464,7 +599,7 @@
         let spare = self.loans.spare(now, dest, right, if need.waiting > 0 { right } else { used });
         self.counts.set_spare(dest, (u64::from(spare) * 255 / u64::from(right.max(1))).min(255) as u8);
         self.tell_part(now, dest);
-        if !self.terms.lends() || limit <= 0.0 || need.waiting == 0 {
+        if !self.terms.lends() || limit <= 0.0 || need.waiting == 0 || self.is_out(self.me) {
             return;
         }
         // What will be in use once this round's grants are here, against what waits.
@@ -487,7 +622,9 @@
 
     /// Whom to ask: those who have most to spare as far as is known; where nobody has, some that live.
     fn lenders(&mut self, now: Nanos, dest: DestId, most: usize) -> Vec<Peer> {
-        let alive = |who: Peer| self.heard.standing(now, &self.terms, who) <= Standing::Suspected;
+        let alive = |who: Peer| {
+            self.heard.presence(now, &self.terms, who) <= Presence::Suspected && !self.is_out(who)
+        };
         let mut spares: Vec<_> = self.counts.spares(dest, now.saturating_sub(SPARE_FOR)).collect();
         spares.retain(|(_, who)| alive(*who));
         spares.sort_unstable_by(|a, b| b.cmp(a));
@@ -600,7 +737,7 @@
         let mut all: Vec<Peer> = self
             .heard
             .others()
-            .filter(|who| self.heard.standing(now, &self.terms, *who) <= Standing::Suspected)
+            .filter(|who| self.heard.presence(now, &self.terms, *who) <= Presence::Suspected)
             .collect();
         let start = all.partition_point(|who| *who < self.next_life);
         all.rotate_left(start);
@@ -617,19 +754,19 @@
     }
 
     /// How a peer is seen.
-    pub fn standing(&self, now: Nanos, who: Peer) -> Standing {
-        self.heard.standing(now, &self.terms, who)
+    pub fn presence(&self, now: Nanos, who: Peer) -> Presence {
+        self.heard.presence(now, &self.terms, who)
     }
 
     /// For the console.
     pub fn figures(&self, now: Nanos) -> Figures {
-        let count = |standing| self.heard.count(now, &self.terms, standing);
+        let count = |presence| self.heard.count(now, &self.terms, presence);
         let right = u64::from(self.right(now)).max(1);
         let mut figures = Figures {
-            alive: count(Standing::Alive),
-            suspected: count(Standing::Suspected),
-            silent: count(Standing::Silent),
-            gone: count(Standing::Gone),
+            alive: count(Presence::Alive),
+            suspected: count(Presence::Suspected),
+            silent: count(Presence::Silent),
+            gone: count(Presence::Gone),
             hears_nobody: self.heard.hears_nobody(now, &self.terms),
             at_fault: self.evidence.at_fault(),
             hearsay: self.hearsay.len(),
--- a/tier/tests/fleet.rs
+++ b/tier/tests/fleet.rs
@@ -21,6 +21,7 @@
         loss,
         repeated: 0.1,
         delay: [MS, 300 * MS],
+        rules: None,
     }
 }
 
--- a/tier/tests/model/mod.rs
+++ b/tier/tests/model/mod.rs
@@ -7,7 +7,11 @@
 use std::collections::BinaryHeap;
 
 use millpost_tier::frame::read;
-use millpost_tier::{Need, News, Out, Part, Terms, Tier, Went};
+use millpost_tier::judge::View;
+use millpost_tier::records::{What, Word};
+use millpost_tier::roll::Begin;
+use millpost_tier::standing::{Kind, Standing};
+use millpost_tier::{Act, Need, News, Out, Part, Rules, Terms, Tier, Went};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -35,6 +39,28 @@
     pub repeated: f64,
     /// Datagrams take so long, least and most.
     pub delay: [u64; 2],
+    /// The rules of the roll, where one is kept.
+    pub rules: Option<Rules>,
+}
+
+/// What one dispatcher acts on, and how it comes by it.
+#[derive(Clone, Debug, Default)]
+pub struct Acts {
+    /// Its agent tells nothing; SIGHUP does not reach it; it turns settings down.
+    pub mute: bool,
+    pub missed: bool,
+    pub refuses: bool,
+    pub list: u32,
+    pub settings: u32,
+    confirmed: bool,
+    /// What lasts of it: the settings and since when, by its clock; and the words.
+    settled: u64,
+    words: Vec<Word>,
+    /// It takes no messages.
+    pub out: bool,
+    pub outs: u32,
+    /// Endpoints that it does without, on the word of others.
+    pub held: std::collections::BTreeSet<(u64, What)>,
 }
 
 pub struct Node {
@@ -51,6 +77,7 @@
     pub sent: f64,
     /// When a wait was heard that another was told.
     pub wait_heard: Option<u64>,
+    pub acts: Acts,
 }
 
 pub struct Model {
@@ -69,6 +96,11 @@
     pub most: f64,
     pub datagrams: u64,
     pub bytes: u64,
+    /// What the sources have by now.
+    pub list: u32,
+    pub settings: u32,
+    /// Who was shut out, when, and on what.
+    pub shut_out: Vec<(u64, usize, Kind)>,
 }
 
 impl Model {
@@ -90,6 +122,7 @@
             offered: *offered,
             sent: 0.0,
             wait_heard: None,
+            acts: Acts { list: 1, settings: 1, ..Acts::default() },
         });
         let nodes = nodes.collect();
         let mut model = Model {
@@ -104,6 +137,9 @@
             most: 0.0,
             datagrams: 0,
             bytes: 0,
+            list: 1,
+            settings: 1,
+            shut_out: Vec::new(),
             shape,
         };
         (0..n).for_each(|node| model.start(node, false));
@@ -122,6 +158,21 @@
         n.incarnation = if lost { 1 } else { n.incarnation + 1 };
         let (me, of) = (node as u16, self.shape.dispatchers);
         let mut tier = Tier::new(now, self.shape.terms.clone(), me, of, n.incarnation, seed);
+        if let Some(rules) = self.shape.rules.clone() {
+            if lost {
+                (n.acts.words, n.acts.settled, n.acts.held) = (Vec::new(), now, Default::default());
+            }
+            // The file is read anew; the list is what the store has, or the configuration.
+            if !n.acts.refuses && !n.acts.missed && n.acts.settings != self.settings {
+                (n.acts.settings, n.acts.settled) = (self.settings, now);
+            }
+            (n.acts.confirmed, n.acts.out) = (false, false);
+            let mut standing = Standing::default();
+            standing.moves(Kind::List, n.acts.list);
+            standing.moves(Kind::Settings, n.acts.settings);
+            let held = [u64::MAX, now - n.acts.settled, 0, 0];
+            tier.keep_roll(now, Begin { rules, standing, held, words: n.acts.words.clone() }, seed ^ 1);
+        }
         tier.listed(now, [(DEST, PLACE), (DEST, PLACE + 1)]);
         (n.tier, n.part, n.tokens, n.paused) = (Some(tier), None, 0.0, false);
         n.waiting.clear();
@@ -132,6 +183,10 @@
         for (from, bytes) in std::mem::take(&mut self.nodes[node].waiting) {
             self.hear(node, from, &bytes);
         }
+        if !paused && self.shape.rules.is_some() {
+            // What its agent said meanwhile is there to be read.
+            self.ask_list(node);
+        }
     }
 
     /// One dispatcher is told to wait until this time.
@@ -161,6 +216,8 @@
                 }
                 Out::News(_) => {}
                 Out::Lives(incarnation) => self.nodes[node].incarnation = incarnation,
+                Out::Act(act) => self.act(node, act),
+                Out::Loan(_) => {}
                 Out::Send { to, bytes } => {
                     (self.datagrams, self.bytes) = (self.datagrams + 1, self.bytes + bytes.len() as u64);
                     self.send(node as u16, to, bytes);
@@ -169,6 +226,92 @@
         }
     }
 
+    fn act(&mut self, node: usize, act: Act) {
+        let now = self.now;
+        let n = &mut self.nodes[node];
+        match act {
+            Act::Ask(Kind::List) => self.ask_list(node),
+            Act::Ask(_) => {
+                n.acts.missed = false;
+                self.hangup(node);
+            }
+            Act::ShutOut(kind) => {
+                (n.acts.out, n.acts.outs) = (true, n.acts.outs + 1);
+                self.shut_out.push((now, node, kind));
+            }
+            Act::Back => n.acts.out = false,
+            Act::Hold(place, what) => {
+                n.acts.held.insert((place, what));
+            }
+            Act::Release(place) => {
+                n.acts.held.remove(&(place, What::Drain));
+            }
+            Act::Note => {
+                let words =
+                    n.tier.as_mut().and_then(Tier::roll).map(|(roll, _)| roll.words().copied().collect());
+                n.acts.words = words.unwrap_or_default();
+            }
+        }
+    }
+
+    /// A dispatcher asks its agent.
+    pub fn ask_list(&mut self, node: usize) {
+        let (now, list) = (self.local(node), self.list);
+        let n = &mut self.nodes[node];
+        let hears = !n.acts.mute && !n.paused;
+        let Some((roll, pass_on)) = n.tier.as_mut().and_then(Tier::roll).filter(|_| hears) else { return };
+        if !std::mem::replace(&mut n.acts.confirmed, true) {
+            roll.confirmed(now, Kind::List, pass_on);
+        }
+        n.acts.list = list;
+        roll.moves(now, Kind::List, list, pass_on);
+    }
+
+    /// A dispatcher reads its settings again, if it hears that it should.
+    pub fn hangup(&mut self, node: usize) {
+        let (now, settings) = (self.local(node), self.settings);
+        let n = &mut self.nodes[node];
+        let hears = !n.acts.missed && !n.paused;
+        let Some((roll, pass_on)) = n.tier.as_mut().and_then(Tier::roll).filter(|_| hears) else { return };
+        if n.acts.refuses {
+            roll.refused(settings, pass_on);
+        } else if n.acts.settings != settings {
+            (n.acts.settings, n.acts.settled) = (settings, now);
+            roll.moves(now, Kind::Settings, settings, pass_on);
+        }
+    }
+
+    /// The staff takes an endpoint out at one dispatcher, or puts it back.
+    pub fn cordon(&mut self, node: usize, place: u64, out: bool) {
+        let now = self.local(node);
+        let n = &mut self.nodes[node];
+        if let Some((roll, pass_on)) = n.tier.as_mut().and_then(Tier::roll) {
+            roll.cordoned(now, place, out, pass_on);
+        }
+        let own = (place, What::Cordon);
+        if out {
+            n.acts.held.insert(own)
+        } else {
+            n.acts.held.remove(&own)
+        };
+    }
+
+    /// The lists of one dispatcher's agent have an endpoint in service, or not.
+    pub fn drains(&mut self, node: usize, drained: &[u64]) {
+        let now = self.local(node);
+        let n = &mut self.nodes[node];
+        if let Some((roll, pass_on)) = n.tier.as_mut().and_then(Tier::roll) {
+            roll.listed(now, (0..4).map(|p| (PLACE + p, DEST, !drained.contains(&(PLACE + p)))), pass_on);
+        }
+    }
+
+    /// How all are seen from one, on one kind.
+    pub fn views(&mut self, node: usize, kind: Kind) -> Vec<View> {
+        let now = self.local(node);
+        let rows = self.nodes[node].tier.as_mut().map(|tier| tier.rows(now)).unwrap_or_default();
+        rows.into_iter().map(|row| row.views[kind as usize]).collect()
+    }
+
     fn send(&mut self, from: u16, to: u16, bytes: Vec<u8>) {
         if share(&mut self.rng) < self.shape.loss {
             return;
@@ -229,8 +372,13 @@
             tier.went(now, PLACE, Went::Served, None);
         }
         if now >= tier.due() {
+            // Its agent has told it for the first time by now.
+            let first = n.acts.mute || n.acts.confirmed || self.shape.rules.is_none();
             tier.tick(now, &[Need { dest: DEST, limit, waiting: n.backlog as usize }]);
             self.carry(node);
+            if !first {
+                self.ask_list(node);
+            }
         }
     }
 
