--- a/tier/src/tier.rs
+++ b/tier/src/tier.rs
@@ -69,6 +69,8 @@
     pub until: Nanos,
     /// From then on.
     pub after: f64,
+    /// The same two, in parts of [`WHOLE`].
+    pub share: [u32; 2],
 }
 
 /// Something for the decision module.
@@ -137,7 +139,7 @@
     pub part: u32,
     /// Until then.
     pub until: Nanos,
-    /// The epoch of the other one, as it was known.
+    /// The epoch in which the other one spoke.
     pub epoch: Incarnation,
 }
 
@@ -460,7 +462,7 @@
                     let out = self.is_out(from) || self.is_out(self.me);
                     if mine && !out && self.loans.granted(now, from, *dest, *seq, *part, &self.terms) {
                         self.tell_part(now, *dest);
-                        self.loan(now, *dest, from, *part, false);
+                        self.loan(now, *dest, (from, speaker.life.incarnation), *part, false);
                     }
                 }
                 Item::Counted(_) | Item::Seen(_) => {}
@@ -485,15 +487,14 @@
         if let Some(part) = lent {
             self.tell_part(now, dest);
             self.say_to(from.0, Item::Grant { dest, seq, incarnation: from.1, part });
-            self.loan(now, dest, from.0, part, true);
+            self.loan(now, dest, from, part, true);
         }
     }
 
-    fn loan(&mut self, now: Nanos, dest: DestId, peer: Peer, part: u32, lent: bool) {
+    fn loan(&mut self, now: Nanos, dest: DestId, (peer, epoch): (Peer, Incarnation), part: u32, lent: bool) {
         if self.traced {
             // Of what is borrowed this is the latest that it can end.
             let until = now.saturating_add(if lent { self.terms.hold() } else { self.terms.term() });
-            let epoch = self.heard.life(peer).incarnation;
             self.outs.push_back(Out::Loan(Loan { dest, peer, lent, part, until, epoch }));
         }
     }
@@ -528,6 +529,7 @@
             rate: rate(share.part),
             until: share.until,
             after: rate(share.after),
+            share: [share.part, share.after],
         });
         if part != traffic.part {
             traffic.part = part;
