--- a/audit/src/log.rs
+++ b/audit/src/log.rs
@@ -14,9 +14,9 @@
 
 use millpost_tier::standing::{Kind, Standing};
 
+use crate::Nanos;
 use crate::entry::{Author, End, Entry, Head, State};
 use crate::segment::{LONGEST, Reader, Writer};
-use crate::{Nanos, message};
 
 /// Segments that a budget is cut into.
 const SEGMENTS: u64 = 8;
@@ -254,14 +254,14 @@
         number
     }
 
-    fn numbered(&mut self, now: Nanos, id: u64, reference: &str) -> u32 {
+    fn numbered(&mut self, now: Nanos, id: u64) -> u32 {
         if let Some(number) = self.messages.get(&id) {
             return *number;
         }
         let number = self.next_message;
         self.next_message += 1;
         self.messages.insert(id, number);
-        self.add(now, &Entry::Message(message(reference).to_le_bytes()));
+        self.add(now, &Entry::Message(id.to_le_bytes()));
         number
     }
 
@@ -287,35 +287,35 @@
         number
     }
 
-    /// A message is taken on.
-    pub fn taken(&mut self, now: Nanos, id: u64, reference: &str, on: Stood) {
+    /// A message is taken on, by what it is [known by](crate::message()) in logs.
+    pub fn taken(&mut self, now: Nanos, id: u64, on: Stood) {
         let standing = self.stood(now, on);
         self.messages.insert(id, self.next_message);
         self.next_message += 1;
-        self.add(now, &Entry::Taken { message: message(reference).to_le_bytes(), standing });
+        self.add(now, &Entry::Taken { message: id.to_le_bytes(), standing });
     }
 
     /// A call is written, which was decided so long ago.
-    pub fn attempt(&mut self, now: Nanos, id: u64, reference: &str, to: (u64, u64), on: Stood, ago: Nanos) {
+    pub fn attempt(&mut self, now: Nanos, id: u64, to: (u64, u64), on: Stood, ago: Nanos) {
         let standing = self.stood(now, on);
-        let (message, endpoint) = (self.numbered(now, id, reference), self.endpoint(now, to.0, to.1));
+        let (message, endpoint) = (self.numbered(now, id), self.endpoint(now, to.0, to.1));
         let ago = (ago / 1_000_000).min(u32::MAX.into()) as u32;
         self.add(now, &Entry::Attempt { message, endpoint, standing, ago });
     }
 
     /// A message has its final answer.
-    pub fn ended(&mut self, now: Nanos, id: u64, reference: &str, end: End, on: Stood) {
+    pub fn ended(&mut self, now: Nanos, id: u64, end: End, on: Stood) {
         let standing = self.stood(now, on);
-        let message = self.numbered(now, id, reference);
+        let message = self.numbered(now, id);
         self.messages.remove(&id);
         self.add(now, &Entry::Ended { message, end, standing });
     }
 
     /// A message is not taken on.
-    pub fn refused(&mut self, now: Nanos, reference: &str, wait: Nanos, on: Stood) {
+    pub fn refused(&mut self, now: Nanos, id: u64, wait: Nanos, on: Stood) {
         let standing = self.stood(now, on);
         let wait_ms = wait.div_ceil(1_000_000).min(u32::MAX.into()) as u32;
-        self.add(now, &Entry::Refused { message: message(reference).to_le_bytes(), standing, wait_ms });
+        self.add(now, &Entry::Refused { message: id.to_le_bytes(), standing, wait_ms });
     }
 
     /// An endpoint is so from now on.
--- a/audit/tests/logs.rs
+++ b/audit/tests/logs.rs
@@ -56,12 +56,13 @@
         audit(&self.folders(), 2, &Progress::default())
     }
     /// A message, from its taking to its end.
-    fn message(&mut self, n: usize, id: u64, reference: &str) {
+    fn message(&mut self, n: usize, reference: &str) {
+        let id = message(reference);
         let (now, on) = (self.pass(3), self.on[n]);
-        self.logs[n].taken(now, id, reference, on);
-        self.logs[n].attempt(now, id, reference, (5, 1), on, 0);
+        self.logs[n].taken(now, id, on);
+        self.logs[n].attempt(now, id, (5, 1), on, 0);
         let now = self.pass(40);
-        self.logs[n].ended(now, id, reference, End::Delivered, on);
+        self.logs[n].ended(now, id, End::Delivered, on);
     }
 }
 
@@ -69,7 +70,7 @@
 fn a_clean_run_has_every_decision_with_its_standing_and_no_breach() {
     let mut fleet = Fleet::new();
     for id in 0..300 {
-        fleet.message(id as usize % 3, id, &format!("m{id}"));
+        fleet.message(id as usize % 3, &format!("m{id}"));
     }
     // On other versions from here on; a call that was decided before names those of before.
     let before = fleet.on[1];
@@ -78,8 +79,8 @@
     newer.index = 11;
     let now = fleet.pass(10);
     let after = fleet.logs[1].acts_on(now, newer);
-    fleet.logs[1].taken(now, 900, "late", after);
-    fleet.logs[1].attempt(now, 900, "late", (5, 1), before, 5 * SECOND);
+    fleet.logs[1].taken(now, message("late"), after);
+    fleet.logs[1].attempt(now, message("late"), (5, 1), before, 5 * SECOND);
     let found = fleet.audit();
     assert_eq!((found.counts.len(), found.has_gaps()), (0, false), "{found:?}");
     assert_eq!(found.logs.iter().map(|log| log.attempts).sum::<u64>(), 301);
@@ -104,7 +105,7 @@
     let loan = |lent, epoch| Loan { dest: 1, peer: 2, lent, part: 1_000, until: 0, epoch };
     let plant = |what: &dyn Fn(&mut Fleet)| {
         let mut fleet = Fleet::new();
-        fleet.message(0, 1, "a");
+        fleet.message(0, "a");
         what(&mut fleet);
         let found = fleet.audit();
         let rules: Vec<Rule> = found.counts.keys().copied().collect();
@@ -116,7 +117,7 @@
                 let (now, on) = (fleet.pass(1), fleet.on[0]);
                 fleet.logs[0].state(now, 5, 1, state);
                 let now = fleet.pass(by);
-                fleet.logs[0].attempt(now, 2, "b", (5, 1), on, 0);
+                fleet.logs[0].attempt(now, message("b"), (5, 1), on, 0);
             }
         };
         assert_eq!(plant(&late(590)).0, [], "{state:?}");
@@ -134,7 +135,7 @@
             fleet.logs[0].note(now, &Entry::Part { dest: 1, part, until_ms, after, limit: 40_000 });
             for wait in [1_000, 1_500] {
                 let now = fleet.pass(wait);
-                fleet.logs[0].attempt(now, 2, "b", (5, 1), on, 0);
+                fleet.logs[0].attempt(now, message("b"), (5, 1), on, 0);
             }
         }
     };
@@ -146,7 +147,7 @@
     };
     let (rules, found) = plant(&|fleet: &mut Fleet| {
         out(fleet);
-        fleet.message(0, 2, "b");
+        fleet.message(0, "b");
     });
     assert_eq!((rules, found.logs[0].outages.len()), (vec![Rule::ShutOut], 1));
     let lends_out = |fleet: &mut Fleet| {
@@ -159,7 +160,7 @@
         out(fleet);
         let now = fleet.pass(1);
         fleet.logs[0].service(now, None);
-        fleet.message(0, 2, "b");
+        fleet.message(0, "b");
     };
     assert_eq!(plant(&back).0, []);
     let epoch = |fleet: &mut Fleet| {
@@ -168,16 +169,16 @@
         fleet.logs[0].loan(now, &loan(false, 5), SECOND, on);
     };
     assert_eq!(plant(&epoch).0, [Rule::Epoch]);
-    let (rules, found) = plant(&|fleet: &mut Fleet| fleet.message(1, 7, "a"));
+    let (rules, found) = plant(&|fleet: &mut Fleet| fleet.message(1, "a"));
     assert_eq!(rules, [Rule::Owner]);
     assert!(found.breaches[0].what.contains("ended there as Delivered"), "{found:?}");
     let handed_on = |fleet: &mut Fleet| {
         let (now, on) = (fleet.pass(1), fleet.on[0]);
-        fleet.logs[0].taken(now, 2, "b", on);
+        fleet.logs[0].taken(now, message("b"), on);
         let now = fleet.pass(5);
-        fleet.logs[0].ended(now, 2, "b", End::Refused, on);
+        fleet.logs[0].ended(now, message("b"), End::Refused, on);
         fleet.pass(5);
-        fleet.message(1, 9, "b");
+        fleet.message(1, "b");
     };
     assert_eq!(plant(&handed_on).0, [], "its client was told to go elsewhere");
     let older = |whole: bool| {
@@ -185,7 +186,7 @@
             let now = fleet.pass(1);
             fleet.logs[0].note(now, &Entry::Listed { whole });
             fleet.on[0] = fleet.logs[0].acts_on(now, Standing { index: 3, ..standing(4) });
-            fleet.message(0, 2, "b");
+            fleet.message(0, "b");
         }
     };
     assert_eq!(plant(&older(true)).0, [], "an agent that was started anew");
@@ -206,7 +207,7 @@
 fn what_is_missing_is_said() {
     let mut fleet = Fleet::new();
     for id in 0..50 {
-        fleet.message(id as usize % 3, id, &format!("m{id}"));
+        fleet.message(id as usize % 3, &format!("m{id}"));
     }
     let now = fleet.now;
     fleet.logs.iter_mut().for_each(|log| log.end(now));
@@ -258,10 +259,10 @@
         now += 1_000_000;
         let on = log.acts_on(now, standing(1));
         // Some stay open for long: each segment names them anew.
-        log.taken(now, id, &format!("m{id}"), on);
+        log.taken(now, message(&format!("m{id}")), on);
         let old = id.saturating_sub(30_000);
-        log.attempt(now, old, &format!("m{old}"), (5, 1), on, 0);
-        log.ended(now, old, &format!("m{old}"), End::Delivered, on);
+        log.attempt(now, message(&format!("m{old}")), (5, 1), on, 0);
+        log.ended(now, message(&format!("m{old}")), End::Delivered, on);
         if id % 7 == 0 {
             log.write(now);
         }
@@ -282,7 +283,7 @@
     assert!(said.len() == 1 && said[0].gap && said[0].what.contains("records before it are out"), "{said:?}");
     // An endpoint that is out stays known though the segment that said so is gone.
     let on = log.acts_on(now, standing(1));
-    log.attempt(now + SECOND, 999_999, "x", (77, 1), on, 0);
+    log.attempt(now + SECOND, message("x"), (77, 1), on, 0);
     log.write(now + SECOND);
     let found = audit(&[dir.path().to_owned()], 1, &Progress::default());
     assert_eq!(found.counts.get(&Rule::Drain), Some(&1));
@@ -306,7 +307,7 @@
             for _ in 0..messages {
                 (now, id) = (now + 1_000_000, id + 1);
                 let on = log.acts_on(now, standing(life as u32 + 1));
-                log.taken(now, id, &format!("m{id}"), on);
+                log.taken(now, message(&format!("m{id}")), on);
                 log.write(now);
                 lengths.push((file.metadata().expect("a file").len() as usize, id));
             }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -189,6 +189,8 @@
     effects: VecDeque<Effect>,
     tally: Tally,
     watched: bool,
+    /// No new messages are taken on.
+    closed: bool,
     #[cfg(feature = "faults")]
     planted: Option<Fault>,
 }
@@ -213,6 +215,7 @@
             effects: VecDeque::new(),
             tally: Tally::default(),
             watched: false,
+            closed: false,
             #[cfg(feature = "faults")]
             planted: None,
         }
@@ -223,6 +226,11 @@
         self.watched = true;
     }
 
+    /// New messages are refused with a time to return, or taken on again. What was taken on goes on.
+    pub fn close(&mut self, closed: bool) {
+        self.closed = closed;
+    }
+
     /// Destinations that have a message without a final answer.
     pub fn destinations(&self) -> impl Iterator<Item = millpost::api::DestId> + '_ {
         self.control.destinations()
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -102,7 +102,7 @@
             return self.reply(reply, Verdict::Unheard);
         }
         // No more are held than the settings allow; notices that are owed take room too.
-        if self.open >= self.settings.hold || self.held.len() >= 4 * self.settings.hold {
+        if self.closed || self.open >= self.settings.hold || self.held.len() >= 4 * self.settings.hold {
             self.tally.of(handed.class).refused += 1;
             return self.refuse(at, handed.dest, reply);
         }
--- a/core/src/moved.rs
+++ b/core/src/moved.rs
@@ -69,6 +69,7 @@
             effects: VecDeque::new(),
             tally: Tally::default(),
             watched: false,
+            closed: false,
             #[cfg(feature = "faults")]
             planted: None,
         };
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -97,6 +97,24 @@
     text.parse().map(Some).map_err(|_| Error::NoAddress(NAME, text))
 }
 
+/// A digest of the settings in a configuration, as far as all dispatchers have the same.
+pub fn digest(text: &Value) -> u32 {
+    let mut settings = text.get("settings").cloned().unwrap_or_default();
+    if let Some(fields) = settings.as_object_mut() {
+        fields.remove("slotNo");
+    }
+    millpost_tier::standing::digest(settings.to_string().as_bytes())
+}
+
+/// The same of the file as it stands, whatever is in it.
+pub fn digest_of_file() -> u32 {
+    let bytes = std::env::var_os("NODE_CONFIG").and_then(|path| std::fs::read(path).ok()).unwrap_or_default();
+    match serde_json::from_slice(&bytes) {
+        Ok(text) => digest(&text),
+        Err(_) => millpost_tier::standing::digest(&bytes),
+    }
+}
+
 pub fn read() -> Result<Config, Error> {
     read_after(None)
 }
--- a/dispatcher/src/console.rs
+++ b/dispatcher/src/console.rs
@@ -35,6 +35,8 @@
 pub enum Asked {
     /// To bring the figures up to date.
     Figures { done: oneshot::Sender<()> },
+    /// What it acts on, and how it sees the others; nothing where no roll is kept.
+    Standing { done: oneshot::Sender<Option<String>> },
     /// To leave an endpoint out, or to use it again; the answer is a yes, or a no and why. Nobody who gave up waiting
     /// is heeded.
     Maintain { id: String, out: bool, done: oneshot::Sender<Result<(), String>> },
@@ -176,8 +178,23 @@
 impl<I: From<Asked>> Desk<I> {
     async fn answer(&self, call: Call) -> String {
         match call {
-            Call::Health if *self.ready.borrow() => line::answer(Ok(())),
-            Call::Health => line::answer(Err("not ready")),
+            Call::Health if !*self.ready.borrow() => line::answer(Err("not ready")),
+            Call::Health => match self.shared.figures().shut_out {
+                Some(kind) => line::answer(Err(&format!("shut out: most find it behind on its {kind}"))),
+                None => line::answer(Ok(())),
+            },
+            Call::Standing => {
+                let (done, answered) = oneshot::channel();
+                let asked = async {
+                    let _ = self.told.send(Asked::Standing { done }.into()).await;
+                    answered.await.ok().flatten()
+                };
+                match timeout(DONE_WITHIN, asked).await {
+                    Ok(Some(text)) => format!("SUCCESS\n{text}\nEOT\n"),
+                    Ok(None) => line::answer(Err("no roll is kept here")),
+                    Err(_) => line::answer(Err("not done in time")),
+                }
+            }
             Call::Counters => {
                 let (done, brought) = oneshot::channel();
                 let asked = async {
--- a/dispatcher/src/console/line.rs
+++ b/dispatcher/src/console/line.rs
@@ -20,6 +20,8 @@
     Health,
     /// The figures.
     Counters,
+    /// What it acts on, and how it sees the others.
+    Standing,
     /// An endpoint is to be left out, or used again.
     Maintain {
         /// The endpoint's name in the list.
@@ -42,10 +44,11 @@
     match word {
         Some("health") if id.is_none() => Ok(Call::Health),
         Some("counters") if id.is_none() => Ok(Call::Counters),
+        Some("standing") if id.is_none() => Ok(Call::Standing),
         Some("cordon") => maintain(true),
         Some("uncordon") => maintain(false),
-        Some("health" | "counters") => Err("nothing follows this call"),
-        Some(_) => Err("the calls are health, counters, cordon ID, uncordon ID"),
+        Some("health" | "counters" | "standing") => Err("nothing follows this call"),
+        Some(_) => Err("the calls are health, counters, standing, cordon ID, uncordon ID"),
         None => Err("no call"),
     }
 }
@@ -73,6 +76,10 @@
     pub down: usize,
     /// What is shared with other dispatchers, where anything is.
     pub shared: Option<Shared>,
+    /// It takes no new messages: most find it behind on this.
+    pub shut_out: Option<&'static str>,
+    /// Records and bytes of the audit's log, where one is written.
+    pub audited: Option<(u64, u64)>,
     /// Files taken at SIGHUP, and turned down.
     pub reconfig_ok: u64,
     pub reconfig_failed: u64,
@@ -108,6 +115,9 @@
             ("unknown", sifted.unknown),
             ("nonsense", sifted.nonsense),
             ("other_version", sifted.version),
+            ("roll_sent", tier.roll_sent),
+            ("roll_bytes", tier.roll_bytes),
+            ("roll_behind", tier.behind as u64),
             ("flood", sifted.flood),
         ] {
             line(&format!("tier_{name}"), figure);
@@ -135,7 +145,12 @@
         line("hosts_down", self.down as u64);
         line("reconfig_ok", self.reconfig_ok);
         line("reconfig_failed", self.reconfig_failed);
+        if let Some((records, bytes)) = self.audited {
+            line("audit_records", records);
+            line("audit_bytes", bytes);
+        }
         if let Some(shared) = &self.shared {
+            line("tier_shut_out", self.shut_out.is_some().into());
             shared.lines(line);
         }
         text.push_str("EOT\n");
--- a/dispatcher/src/discovery.rs
+++ b/dispatcher/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of endpoints: one task keeps a watch going and hands on what it tells.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,7 +9,7 @@
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep;
 
 use crate::link::{Agent, Error};
@@ -101,10 +102,12 @@
 /// Watches for ever. Its own task and connection: nothing else holds it up. The agent at the address of the start is
 /// asked for what is newer than the list that the start came with (`index`); another one for the whole list, since its
 /// versions need not be the same. When to ask first, and again after a failure, is for [`Retry`] to say.
+/// Where `again` is notified the whole list is asked for at once.
 pub async fn watch<I: From<List>>(
     mut agent: Agent,
     mut index: Option<u64>,
     mut retry: Retry,
+    again: Arc<Notify>,
     told: mpsc::Sender<I>,
 ) {
     sleep(retry.first()).await;
@@ -118,7 +121,14 @@
         };
         let request = Request::get(path).body(Full::<Bytes>::default());
         let Ok(request) = request else { return };
-        let list = match agent.ask(request, within, LONGEST).await {
+        let answer = tokio::select! {
+            answer = agent.ask(request, within, LONGEST) => answer,
+            () = again.notified() => {
+                index = None;
+                continue;
+            }
+        };
+        let list = match answer {
             Ok((StatusCode::OK, body)) => serde_json::from_slice::<List>(&body).map_err(|e| e.to_string()),
             Ok((status, _)) => Err(status.to_string()),
             Err(Error::Moved) => {
@@ -138,7 +148,10 @@
             Err(why) => {
                 let pause = retry.failed();
                 eprintln!("discovery: {why}; asked again in {} ms", pause.as_millis());
-                sleep(pause).await;
+                tokio::select! {
+                    () = sleep(pause) => {}
+                    () = again.notified() => index = None,
+                }
             }
         }
     }
--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -9,16 +9,20 @@
 use bytes::Bytes;
 use millpost::Lesson;
 use millpost::api::{Event, Nanos, Outcome, Settings, State, Weights};
+use millpost_audit::entry::Author;
 use millpost_core::{Core, Count, Effect, Ended, Handed, LAYOUT, Moment, Moved, ReplyId, Verdict};
 use millpost_handover::{Does, Frame, Giver, Heard, Moving};
 use millpost_settings::{Classes, Shape};
 use millpost_store::ledger::Found;
 use millpost_store::{Disk, Ledger, Seq};
-use millpost_tier::Terms;
-use tokio::sync::{mpsc, oneshot, watch};
+use millpost_tier::records::What;
+use millpost_tier::{Act, Fault, Kind, Rules, Standing, Terms};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::sleep_until;
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::book::Book;
 use crate::calls::{self, Calls};
 use crate::clock::Clock;
 use crate::config::Config;
@@ -32,11 +36,13 @@
 use crate::meter::{Part, within};
 use crate::notices::{self, Notice};
 use crate::opening::{self, Opening};
+use crate::options::Recording;
 use crate::peers::sharing::Sharing;
 use crate::peers::{Note, Peers};
 use crate::record::Record;
 use crate::room::Room;
 use crate::roster::Roster;
+use crate::versions;
 
 /// The descriptors of the process.
 #[derive(Clone, Copy, Debug)]
@@ -70,6 +76,12 @@
     calls: Calls<Input>,
     peers: Option<Peers>,
     sharing: Option<Sharing>,
+    /// What is acted on, where no roll keeps it.
+    standing: Standing,
+    /// What is decided is recorded.
+    book: Option<Book>,
+    again: Again,
+    name: String,
     notices: mpsc::Sender<Notice>,
     /// Notices that found no room in the queue yet.
     unsent: VecDeque<Notice>,
@@ -91,7 +103,7 @@
     before: Option<Before>,
     heir: Option<Heir>,
     opening: Opening,
-    standing: Standing,
+    station: Station,
     room: Arc<Room>,
 }
 
@@ -103,8 +115,17 @@
     There(u64),
 }
 
+/// What asks this dispatcher's own sources again.
+#[derive(Clone, Debug, Default)]
+pub struct Again {
+    /// The agent of discovery, for the whole list.
+    pub list: Arc<Notify>,
+    /// The file with the settings.
+    pub settings: Arc<Notify>,
+}
+
 /// How this process stands in the service, and the tasks that only an owner has.
-pub struct Standing {
+pub struct Station {
     pub ready: watch::Sender<bool>,
     pub phase: watch::Sender<Phase>,
     pub tasks: Vec<AbortHandle>,
@@ -154,6 +175,14 @@
     pub peers: Option<Peers>,
     /// The terms on which something is shared with them, if anything is.
     pub terms: Option<Terms>,
+    /// The rules on who is behind, and where decisions are recorded, if they are.
+    pub rules: Rules,
+    pub recording: Option<Recording>,
+    /// A digest of the settings.
+    pub digest: u32,
+    /// What the dispatcher is called.
+    pub name: String,
+    pub again: Again,
     pub notices: mpsc::Sender<Notice>,
     /// There is a console, which is told from here.
     pub has_console: bool,
@@ -165,10 +194,15 @@
     pub text: String,
     pub taken: Option<Taken>,
     pub opening: Opening,
-    pub standing: Standing,
+    pub station: Station,
     pub room: Arc<Room>,
 }
 
+/// What all dispatchers know an endpoint by.
+fn place(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 /// Shortest time between two rounds. What waits a whole tick goes out in bursts, for which connections must be opened.
 const ROUND: Nanos = 1_000_000;
 /// Inputs that are taken before it is looked again whether something is due.
@@ -194,6 +228,11 @@
             calls,
             peers,
             terms,
+            rules,
+            recording,
+            digest,
+            name,
+            again,
             notices,
             shared,
             front,
@@ -202,7 +241,7 @@
             text,
             taken,
             opening,
-            standing,
+            station,
             room,
         } = parts;
         let rated = settings.weights != Weights::Unknown;
@@ -220,7 +259,8 @@
                 let body = |id| bodies.remove(&id).unwrap_or_default();
                 core = Some(Core::take_over(classes.settings(config.settings), state, &written, body));
                 clock = Clock::going_on(moving.now, moving.wall);
-                moved = Some((moving, config.shape, config.text.to_string()));
+                let digest = crate::config::digest(&config.text);
+                moved = Some((moving, config.shape, config.text.to_string(), digest));
             }
             before = Some(Before::new(line.run(told.clone(), Input::Before), written));
         }
@@ -230,9 +270,10 @@
             Core::new(classes.settings(settings.clone()), seed, ledger.next_id())
         });
         let (own, own_text) = ((settings, shape.clone()), text);
-        let (shape, text) = moved
-            .as_ref()
-            .map_or((shape, own_text.clone()), |(_, shape, text)| (shape.clone(), text.clone()));
+        let (shape, text, in_force) =
+            moved.as_ref().map_or((shape, own_text.clone(), digest), |(_, shape, text, digest)| {
+                (shape.clone(), text.clone(), *digest)
+            });
         front.send_replace(Front::new(&classes));
         let mut driver = Driver {
             clock,
@@ -244,6 +285,10 @@
             calls,
             peers,
             sharing: None,
+            standing: Standing::default(),
+            book: None,
+            again,
+            name,
             notices,
             unsent: VecDeque::new(),
             replies: HashMap::new(),
@@ -259,7 +304,7 @@
             before,
             heir: None,
             opening,
-            standing,
+            station,
             room,
         };
         let at = driver.clock.moment();
@@ -268,19 +313,28 @@
             let (me, all) = (of.me as u16, of.dispatchers as u16);
             let mut sharing = Sharing::begin(at, terms, me, all, seed, &mut driver.record);
             sharing.settle_on(of.slots);
+            if rules.enabled {
+                let begun = versions::begin(at, in_force, &mut driver.record);
+                sharing.keep_roll(at, rules, begun, seed, &driver.record);
+            }
             driver.sharing = Some(sharing);
             driver.core.watch();
         }
+        if let Some(recording) = recording {
+            driver.record_in(at, recording, &own.0, in_force);
+            let book = driver.book.as_mut();
+            book.into_iter().for_each(|book| found.iter().for_each(|f| book.found(f.id, &f.taken.reference)));
+        }
         if let Some((moving, ..)) = moved {
             driver.index = moving.index;
             // What can't be read is heard from discovery again, whole; until then nothing new has an address.
             if !driver.roster.read(&moving.roster) {
                 eprintln!("handover: the list of endpoints can't be read");
             }
-            driver.sharing.iter_mut().for_each(|sharing| sharing.listed(at, &driver.roster));
+            driver.told_of(at, true, false);
             // Its own file is in force from now on.
             let (settings, shape) = own;
-            if let Err(why) = driver.settle(at, settings, shape, own_text) {
+            if let Err(why) = driver.settle(at, settings, shape, own_text, digest) {
                 eprintln!("handover: the settings of before stay: {why}");
             }
         } else {
@@ -288,7 +342,7 @@
             driver.record.note_classes(at, &driver.classes.write());
             // Noted too: what discovery tells later are changes of it.
             let known = driver.roster.newest(&driver.record, known);
-            driver.listed(at, known);
+            driver.listed(at, known, false);
             driver.recall(at);
             driver.core.resume(at);
             for found in found {
@@ -316,7 +370,11 @@
     /// Runs until the process is to end.
     pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) -> Stopped {
         loop {
-            let Some(heir) = self.serve(&mut inputs).await else { return Stopped::Done };
+            let Some(heir) = self.serve(&mut inputs).await else {
+                let at = self.clock.moment();
+                self.book.iter_mut().for_each(|book| book.end(at));
+                return Stopped::Done;
+            };
             match self.give(heir).await {
                 Given::Kept(driver) => self = *driver,
                 Given::Away(hands) => {
@@ -367,6 +425,8 @@
             let wake = self.core.wake().unwrap_or(Nanos::MAX);
             let next = if due { asked + self.tick } else { wake.max(asked + self.tick) };
             let next = self.sharing.as_ref().map_or(next, |sharing| next.min(sharing.due()));
+            // Nothing of what was decided goes out before the loop waits.
+            self.book.iter_mut().for_each(|book| book.write(at));
             // Never far off, so that notices, idle connections and the end are seen to.
             let soon = self.core.restless() || !self.unsent.is_empty() || self.record.waits();
             let pause = if soon { 20_000_000 } else { SWEEP };
@@ -403,7 +463,7 @@
         match input {
             Input::Client(asked) => self.asked(at, asked),
             Input::Calls(event) => self.called(at, event),
-            Input::Listed(list) => self.listed(at, list),
+            Input::Listed(list) => self.listed(at, list, true),
             Input::Noticed(notices::Taken(ids)) => ids.into_iter().for_each(|id| self.core.noticed(at, id)),
             Input::Synced(synced) => {
                 for behind in self.record.synced(at, synced) {
@@ -411,11 +471,17 @@
                 }
             }
             Input::Note(Note { from, bytes }) => self.core.on_event(at, Event::Note { from, bytes }),
-            Input::Shared(frame) => self.sharing.iter_mut().for_each(|sharing| sharing.heard(at, &frame)),
+            Input::Shared(frame) => {
+                let book = self.book.as_mut();
+                if let Some(sharing) = &mut self.sharing {
+                    sharing.heard(at, &frame, book);
+                }
+            }
             Input::Console(asked) => self.staff(at, asked),
-            Input::Settle(Settle { settings, shape, text, done }) => {
-                let _ = done.send(self.settle(at, settings, shape, text));
+            Input::Settle(Settle { settings, shape, text, digest, done }) => {
+                let _ = done.send(self.settle(at, settings, shape, text, digest));
             }
+            Input::TurnedDown(digest) => self.sharing.iter_mut().for_each(|sharing| sharing.refused(digest)),
             Input::Heir(heir) => self.asked_for_work(heir),
             Input::Before(said) => self.before_said(at, said),
             // Nobody comes after an owner.
@@ -429,8 +495,134 @@
     /// What is shared by now: whether the module heard something.
     fn share(&mut self, at: Moment) -> bool {
         let (Some(sharing), Some(peers)) = (&mut self.sharing, &self.peers) else { return false };
-        sharing.tick(at, &self.core);
-        sharing.carry(at, &mut self.core, &mut self.record, peers)
+        sharing.tick(at, &self.core, self.book.as_mut());
+        let news = sharing.carry(at, &mut self.core, &mut self.record, peers, &mut self.book);
+        let acts = sharing.take_acts();
+        let acted = !acts.is_empty();
+        acts.into_iter().for_each(|act| self.act(at, act));
+        if acted {
+            self.carry(at);
+        }
+        self.stand(at);
+        news || acted
+    }
+
+    /// What the roll wants done.
+    fn act(&mut self, at: Moment, act: Act) {
+        let Some(sharing) = &mut self.sharing else { return };
+        match act {
+            Act::Ask(Kind::List) => {
+                eprintln!(
+                    "roll: most have left the list that is acted on here; the agent is asked for all of it"
+                );
+                self.again.list.notify_one();
+            }
+            Act::Ask(kind) => {
+                eprintln!(
+                    "roll: most have left the {} that are acted on here; the file is read again",
+                    kind.name()
+                );
+                self.again.settings.notify_one();
+            }
+            Act::ShutOut(kind) => {
+                eprintln!("roll: shut out: most find this dispatcher behind on its {}", kind.name());
+                self.core.close(!sharing.serves());
+                self.shared.figures().shut_out = Some(kind.name());
+                self.book.iter_mut().for_each(|book| book.service(at, Some(kind)));
+            }
+            Act::Back => {
+                eprintln!("roll: it has caught up, and takes messages again");
+                self.core.close(false);
+                self.shared.figures().shut_out = None;
+                self.book.iter_mut().for_each(|book| book.service(at, None));
+            }
+            Act::Note => sharing.note(at, &mut self.record),
+            Act::Hold(place, What::Cordon) => {
+                let name = sharing.endpoint(place).and_then(|e| self.roster.name(e)).map(str::to_owned);
+                let Some(name) = name else { return };
+                if self.roster.asked(&name, true) == Ok(Change::Out)
+                    && self.record.cordon(at, &name, true).is_some()
+                {
+                    eprintln!("roll: {name} is out: the staff took it out at another dispatcher");
+                    let entry = self.roster.make(&name, Change::Out);
+                    self.changed(at, entry, false);
+                }
+            }
+            Act::Hold(place, What::Drain) => {
+                let Some(endpoint) = sharing.endpoint(place) else { return };
+                let entry = self.roster.hold(endpoint, true);
+                self.changed(at, entry, false);
+            }
+            Act::Release(place) => {
+                let Some(endpoint) = sharing.endpoint(place) else { return };
+                let entry = self.roster.hold(endpoint, false);
+                self.changed(at, entry, true);
+            }
+        }
+    }
+
+    /// An endpoint is so from now on, by hand or by hearsay.
+    fn changed(&mut self, at: Moment, entry: Option<millpost::api::Entry>, back: bool) {
+        self.calls.retain(|endpoint| self.roster.ready(endpoint));
+        let Some(entry) = entry else { return };
+        self.core.listed(at, false, vec![entry]);
+        if back && entry.state == State::Ready {
+            self.core.returned(at, entry.endpoint);
+        }
+        if let (Some(book), Some(state)) = (&mut self.book, self.roster.state(entry.endpoint)) {
+            let name = self.roster.name(entry.endpoint).unwrap_or_default();
+            book.state(at, place(name), entry.dest, state);
+        }
+    }
+
+    /// What is acted on by now is what the next decisions are made on.
+    fn stand(&mut self, at: Moment) {
+        if let Some(book) = &mut self.book {
+            let rolled = self.sharing.as_ref().and_then(Sharing::acts_on);
+            book.acts_on(at, rolled.unwrap_or(self.standing));
+        }
+    }
+
+    /// From now on decisions are recorded.
+    fn record_in(&mut self, at: Moment, recording: Recording, settings: &Settings, digest: u32) {
+        if self.sharing.is_none() {
+            let incarnation = self.record.ledger().incarnation().saturating_add(1);
+            self.record.live(at, incarnation);
+        }
+        self.standing = versions::begin(at, digest, &mut self.record).0;
+        let incarnation = self.record.ledger().incarnation();
+        (self.standing.incarnation, self.standing.epoch) = (incarnation, incarnation);
+        let author = Author {
+            number: settings.me as u16,
+            of: settings.dispatchers as u16,
+            name: self.name.clone(),
+            incarnation,
+            drain_ms: (settings.rules.drain_grace / 1_000_000) as u32,
+        };
+        let mut book = Book::open(at, recording, author);
+        if let Some(sharing) = &mut self.sharing {
+            sharing.trace();
+        }
+        book.acts_on(at, self.sharing.as_ref().and_then(Sharing::acts_on).unwrap_or(self.standing));
+        self.book = Some(book);
+    }
+
+    /// The list is another, or was told once more; `told` where the agent did so.
+    fn told_of(&mut self, at: Moment, whole: bool, told: bool) {
+        if let Some(sharing) = &mut self.sharing {
+            sharing.listed(at, &self.roster);
+            sharing.numbered(at, &self.roster, self.index, told);
+        }
+        if let Some(book) = &mut self.book {
+            let roster = &self.roster;
+            let all =
+                roster.places().filter_map(|(id, name, e)| Some((place(name), e.dest, roster.state(id)?)));
+            book.listed(at, whole, all);
+            self.standing.moves(Kind::List, roster.digest());
+            self.standing.agent = millpost_tier::standing::digest(roster.source().as_bytes());
+            self.standing.index = self.index.unwrap_or(0);
+        }
+        self.stand(at);
     }
 
     fn asked(&mut self, at: Moment, asked: Asked) {
@@ -446,6 +638,7 @@
         let number = self.next_reply;
         self.next_reply += 1;
         self.replies.insert(number, waits);
+        self.book.iter_mut().for_each(|book| book.handed(number, &handed.reference));
         let held = self.core.holds(&handed.reference);
         let ended = if held { None } else { self.record.final_answer(&handed.reference) };
         let time_left = handed.time_left.saturating_sub(ago.as_nanos() as Nanos);
@@ -488,14 +681,28 @@
     }
 
     /// Takes in what discovery says.
-    fn listed(&mut self, at: Moment, list: List) {
+    fn listed(&mut self, at: Moment, list: List, told: bool) {
+        // An agent that was started anew counts by other numbers, and is asked for its whole list at once.
+        let older = !list.snapshot && self.index.is_some_and(|index| list.index < index);
+        let rolled = self.sharing.as_ref().is_some_and(|sharing| sharing.acts_on().is_some());
+        if older && rolled && !self.commits(Fault::OldList) {
+            return;
+        }
         self.index = Some(list.index);
-        let (whole, entries) = self.roster.listed(at, &mut self.record, list);
+        let (whole, mut entries) = self.roster.listed(at, &mut self.record, list);
+        if self.commits(Fault::CallDrained) {
+            entries.iter_mut().filter(|e| e.state == State::Draining).for_each(|e| e.state = State::Ready);
+        }
         // Connections to an endpoint that takes nothing more are closed. They would hold descriptors here and
         // places there until they are too old.
         self.calls.retain(|endpoint| self.roster.ready(endpoint));
         self.core.listed(at, whole, entries);
-        self.sharing.iter_mut().for_each(|sharing| sharing.listed(at, &self.roster));
+        self.told_of(at, whole, told);
+    }
+
+    /// A fault that a test planted.
+    fn commits(&self, fault: Fault) -> bool {
+        self.sharing.as_ref().is_some_and(|sharing| sharing.has(fault))
     }
 
     /// Somebody asks for the work. It is given away between two rounds, with nothing under way that hangs on the store,
@@ -513,7 +720,7 @@
     }
 
     /// Gives the work away: the store first, then all that is known.
-    async fn give(self, Heir(mut line): Heir) -> Given {
+    async fn give(mut self, Heir(mut line): Heir) -> Given {
         let (mut giver, at) = (Giver::default(), self.clock.moment());
         let mark = self.record.ledger().owner();
         let fit = self.core.at_rest() && !self.record.waits();
@@ -536,6 +743,8 @@
             mark,
         };
         eprintln!("handover: the work is offered");
+        // The other one records from here on.
+        self.book.iter_mut().for_each(|book| book.end(at));
         drop(self.record);
         let said = line.say(&Frame::Offer(Box::new(moving))).await;
         let heard = match said {
@@ -545,9 +754,9 @@
         if let Ok(Frame::Mine { afresh }) = heard {
             giver.heard(Heard::Mine);
             let say = line.run(self.told.clone(), Input::After);
-            self.standing.ready.send_replace(false);
-            self.standing.phase.send_replace(Phase::Handed);
-            self.standing.tasks.iter().for_each(AbortHandle::abort);
+            self.station.ready.send_replace(false);
+            self.station.phase.send_replace(Phase::Handed);
+            self.station.tasks.iter().for_each(AbortHandle::abort);
             eprintln!("handover: the work is another's");
             let mut hands = Hands::new(self.calls, say, self.room, self.shared);
             if afresh {
@@ -563,6 +772,8 @@
         match (giver.heard(Heard::Reopened(mark)), reopened) {
             (Does::GoOn, Ok((ledger, _))) => {
                 eprintln!("handover: nobody took the work; it goes on here");
+                let at = self.clock.moment();
+                self.book.iter_mut().for_each(|book| book.resume(at));
                 Given::Kept(Box::new(Driver { record: Record::new(ledger), ..self }))
             }
             (Does::StartAfresh, _) => Given::Lost(Stopped::StartAfresh),
@@ -622,6 +833,7 @@
         settings: Settings,
         shape: Shape,
         text: String,
+        digest: u32,
     ) -> Result<(), &'static str> {
         let mut classes = self.classes.clone();
         classes.adopt(&settings, &shape, None);
@@ -639,6 +851,14 @@
         self.sharing.iter_mut().for_each(|sharing| sharing.settle_on(settings.slots));
         self.core.settle_on(at, settings);
         self.text = text;
+        if let Some(sharing) = &mut self.sharing {
+            sharing.moves(at, Kind::Settings, digest);
+        }
+        if self.sharing.as_ref().is_some_and(|sharing| sharing.acts_on().is_some()) || self.book.is_some() {
+            versions::settled(at, digest, &mut self.record);
+        }
+        self.standing.moves(Kind::Settings, digest);
+        self.stand(at);
         Ok(())
     }
 
@@ -650,6 +870,11 @@
                 let _ = done.send(());
                 return;
             }
+            console::Asked::Standing { done } => {
+                let name = &self.name;
+                let _ = done.send(self.sharing.as_mut().and_then(|sharing| sharing.standing(at, name)));
+                return;
+            }
             console::Asked::Maintain { id, out, done } => (id, out, done),
         };
         // Who has given up waiting was told no.
@@ -664,12 +889,9 @@
                 None => Err("the store takes no writes"),
                 Some(seq) => {
                     let entry = self.roster.make(&id, change);
-                    self.calls.retain(|endpoint| self.roster.ready(endpoint));
-                    if let Some(entry) = entry {
-                        self.core.listed(at, false, vec![entry]);
-                        if change == Change::Back && entry.state == State::Ready {
-                            self.core.returned(at, entry.endpoint);
-                        }
+                    self.changed(at, entry, change == Change::Back);
+                    if let Some(sharing) = &mut self.sharing {
+                        sharing.cordoned(at, &id, out);
                     }
                     eprintln!("console: {id} is {}", if out { "out" } else { "back" });
                     Ok(seq)
@@ -708,6 +930,7 @@
         if let (Some(sharing), Some(peers)) = (&self.sharing, &self.peers) {
             figures.shared = Some(sharing.figures(at, peers));
         }
+        figures.audited = self.book.as_ref().and_then(Book::figures);
     }
 
     /// Has what was written made to last, where that takes a sync: one at a time, for all that waits by then.
@@ -736,11 +959,15 @@
     fn carry_out(&mut self, at: Moment, effect: Effect) {
         match effect {
             Effect::Append(change, behind) => match self.record.append(at, &change) {
-                Some(seq) => behind.into_iter().for_each(|behind| self.record.put(Some(seq), behind)),
+                Some(seq) => {
+                    self.book.iter_mut().for_each(|book| book.changed(at, &change));
+                    behind.into_iter().for_each(|behind| self.record.put(Some(seq), behind));
+                }
                 None => self.core.not_written(at, &change, behind),
             },
             Effect::After(behind) => self.record.put(None, behind),
             Effect::Reply { reply, verdict, taken } => {
+                self.book.iter_mut().for_each(|book| book.replied(at, reply, verdict, taken.is_some()));
                 let heard = match self.replies.remove(&reply) {
                     Some(Waits::Here(reply)) => reply.send(verdict).is_ok(),
                     Some(Waits::There(number)) => match &mut self.before {
@@ -756,6 +983,7 @@
                 }
             }
             Effect::Connect { call, endpoint, sure, fresh, until } => {
+                self.book.iter_mut().for_each(|book| book.decided(at, call));
                 let left = Duration::from_nanos(until.saturating_sub(at.now));
                 let Some(address) = self.roster.address(endpoint) else {
                     return self.core.unreachable(at, call);
@@ -766,12 +994,20 @@
             }
             Effect::Write { call, endpoint, sure, until, messages } => {
                 self.sharing.iter_mut().for_each(|sharing| sharing.sent(at, endpoint));
+                if let Some(book) = &mut self.book {
+                    let name = self.roster.name(endpoint).map_or(0, place);
+                    let dest = self.roster.dest(endpoint);
+                    book.written(at, call, (name, dest), &messages);
+                }
                 let left = Duration::from_nanos(until.saturating_sub(at.now));
                 if !self.calls.write(call, messages, sure, self.clock.instant(until), left) {
                     self.core.ended(at, call, Ended::without_answer(Outcome::NotSent));
                 }
             }
-            Effect::Release { call } => self.calls.release(call, |endpoint| self.roster.ready(endpoint)),
+            Effect::Release { call } => {
+                self.book.iter_mut().for_each(|book| book.dropped(call));
+                self.calls.release(call, |endpoint| self.roster.ready(endpoint));
+            }
             Effect::CallOff { call } => match &self.before {
                 Some(before) if before.written.contains(&call) => before.say(Frame::CallOff { call }),
                 _ => self.calls.call_off(call),
--- a/dispatcher/src/hands.rs
+++ b/dispatcher/src/hands.rs
@@ -141,6 +141,7 @@
                 (figures.inflight, figures.calls) = (0, self.calls.sent().count());
                 let _ = done.send(());
             }
+            Input::Console(console::Asked::Standing { done }) => drop(done),
             Input::Console(console::Asked::Maintain { id, out, done }) => {
                 self.next += 1;
                 self.staff.insert(self.next, done);
@@ -154,6 +155,7 @@
             | Input::Note(_)
             | Input::Shared(_)
             | Input::Synced(_)
+            | Input::TurnedDown(_)
             | Input::Heir(_)
             | Input::Before(_)
             | Input::After(None)
--- a/dispatcher/src/input.rs
+++ b/dispatcher/src/input.rs
@@ -35,6 +35,8 @@
     Console(console::Asked),
     /// New settings are in force from now on, or not at all.
     Settle(Settle),
+    /// Settings of this digest were turned down.
+    TurnedDown(u32),
     /// Another process asks for the work.
     Heir(Heir),
     /// Said by the process before this one, which finishes what it has; `None` at its end.
@@ -51,6 +53,8 @@
     pub shape: Shape,
     /// The file that they were in.
     pub text: String,
+    /// A digest of them.
+    pub digest: u32,
     /// Why they could not be put in force, if so.
     pub done: oneshot::Sender<Result<(), &'static str>>,
 }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -2,6 +2,7 @@
 
 mod adopt;
 mod batch;
+mod book;
 mod calls;
 mod clock;
 mod config;
@@ -23,6 +24,7 @@
 mod retry;
 mod room;
 mod roster;
+mod versions;
 mod written;
 
 use std::io;
@@ -38,11 +40,11 @@
 use millpost_tier::sieve::Sieve;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use config::Config;
-use driver::{Descriptors, Driver, Parts, Standing, Stopped, Taken};
+use driver::{Again, Descriptors, Driver, Parts, Station, Stopped, Taken};
 use input::{Input, Settle};
 use intake::{Front, Phase};
 use opening::Opening;
@@ -223,9 +225,11 @@
     let (address, addresses) = watch::channel(config.discovery);
     let (phase, phases) = watch::channel(Phase::Serving);
     let retry = retry::Retry::new(settings.dispatchers, config.seed);
+    let again = Again::default();
+    let watched =
+        discovery::watch(link::Agent::new(addresses.clone()), index, retry, again.list.clone(), told.clone());
     let mut tasks = vec![
-        tokio::spawn(discovery::watch(link::Agent::new(addresses.clone()), index, retry, told.clone()))
-            .abort_handle(),
+        tokio::spawn(watched).abort_handle(),
         tokio::spawn(notices::send(link::Agent::new(addresses), due, told.clone())).abort_handle(),
     ];
     tasks.extend(listening);
@@ -247,7 +251,7 @@
         text: config.text.to_string(),
         taken,
         opening,
-        standing: Standing { ready: ready.clone(), phase: phase.clone(), tasks },
+        station: Station { ready: ready.clone(), phase: phase.clone(), tasks },
         room: room.clone(),
         seed: config.seed,
         ledger,
@@ -258,6 +262,11 @@
         known: config.known.clone(),
         peers,
         terms,
+        rules: options.fleet.clone(),
+        recording: Some(options.audit.clone()).filter(|recording| recording.enabled),
+        digest: config::digest(&config.text),
+        name: config.name.clone(),
+        again: again.clone(),
         notices,
         shared: shared.clone(),
     });
@@ -266,7 +275,7 @@
         eprintln!("handover: the work is taken over, {passed:.1} ms after it was let go");
     }
     let mut driver = tokio::spawn(meter::metered(meter::Part::Driver, driver.run(inputs)));
-    tokio::spawn(reload(hangup, config, told.clone(), address, shared));
+    tokio::spawn(reload(hangup, again.settings, config, told.clone(), address, shared));
     let told_by_clients = told.clone();
     let intake =
         tokio::spawn(async move { intake::serve(listener, room, fronts, told_by_clients, phases).await });
@@ -303,16 +312,21 @@
     Ok(())
 }
 
-/// At SIGHUP the configuration is read again, also while the process stops: a file that is good as a whole is put in
+/// At SIGHUP, or where this dispatcher is behind on it, the configuration is read again, also while the process stops: a file that is good as a whole is put in
 /// force, in one step, and discovery and notices move to its address of discovery. With any other nothing changes.
 async fn reload(
     mut hangup: Signal,
+    again: Arc<Notify>,
     mut config: Config,
     told: mpsc::Sender<Input>,
     discovery: watch::Sender<SocketAddr>,
     shared: console::Shared,
 ) {
-    while hangup.recv().await.is_some() {
+    loop {
+        tokio::select! {
+            came = hangup.recv() => if came.is_none() { return },
+            () = again.notified() => {}
+        }
         match put_in_force(&config, &told).await {
             Ok(new) => {
                 config = new;
@@ -323,6 +337,7 @@
             }
             Err(e) => {
                 shared.figures().reconfig_failed += 1;
+                let _ = told.send(Input::TurnedDown(config::digest_of_file())).await;
                 eprintln!("the configuration stays as it was: {e}");
             }
         }
@@ -332,8 +347,13 @@
 async fn put_in_force(config: &Config, told: &mpsc::Sender<Input>) -> Result<Config, Error> {
     let new = config::read_again(config)?;
     let (done, settled) = oneshot::channel();
-    let settle =
-        Settle { settings: new.settings.clone(), shape: new.shape.clone(), text: new.text.to_string(), done };
+    let settle = Settle {
+        settings: new.settings.clone(),
+        shape: new.shape.clone(),
+        text: new.text.to_string(),
+        digest: config::digest(&new.text),
+        done,
+    };
     told.send(settle.into()).await.map_err(|_| Error::Driver)?;
     settled.await.map_err(|_| Error::Driver)?.map_err(Error::NotSettled)?;
     Ok(new)
--- a/dispatcher/src/options.rs
+++ b/dispatcher/src/options.rs
@@ -6,7 +6,7 @@
 
 use lexopt::prelude::*;
 use millpost_store::Durability;
-use millpost_tier::Terms;
+use millpost_tier::{Rules, Terms};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -47,6 +47,44 @@
     pub durability: Durability,
     /// What is shared with other dispatchers.
     pub tier: Terms,
+    /// Who is behind, and what follows.
+    pub fleet: Rules,
+    /// What was acted on is recorded.
+    pub audit: Recording,
+}
+
+/// Where decisions are recorded, if they are.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Recording {
+    pub enabled: bool,
+    /// A folder of its own, outside that of the platform.
+    pub folder: PathBuf,
+    pub budget_mb: u64,
+}
+
+impl Default for Recording {
+    fn default() -> Self {
+        Recording { enabled: false, folder: PathBuf::new(), budget_mb: 64 }
+    }
+}
+
+impl Recording {
+    fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        match self {
+            r if r.enabled && r.folder.as_os_str().is_empty() => Err(("folder", "it is not named")),
+            r if !(1..=1_000_000).contains(&r.budget_mb) => Err(("budget_mb", "not between 1 and 1000000")),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Options {
+    /// All else as it is where nothing is said.
+    fn new(durability: Durability) -> Self {
+        let (tier, fleet, audit) = (Terms::default(), Rules::default(), Recording::default());
+        Options { durability, tier, fleet, audit }
+    }
 }
 
 /// What the command line asks for.
@@ -70,6 +108,8 @@
 struct SettingsFile {
     store: StoreFile,
     tier: Terms,
+    fleet: Rules,
+    audit: Recording,
 }
 
 #[derive(Clone, Copy, Default, Deserialize)]
@@ -87,7 +127,13 @@
             Durability::Machine => "machine",
         };
         let shared = if self.tier.enabled { "shared" } else { "not shared" };
-        write!(f, "what is taken on outlives the {outlives}; budgets and judgements are {shared}")
+        let rolled = if self.fleet.enabled { "found" } else { "not looked for" };
+        let recorded = match &self.audit {
+            audit if audit.enabled => format!("recorded in {}", audit.folder.display()),
+            _ => "not recorded".to_owned(),
+        };
+        write!(f, "what is taken on outlives the {outlives}; budgets and judgements are {shared}; ")?;
+        write!(f, "who is behind is {rolled}; decisions are {recorded}")
     }
 }
 
@@ -97,7 +143,7 @@
 }
 
 fn parse(arguments: impl IntoIterator<Item = OsString>) -> Result<Asked, Error> {
-    let mut options = Options { durability: Durability::Process, tier: Terms::default() };
+    let mut options = Options::new(Durability::Process);
     let mut check = false;
     let mut parser = lexopt::Parser::from_args(arguments);
     while let Some(argument) = parser.next()? {
@@ -124,13 +170,21 @@
 
 fn settings_file(path: &Path) -> Result<Options, Error> {
     let (file, text) = read::<SettingsFile>(path)?;
-    file.tier.check().map_err(|wrong| {
-        let section = text.lines().position(|line| line.trim() == "[tier]").unwrap_or(0);
-        let names = |line: &str| line.split('=').next().is_some_and(|key| key.trim() == wrong.key);
-        let line = text.lines().skip(section).position(names).unwrap_or(0);
-        Error::Unsound(path.to_owned(), section + line + 1, format!("tier.{wrong}"))
-    })?;
-    Ok(Options { durability: file.store.durability.into(), tier: file.tier })
+    let unsound = |section: &str, key: &str, reason: &str| {
+        let heading = format!("[{section}]");
+        let from = text.lines().position(|line| line.trim() == heading).unwrap_or(0);
+        let names = |line: &str| line.split('=').next().is_some_and(|name| name.trim() == key);
+        let line = text.lines().skip(from).position(names).unwrap_or(0);
+        Error::Unsound(path.to_owned(), from + line + 1, format!("{section}.{key}: {reason}"))
+    };
+    file.tier.check().map_err(|wrong| unsound("tier", wrong.key, wrong.reason))?;
+    file.fleet.check().map_err(|wrong| unsound("fleet", wrong.key, wrong.reason))?;
+    file.audit.check().map_err(|(key, reason)| unsound("audit", key, reason))?;
+    if file.fleet.enabled && !file.tier.enabled {
+        return Err(unsound("fleet", "enabled", "it needs tier.enabled"));
+    }
+    let SettingsFile { store, tier, fleet, audit } = file;
+    Ok(Options { durability: store.durability.into(), tier, fleet, audit })
 }
 
 impl From<Outlives> for Durability {
@@ -156,7 +210,7 @@
 
     #[test]
     fn settings_are_read_and_what_is_wrong_is_named() {
-        let options = |durability| Options { durability, tier: Terms::default() };
+        let options = Options::new;
         assert_eq!(with("", &[]).ok(), Some(Asked::Run(options(Durability::Process))));
         let machine = with("durability = \"machine\"", &["--check-config"]).ok();
         assert_eq!(machine, Some(Asked::Check(options(Durability::Machine))));
@@ -190,6 +244,13 @@
             ("[tier]\nbeat_ms = \"fast\"\n", "line 2"),
             ("[tier]\nbeats = 2\n", "beats"),
             ("[teir]\n", "teir"),
+            (
+                "[tier]\nenabled = true\n[fleet]\nserve_percent = 3\n",
+                "line 4: fleet.serve_percent: not between",
+            ),
+            ("[fleet]\nenabled = true\n", "line 2: fleet.enabled: it needs tier.enabled"),
+            ("[audit]\nenabled = true\n", "audit.folder: it is not named"),
+            ("[audit]\nbudget_mb = 0\n", "line 2: audit.budget_mb: not between"),
             ("[store]\ndurability = \"disk\"\n", "line 2"),
         ] {
             let why = with(text).expect_err("refused").to_string();
@@ -200,7 +261,7 @@
     #[test]
     fn the_example_is_good() {
         let all = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/millpost.toml");
-        let same = Options { durability: Durability::Process, tier: Terms::default() };
+        let same = Options::new(Durability::Process);
         assert_eq!(settings_file(&all).ok(), Some(same), "it shows what holds without it");
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/store.toml");
         assert_eq!(store_file(&path).ok(), Some(Durability::Process));
--- a/dispatcher/src/peers/sharing.rs
+++ b/dispatcher/src/peers/sharing.rs
@@ -5,13 +5,19 @@
 use millpost::api::{DestId, EndpointId, Event, Nanos, Outcome, Part};
 use millpost_core::{Core, Moment};
 use millpost_tier::frame::Frame;
-use millpost_tier::{Need, News, Out, Place, Terms, Tier, Went};
+use millpost_tier::judge::View;
+use millpost_tier::roll::{Begin, Row};
+use millpost_tier::standing::{KINDS, digest};
+use millpost_tier::{Act, Fault, Kind, Need, News, Out, Place, Rules, Standing, Terms, Tier, Went};
+use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Peers;
+use crate::book::Book;
 use crate::console::line::Shared;
 use crate::record::Record;
 use crate::roster::Roster;
+use crate::versions;
 
 pub struct Sharing {
     tier: Tier,
@@ -19,6 +25,10 @@
     /// Endpoints by what all dispatchers know them by, and the other way.
     endpoints: HashMap<Place, EndpointId>,
     places: HashMap<EndpointId, (Place, DestId)>,
+    /// What the loop is to do for the roll.
+    acts: Vec<Act>,
+    /// The agent has told the list in this life.
+    told: bool,
 }
 
 impl Sharing {
@@ -27,7 +37,102 @@
         let incarnation = record.ledger().incarnation().saturating_add(1);
         record.live(at, incarnation);
         let tier = Tier::new(at.now, terms, me, of, incarnation, seed);
-        Sharing { tier, slots: 0, endpoints: HashMap::new(), places: HashMap::new() }
+        let (endpoints, places) = (HashMap::new(), HashMap::new());
+        Sharing { tier, slots: 0, endpoints, places, acts: Vec::new(), told: false }
+    }
+
+    /// A roll is kept.
+    pub fn keep_roll(
+        &mut self,
+        at: Moment,
+        rules: Rules,
+        (standing, held): (Standing, [Nanos; 4]),
+        seed: u64,
+        record: &Record,
+    ) {
+        let begin = Begin { rules, standing, held, words: versions::words(record) };
+        self.tier.keep_roll(at.now, begin, seed);
+    }
+
+    /// Lendings are recorded.
+    pub fn trace(&mut self) {
+        self.tier.trace();
+    }
+
+    /// What is acted on, where a roll is kept.
+    pub fn acts_on(&self) -> Option<Standing> {
+        self.tier.acts_on()
+    }
+
+    /// New messages are taken.
+    pub fn serves(&self) -> bool {
+        self.tier.serves()
+    }
+
+    /// A fault that is to be committed.
+    pub fn has(&self, fault: Fault) -> bool {
+        self.tier.has(fault)
+    }
+
+    /// What there is to do for the roll.
+    pub fn take_acts(&mut self) -> Vec<Act> {
+        std::mem::take(&mut self.acts)
+    }
+
+    /// An endpoint, by what all know it by.
+    pub fn endpoint(&self, place: Place) -> Option<EndpointId> {
+        self.endpoints.get(&place).copied()
+    }
+
+    /// Another content of a kind is acted on.
+    pub fn moves(&mut self, at: Moment, kind: Kind, digest: u32) {
+        if let Some((roll, pass_on)) = self.tier.roll() {
+            roll.moves(at.now, kind, digest, pass_on);
+        }
+    }
+
+    /// Settings were turned down.
+    pub fn refused(&mut self, digest: u32) {
+        if let Some((roll, pass_on)) = self.tier.roll() {
+            roll.refused(digest, pass_on);
+        }
+    }
+
+    /// The staff took an endpoint out here, or put it back.
+    pub fn cordoned(&mut self, at: Moment, name: &str, out: bool) {
+        let place = xxh3_64(name.as_bytes());
+        if let Some((roll, pass_on)) = self.tier.roll() {
+            roll.cordoned(at.now, place, out, pass_on);
+        }
+    }
+
+    /// Cordons and drains are to last.
+    pub fn note(&mut self, at: Moment, record: &mut Record) {
+        if let Some((roll, _)) = self.tier.roll() {
+            versions::note_words(at, roll.words(), record);
+        }
+    }
+
+    /// The agent has answered: what the list is by now, with its number; or what the store had, which nobody has told.
+    pub fn numbered(&mut self, at: Moment, roster: &Roster, index: Option<u64>, told: bool) {
+        let Some((roll, pass_on)) = self.tier.roll() else { return };
+        if told && !std::mem::replace(&mut self.told, true) {
+            roll.confirmed(at.now, Kind::List, pass_on);
+        }
+        roll.numbered(digest(roster.source().as_bytes()), index.unwrap_or(0));
+        roll.moves(at.now, Kind::List, roster.digest(), pass_on);
+    }
+
+    /// How this one stands and sees the others, for the staff.
+    pub fn standing(&mut self, at: Moment, name: &str) -> Option<String> {
+        let standing = self.tier.acts_on()?;
+        let rows: Vec<Value> = self.tier.rows(at.now).iter().map(row).collect();
+        let life = self.tier.life();
+        let text = json!({
+            "name": name, "epoch": life.incarnation, "serves": self.tier.serves(), "standing": standing,
+            "wall_ns": at.wall, "rows": rows,
+        });
+        Some(text.to_string())
     }
 
     /// Calls that may be out at once.
@@ -42,10 +147,16 @@
 
     /// The list of endpoints has changed.
     pub fn listed(&mut self, at: Moment, roster: &Roster) {
-        let all = roster.places().map(|(endpoint, name, dest)| (endpoint, (xxh3_64(name.as_bytes()), dest)));
+        let all = roster.places();
+        let all = all.map(|(endpoint, name, entry)| (endpoint, (xxh3_64(name.as_bytes()), entry.dest)));
         self.places = all.collect();
         self.endpoints = self.places.iter().map(|(endpoint, (place, _))| (*place, *endpoint)).collect();
         self.tier.listed(at.now, self.places.values().map(|(place, dest)| (*dest, *place)));
+        if let Some((roll, pass_on)) = self.tier.roll() {
+            let ready = |entry: &millpost::api::Entry| entry.state == millpost::api::State::Ready;
+            let all = roster.places().map(|(_, name, e)| (xxh3_64(name.as_bytes()), e.dest, ready(e)));
+            roll.listed(at.now, all, pass_on);
+        }
     }
 
     /// A message for a destination has come.
@@ -76,13 +187,21 @@
     }
 
     /// Another dispatcher says something.
-    pub fn heard(&mut self, at: Moment, frame: &Frame) {
+    pub fn heard(&mut self, at: Moment, frame: &Frame, book: Option<&mut Book>) {
+        let speaker = &frame.speaker;
+        if let Some(book) = book {
+            book.heard(at, speaker.who, speaker.life.incarnation, speaker.life.beat);
+        }
         self.tier.hear(at.now, frame);
     }
 
     /// The round that is due, if it is.
-    pub fn tick(&mut self, at: Moment, core: &Core) {
+    pub fn tick(&mut self, at: Moment, core: &Core, book: Option<&mut Book>) {
         if at.now >= self.tier.due() {
+            let life = self.tier.life();
+            if let Some(book) = book {
+                book.beat(at, life.incarnation, life.beat);
+            }
             // Also of messages that were there before this process, or that nothing was sent of for a while.
             let all: BTreeSet<DestId> = self.tier.active().chain(core.destinations()).collect();
             let needs: Vec<Need> = all.into_iter().map(|dest| need(core, self.slots, dest)).collect();
@@ -91,7 +210,14 @@
     }
 
     /// Carries out what came of it, in its order. Whether the module heard something.
-    pub fn carry(&mut self, at: Moment, core: &mut Core, record: &mut Record, peers: &Peers) -> bool {
+    pub fn carry(
+        &mut self,
+        at: Moment,
+        core: &mut Core,
+        record: &mut Record,
+        peers: &Peers,
+        book: &mut Option<Book>,
+    ) -> bool {
         let mut news = false;
         while let Some(out) = self.tier.out() {
             let told = match out {
@@ -104,11 +230,22 @@
                     continue;
                 }
                 Out::News(told) => told,
-                // No roll is kept here.
-                Out::Act(_) | Out::Loan(_) => continue,
+                Out::Act(act) => {
+                    self.acts.push(act);
+                    continue;
+                }
+                Out::Loan(loan) => {
+                    if let Some(book) = book {
+                        book.loan(at, &loan);
+                    }
+                    continue;
+                }
             };
             let event = match told {
                 News::Part { dest, part } => {
+                    if let Some(book) = book {
+                        book.part(at, dest, part);
+                    }
                     let part = part.map(|p| Part { rate: p.rate, until: p.until, after: p.after });
                     Some(Event::Part { dest, part })
                 }
@@ -136,6 +273,36 @@
     }
 }
 
+/// Nothing is told of longer spans.
+const LONG: Nanos = 30 * 86_400_000_000_000;
+
+/// One dispatcher as it is seen from here.
+fn row(row: &Row) -> Value {
+    let stands = &row.stands;
+    let views: serde_json::Map<String, Value> = KINDS
+        .iter()
+        .zip(row.views)
+        .zip(row.held)
+        .map(|((kind, view), held)| {
+            let view = match view {
+                View::Current => "current",
+                View::Apart => "apart",
+                View::Refused => "turned_down",
+                View::Unknown => "unknown",
+                View::Behind(_) => "behind",
+            };
+            // Of what the store or the configuration had nobody knows how old it is.
+            let held_ms = (held < LONG).then_some(held / 1_000_000);
+            let view = json!({"view": view, "held_ms": held_ms});
+            (kind.name().to_owned(), view)
+        })
+        .collect();
+    json!({
+        "number": stands.who, "standing": stands.standing, "out": stands.out, "turned_down": stands.refused,
+        "found_behind": row.found, "kinds": views,
+    })
+}
+
 /// With all slots taken a message does not wait for a part.
 fn need(core: &Core, slots: usize, dest: DestId) -> Need {
     let (limit, waiting) = core.need(dest);
--- a/dispatcher/src/record.rs
+++ b/dispatcher/src/record.rs
@@ -96,6 +96,12 @@
         self.noted(at, done);
     }
 
+    /// Keeps a small value under a name.
+    pub fn keep(&mut self, at: Moment, name: &str, value: &[u8]) {
+        let done = self.ledger.keep(name, value);
+        self.noted(at, done);
+    }
+
     /// Notes the classes that messages are of. Whether it could.
     pub fn note_classes(&mut self, at: Moment, classes: &[u8]) -> bool {
         let done = self.ledger.note_classes(classes);
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -31,6 +31,8 @@
     next: EndpointId,
     /// What the staff has taken out, whatever the list says.
     cordons: Cordons,
+    /// What other dispatchers were told drains.
+    held: HashSet<EndpointId>,
 }
 
 impl Roster {
@@ -43,6 +45,7 @@
             known: HashMap::new(),
             next: 0,
             cordons,
+            held: HashSet::new(),
         }
     }
 
@@ -90,14 +93,54 @@
         self.known.keys().copied()
     }
 
-    /// Endpoints in the list, by number, name and destination.
-    pub fn places(&self) -> impl Iterator<Item = (EndpointId, &str, u64)> + '_ {
-        self.known.iter().map(|(id, known)| (*id, known.name.as_str(), known.entry.dest))
+    /// Endpoints in the list, by number, name and entry.
+    pub fn places(&self) -> impl Iterator<Item = (EndpointId, &str, &Entry)> + '_ {
+        self.known.iter().map(|(id, known)| (*id, known.name.as_str(), &known.entry))
+    }
+
+    /// The destination of an endpoint in the list; 0 for one that is not.
+    pub fn dest(&self, endpoint: EndpointId) -> u64 {
+        self.known.get(&endpoint).map_or(0, |known| known.entry.dest)
+    }
+
+    /// The name of an endpoint in the list.
+    pub fn name(&self, endpoint: EndpointId) -> Option<&str> {
+        self.known.get(&endpoint).map(|known| known.name.as_str())
+    }
+
+    /// What an endpoint is, and by whose word.
+    pub fn state(&self, endpoint: EndpointId) -> Option<millpost_audit::State> {
+        use millpost_audit::State as Is;
+        let known = self.known.get(&endpoint)?;
+        Some(match known.entry.state {
+            State::Gone => Is::Gone,
+            State::Draining => Is::Draining,
+            State::Ready if self.cordons.has(&known.name) => Is::Cordoned,
+            State::Ready if self.held.contains(&endpoint) => Is::Held,
+            State::Ready => Is::InService,
+        })
+    }
+
+    /// A digest of the list: of all that decisions go by. Addresses may be each dispatcher's own.
+    pub fn digest(&self) -> u32 {
+        let piece = |known: &Known| {
+            let Entry { zone, kind, dest, state, weight, .. } = known.entry;
+            let text = (known.name.as_str(), zone, kind, dest, state as u8, weight.to_bits());
+            millpost_tier::standing::piece(&postcard::to_stdvec(&text).unwrap_or_default())
+        };
+        millpost_tier::standing::fold(self.known.values().map(piece).fold(0, u64::wrapping_add))
+    }
+
+    /// Others were told that an endpoint drains, or it is to be used again: what it is from now on.
+    pub fn hold(&mut self, endpoint: EndpointId, held: bool) -> Option<Entry> {
+        let changed = if held { self.held.insert(endpoint) } else { self.held.remove(&endpoint) };
+        self.known.get(&endpoint).filter(|_| changed).map(|known| self.entry(known))
     }
 
     /// An entry as it counts here.
     fn entry(&self, known: &Known) -> Entry {
-        let out = known.entry.state == State::Ready && self.cordons.has(&known.name);
+        let by_hand = self.cordons.has(&known.name) || self.held.contains(&known.entry.endpoint);
+        let out = known.entry.state == State::Ready && by_hand;
         Entry { state: if out { State::Draining } else { known.entry.state }, ..known.entry }
     }
 
@@ -206,6 +249,7 @@
             if state == State::Gone {
                 self.names.remove(&e.name);
                 self.known.remove(&endpoint);
+                self.held.remove(&endpoint);
                 entries.push(entry);
             } else {
                 let known = Known { name: e.name, address: e.address, entry };
@@ -225,6 +269,7 @@
         if list.snapshot {
             self.names.retain(|_, endpoint| seen.contains(endpoint));
             self.known.retain(|endpoint, _| seen.contains(endpoint));
+            self.held.retain(|endpoint| seen.contains(endpoint));
         }
         entries
     }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -94,7 +94,7 @@
     pub of: Vec<usize>,
     /// What they are told.
     pub service: Service,
-    /// The operators' settings.
+    /// The operators' settings; `{node}` stands for a dispatcher's number.
     pub settings: &'a str,
     /// Endpoints of each destination, and the calls a second that it takes, which the list tells; 0 for no limit.
     pub destinations: Vec<(usize, u64)>,
@@ -159,7 +159,7 @@
                 discovery: agent.server.address,
                 known: lines.join(","),
                 store: None,
-                settings: Some(shape.settings),
+                settings: Some(&shape.settings.replace("{node}", &number.to_string())),
                 file_bytes: None,
                 peers: Some(&relay),
                 log: None,
--- a/store/src/ledger.rs
+++ b/store/src/ledger.rs
@@ -47,6 +47,8 @@
 const LIFE: &[u8] = b"life";
 /// The classes that messages name by position.
 const CLASSES: &[u8] = b"classes";
+/// Begins the keys of what others than the ledger keep, under names of theirs.
+const KEPT: &[u8] = b"kept/";
 /// Begins the keys of endpoints that are out by hand.
 const CORDON: &[u8] = b"cordon/";
 
@@ -751,6 +753,24 @@
         self.store.apply(Batch::new().put(META, LIFE, &incarnation.to_le_bytes())).map(drop)
     }
 
+    /// What was last [kept](Self::keep) under a name.
+    pub fn kept(&self, name: &str) -> Option<Bytes> {
+        self.store.get(META, &[KEPT, name.as_bytes()].concat()).ok().flatten()
+    }
+
+    /// Keeps a small value under a name, in place of the one before.
+    ///
+    /// # Errors
+    /// [`Error::Full`] where there is no room beside what is promised; else as for [`Store::apply`].
+    pub fn keep(&mut self, name: &str, value: &[u8]) -> Result<(), Error> {
+        let mut batch = Batch::new();
+        batch.put(META, &[KEPT, name.as_bytes()].concat(), value);
+        if !self.store.has_room(batch.bytes().len(), self.promised(0)) {
+            return Err(Error::Full);
+        }
+        self.store.apply(&batch).map(drop)
+    }
+
     /// The classes that messages are of, as [`Self::note_classes`] wrote them.
     pub fn classes(&self) -> Option<Bytes> {
         self.store.get(META, CLASSES).ok().flatten()
--- a/tier/src/judge.rs
+++ b/tier/src/judge.rs
@@ -495,7 +495,9 @@
             return;
         };
         let floors = kind == Kind::Program && self.rules.floor_layout > 0;
-        let sound = floors || common == Some(self.standing().stamp(kind).digest);
+        // Whoever is under the floor itself finds nobody for that: with all under it nobody is out.
+        let above = floors && self.standing().program.generation >= self.rules.floor_layout;
+        let sound = above || common == Some(self.standing().stamp(kind).digest);
         if !self.rules.shut_out || !sound || self.service != Service::In {
             return;
         }
@@ -513,7 +515,11 @@
         for (who, since) in behind {
             let Some(known) = self.known(who).filter(|_| who != self.me) else { continue };
             let standing = known.stands.standing;
-            let bound = if floors && standing.program.generation < floor { 0 } else { bound };
+            let under = floors && standing.program.generation < floor;
+            if under && !above {
+                continue;
+            }
+            let bound = if under { 0 } else { bound };
             let stamp = standing.stamp(kind);
             let voted = self.standing_votes(who, kind).is_some_and(|votes| votes.voters.has(self.me));
             let other = KINDS
@@ -541,10 +547,9 @@
         own_current: &[bool; 4],
         changes: &mut Vec<Change>,
     ) {
-        let under = self.standing().program.generation < self.rules.floor_layout;
         // Votes against what most act on by now count for nothing.
         let found = self.found(heard, self.me).filter(|kind| !own_current[*kind as usize]);
-        let found = found.or(under.then_some(Kind::Program)).filter(|_| self.rules.shut_out);
+        let found = found.filter(|_| self.rules.shut_out);
         match (self.service, found) {
             (Service::In | Service::Returns { .. }, Some(kind)) => {
                 if self.service == Service::In {
--- a/tier/src/roll.rs
+++ b/tier/src/roll.rs
@@ -70,6 +70,7 @@
     /// Endpoints in service by the own list, and by destination how many there are of all.
     ready: BTreeMap<Place, DestId>,
     listed: BTreeMap<DestId, usize>,
+    known: BTreeSet<Place>,
     begun: bool,
     look_at: Nanos,
     quiet_until: Nanos,
@@ -98,6 +99,7 @@
             acts: Vec::new(),
             ready: BTreeMap::new(),
             listed: BTreeMap::new(),
+            known: BTreeSet::new(),
             begun: false,
             look_at: now,
             quiet_until: now,
@@ -190,6 +192,10 @@
         }
         let before = std::mem::replace(&mut self.ready, ready);
         self.listed = listed;
+        // What the staff took out elsewhere before it was listed here.
+        let new = known.iter().filter(|place| !self.known.contains(place));
+        let cordoned: Vec<Place> = new.filter(|p| self.records.is_out(**p, What::Cordon)).copied().collect();
+        self.acts.extend(cordoned.into_iter().map(|place| Act::Hold(place, What::Cordon)));
         if self.begun {
             let drained: Vec<Place> =
                 before.keys().filter(|p| !self.ready.contains_key(p) && known.contains(p)).copied().collect();
@@ -208,6 +214,7 @@
             self.carry(held);
         }
         self.records.retain(|place| known.contains(&place));
+        self.known = known;
         self.changed(now, pass_on);
     }
 
--- a/tier/src/rules.rs
+++ b/tier/src/rules.rs
@@ -27,7 +27,7 @@
     pub cordons_ms: u64,
     /// The same of the program.
     pub program_ms: u64,
-    /// Layouts of state under this one are out of service at once; 0 for none.
+    /// Programs with a layout of state under this one are found behind at once, by most that are not; 0 for none.
     pub floor_layout: u32,
     /// At least so many of the configured dispatchers are never shut out, percent.
     pub serve_percent: u64,
--- a/tier/src/tier.rs
+++ b/tier/src/tier.rs
@@ -174,6 +174,12 @@
     pub sent: u64,
     /// See there.
     pub bytes: u64,
+    /// Datagrams sent for the roll, and their bytes.
+    pub roll_sent: u64,
+    /// See there.
+    pub roll_bytes: u64,
+    /// Dispatchers that most have found behind, as far as is known here, this one included.
+    pub behind: usize,
 }
 
 /// One destination, as far as it has traffic here.
@@ -309,7 +315,13 @@
 
     /// This dispatcher takes new messages: it is not shut out.
     pub fn serves(&self) -> bool {
-        self.roll.as_ref().is_none_or(|roll| roll.service() == Service::In)
+        let serves = self.roll.as_ref().is_none_or(|roll| roll.service() == Service::In);
+        serves || self.planted.has(Fault::TakeWhileOut)
+    }
+
+    /// A fault is in place, which whoever carries this out is to commit; never without the feature.
+    pub fn has(&self, fault: Fault) -> bool {
+        self.planted.has(fault)
     }
 
     /// All dispatchers as they are seen from here, where a roll is kept.
@@ -776,6 +788,11 @@
             bytes: self.bytes,
             ..Figures::default()
         };
+        if let Some(roll) = &self.roll {
+            (figures.roll_sent, figures.roll_bytes, _) = roll.cost();
+            let all = 0..self.heard.speaker().of;
+            figures.behind = all.filter(|who| roll.is_out(&self.heard, *who)).count();
+        }
         let (lent, borrowed) = self.loans.out_and_in(now);
         (figures.lent, figures.borrowed) = (lent * 1_000 / right, borrowed * 1_000 / right);
         let share = f64::from(self.right(now)) / f64::from(WHOLE);
