--- a/audit/src/align.rs
+++ b/audit/src/align.rs
@@ -3,7 +3,7 @@
 //! Each clock is taken to be ahead of the true time by an amount that does not change. Two that heard of each other bound
 //! the difference from both sides, as NTP does; where there is more than one way between two, the narrowest goes first.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use crate::Nanos;
 
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Clocks {
     /// When a round was, by its own dispatcher's clock.
-    beats: HashMap<(u16, u32, u32), Nanos>,
+    beats: BTreeMap<(u16, u32, u32), Nanos>,
     /// Who heard of which round, and when.
     heard: Vec<(u16, (u16, u32, u32), Nanos)>,
 }
@@ -25,6 +25,8 @@
     pub within: i64,
 }
 
+/// Rounds between two that were noted.
+const APART: u64 = 20;
 /// Marks that are kept of one dispatcher.
 const MOST: usize = 200_000;
 
@@ -43,6 +45,19 @@
         }
     }
 
+    /// When a round was. Between two that were noted, rounds are taken to be as long as each other, unless too much time is
+    /// between them for that.
+    fn when(&self, (who, epoch, beat): (u16, u32, u32)) -> Option<Nanos> {
+        let before = self.beats.range((who, epoch, 0)..=(who, epoch, beat)).next_back();
+        let after = self.beats.range((who, epoch, beat)..=(who, epoch, u32::MAX)).next();
+        let (((_, _, first), from), ((_, _, last), to)) = (before?, after?);
+        if first == last {
+            return Some(*from);
+        }
+        let (rounds, took) = (u64::from(last - first), to.checked_sub(*from)?);
+        (rounds <= APART).then(|| from + took * u64::from(beat - first) / rounds)
+    }
+
     /// What others know is taken in.
     pub fn join(&mut self, other: Clocks) {
         self.beats.extend(other.beats);
@@ -54,8 +69,8 @@
         // The least that was seen of (listener's clock - speaker's clock), by (speaker, listener).
         let mut least: BTreeMap<(u16, u16), i64> = BTreeMap::new();
         for (who, round, at) in &self.heard {
-            let Some(begun) = self.beats.get(round) else { continue };
-            let passed = at.wrapping_sub(*begun) as i64;
+            let Some(begun) = self.when(*round) else { continue };
+            let passed = at.wrapping_sub(begun) as i64;
             let known = least.entry((round.0, *who)).or_insert(passed);
             *known = passed.min(*known);
         }
@@ -93,9 +108,11 @@
         let clock = |who: usize, at: i64| (1_700_000_000_000 * MS + at + ahead[who]) as Nanos;
         let mut clocks = Clocks::default();
         for beat in 0..50_i64 {
-            for who in 0..4 {
+            for who in 0..4_usize {
                 let at = beat * 1_000 * MS + who as i64 * 37 * MS;
-                clocks.beat(who as u16, 1, beat as u32, clock(who, at));
+                if beat % 10 == 0 || beat == 49 {
+                    clocks.beat(who as u16, 1, beat as u32, clock(who, at));
+                }
                 // The first and the last never hear of each other.
                 for to in [who + 3, who + 1].map(|to| to % 4).into_iter().filter(|to| who.abs_diff(*to) == 1)
                 {
--- a/dispatcher/src/book.rs
+++ b/dispatcher/src/book.rs
@@ -15,7 +15,7 @@
 
 use crate::options::Recording;
 
-/// One's own rounds that others may speak of, and those of a peer, which is marked no more often.
+/// Of one's own rounds each tenth is noted; those of one peer no more often than this.
 const BEATS: u32 = 10;
 const MARKED: Nanos = 5_000_000_000;
 
@@ -209,7 +209,7 @@
 
     /// A round of another's, from itself.
     pub fn heard(&mut self, at: Moment, peer: u16, epoch: u32, beat: u32) {
-        let Some(log) = self.log.as_mut().filter(|_| beat.is_multiple_of(BEATS)) else { return };
+        let Some(log) = &mut self.log else { return };
         let marked = self.marked.entry(peer).or_insert(0);
         if at.now >= *marked {
             *marked = at.now.saturating_add(MARKED);
--- a/standins/src/discovery.rs
+++ b/standins/src/discovery.rs
@@ -118,6 +118,14 @@
         self.change(|list| list.late_until = Some(Instant::now() + by));
     }
 
+    /// Is started anew: the same list, numbered from the second version on, and told as changes to whoever asks for them.
+    pub fn rewind(&self) {
+        self.change(|list| {
+            (list.index, list.whole_from) = (2, 0);
+            list.lines.values_mut().for_each(|line| line.changed = 2);
+        });
+    }
+
     fn change(&self, change: impl FnOnce(&mut List)) {
         change(&mut lock(&self.shared.list));
         self.shared.changed.notify_all();
--- a/tier/src/judge.rs
+++ b/tier/src/judge.rs
@@ -28,6 +28,8 @@
 const LEFT: usize = 32;
 /// How often one that was shut out may be again before the wait for its return grows no longer, as a power of two.
 const TIMES: u32 = 6;
+/// A file that was turned down is read again by itself so many times less often.
+const TURNED_DOWN: u64 = 12;
 /// A word that nobody renewed for so long says nothing any more.
 const STALE: Nanos = 60_000_000_000;
 
@@ -469,9 +471,13 @@
             return;
         }
         let drawn = self.draw(again / 4);
+        let turned_down =
+            kind == Kind::Settings && self.known(self.me).is_some_and(|k| k.stands.refused != 0);
         let next = self.asked[kind as usize].get_or_insert(since.max(now).saturating_add(drawn));
         if now >= *next {
-            *next = now.saturating_add(again);
+            // What was turned down is not worth asking for so often.
+            let times = if turned_down { TURNED_DOWN } else { 1 };
+            *next = now.saturating_add(again.saturating_mul(times));
             changes.push(Change::Ask(kind));
         }
     }
