--- a/dispatcher/src/peers/sharing.rs
+++ b/dispatcher/src/peers/sharing.rs
@@ -127,9 +127,9 @@
     pub fn standing(&mut self, at: Moment, name: &str) -> Option<String> {
         let standing = self.tier.acts_on()?;
         let rows: Vec<Value> = self.tier.rows(at.now).iter().map(row).collect();
-        let life = self.tier.life();
+        let (life, (number, of)) = (self.tier.life(), self.tier.number());
         let text = json!({
-            "name": name, "epoch": life.incarnation, "serves": self.tier.serves(), "standing": standing,
+            "name": name, "number": number, "of": of, "epoch": life.incarnation, "serves": self.tier.serves(), "standing": standing,
             "wall_ns": at.wall, "rows": rows,
         });
         Some(text.to_string())
--- a/dispatcher/tests/roll.rs
+++ b/dispatcher/tests/roll.rs
@@ -11,6 +11,9 @@
 use millpost_audit::entry::{End, Entry};
 use millpost_audit::judge::Rule;
 use millpost_audit::{Audit, audit, message, read};
+use millpost_fleet::status::{How, Status};
+use millpost_fleet::{ask, status};
+use millpost_tier::Kind;
 use serde_json::Value;
 use together::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -87,6 +90,13 @@
         self.fleet.nodes[node].staff_now("health").unwrap_or_default()
     }
 
+    /// What the operators' command makes of all consoles.
+    fn status(&self) -> Status {
+        let consoles: Vec<_> = self.fleet.nodes.iter().filter_map(|node| node.console).collect();
+        let said = ask::standings(&consoles, 5 * SECOND);
+        status::status(said.into_iter().map(|(at, said)| (at, said.map_err(|e| e.to_string()))).collect())
+    }
+
     fn out(&self) -> Vec<usize> {
         (0..self.fleet.nodes.len()).filter(|n| self.health(*n).contains("shut out")).collect()
     }
@@ -184,6 +194,10 @@
     let handed = &loads[3].handed;
     let refused = || handed.refused.load(std::sync::atomic::Ordering::Relaxed);
     until("its clients are refused", || (refused() > 3).then_some(()));
+    // As the operators' command shows it.
+    let shown = rolled.status();
+    let hows: Vec<How> = shown.rows.iter().map(|row| row.how).collect();
+    assert_eq!(hows, [How::Current, How::Current, How::Current, How::ShutOut], "{}", shown.text());
     // The others see why; nobody lends to it.
     let seen = rolled.standing(0).expect("an answer");
     assert_eq!((&seen["rows"][3]["found_behind"], &seen["rows"][3]["out"]), (&"list".into(), &true.into()));
@@ -251,6 +265,10 @@
             .then_some(())
     });
     pass(&rolled.fleet, BOUND + 4 * SECOND);
+    let shown = rolled.status();
+    let parts: Vec<Kind> = shown.roll_outs.iter().map(|parts| parts.kind).collect();
+    assert_eq!(parts, [Kind::Settings], "{}", shown.text());
+    assert_eq!(shown.roll_outs[0].turned_down, [3, 4], "{}", shown.text());
     assert_eq!(rolled.out(), Vec::<usize>::new(), "two of five are a roll-out that went wrong");
     rolled.clean(false);
 }
--- a/tier/src/tier.rs
+++ b/tier/src/tier.rs
@@ -330,6 +330,12 @@
         roll.as_mut().map_or(Vec::new(), |roll| roll.view(now, heard, terms))
     }
 
+    /// Its number, and of how many by its configuration.
+    pub fn number(&self) -> (Peer, u16) {
+        let speaker = self.heard.speaker();
+        (speaker.who, speaker.of)
+    }
+
     /// Its last beat, by which others know how far it has lived.
     pub fn life(&self) -> Life {
         self.heard.speaker().life
