Who is behind explored among three: two faults found and mended

Found and mended: a word that was said again made its content look younger to whoever heard it passed on, so that a straggler was never found; a dispatcher that was first on a new list and restarted counted as behind, since the store did not say since when it had the list. Durations are compared with a margin for clocks that run apart. Stale votes and the first of the two are planted and found.

--- a/dispatcher/src/driver.rs
+++ b/dispatcher/src/driver.rs
@@ -611,7 +611,7 @@
     fn told_of(&mut self, at: Moment, whole: bool, told: bool) {
         if let Some(sharing) = &mut self.sharing {
             sharing.listed(at, &self.roster);
-            sharing.numbered(at, &self.roster, self.index, told);
+            sharing.numbered(at, &self.roster, self.index, told, &mut self.record);
         }
         if let Some(book) = &mut self.book {
             let roster = &self.roster;
--- a/dispatcher/src/peers/sharing.rs
+++ b/dispatcher/src/peers/sharing.rs
@@ -114,13 +114,30 @@
     }
 
     /// The agent has answered: what the list is by now, with its number; or what the store had, which nobody has told.
-    pub fn numbered(&mut self, at: Moment, roster: &Roster, index: Option<u64>, told: bool) {
+    pub fn numbered(
+        &mut self,
+        at: Moment,
+        roster: &Roster,
+        index: Option<u64>,
+        told: bool,
+        record: &mut Record,
+    ) {
+        let before = self.tier.acts_on().map(|on| on.list.digest);
         let Some((roll, pass_on)) = self.tier.roll() else { return };
-        if told && !std::mem::replace(&mut self.told, true) {
+        roll.numbered(digest(roster.source().as_bytes()), index.unwrap_or(0));
+        let list = roster.digest();
+        if !told {
+            roll.held(at.now, Kind::List, list, versions::list_held(at, list, record), pass_on);
+            return;
+        }
+        let first = !std::mem::replace(&mut self.told, true);
+        if before != Some(list) {
+            roll.moves(at.now, Kind::List, list, pass_on);
+            versions::listed(at, list, record);
+        } else if first && versions::list_held(at, list, record) == Nanos::MAX {
             roll.confirmed(at.now, Kind::List, pass_on);
+            versions::listed(at, list, record);
         }
-        roll.numbered(digest(roster.source().as_bytes()), index.unwrap_or(0));
-        roll.moves(at.now, Kind::List, roster.digest(), pass_on);
     }
 
     /// How this one stands and sees the others, for the staff.
--- a/dispatcher/src/versions.rs
+++ b/dispatcher/src/versions.rs
@@ -11,7 +11,9 @@
 /// Names in the store.
 const WORDS: &str = "words";
 const SETTLED: &str = "settled";
+const LISTED: &str = "listed";
 
+/// A version that was taken from its source.
 #[derive(Clone, Copy, Serialize, Deserialize)]
 struct Settled {
     digest: u32,
@@ -25,22 +27,38 @@
     let release = concat!(env!("CARGO_PKG_VERSION"));
     standing.program = Stamp { digest: digest(release.as_bytes()), generation: LAYOUT };
     standing.moves(Kind::Settings, settings);
-    let noted = record.ledger().kept(SETTLED).and_then(|kept| postcard::from_bytes::<Settled>(&kept).ok());
-    let since = match noted.filter(|noted| noted.digest == settings) {
-        Some(noted) => noted.since,
-        None => {
-            settled(at, settings, record);
-            at.wall
-        }
-    };
-    // How old the list is that the store or the configuration has, nobody knows.
-    (standing, [Nanos::MAX, at.wall.saturating_sub(since), 0, 0])
+    let held = held(at, SETTLED, settings, record).unwrap_or_else(|| {
+        settled(at, settings, record);
+        0
+    });
+    (standing, [Nanos::MAX, held, 0, 0])
+}
+
+/// For how long what has this digest has been in force, where that was noted.
+fn held(at: Moment, name: &str, digest: u32, record: &Record) -> Option<Nanos> {
+    let noted = record.ledger().kept(name).and_then(|kept| postcard::from_bytes::<Settled>(&kept).ok());
+    noted.filter(|noted| noted.digest == digest).map(|noted| at.wall.saturating_sub(noted.since))
+}
+
+fn keep(at: Moment, name: &str, digest: u32, record: &mut Record) {
+    let settled = Settled { digest, since: at.wall };
+    record.keep(at, name, &postcard::to_stdvec(&settled).unwrap_or_default());
 }
 
 /// These settings are in force from now on.
 pub fn settled(at: Moment, digest: u32, record: &mut Record) {
-    let settled = Settled { digest, since: at.wall };
-    record.keep(at, SETTLED, &postcard::to_stdvec(&settled).unwrap_or_default());
+    keep(at, SETTLED, digest, record);
+}
+
+/// This list is, as the agent said.
+pub fn listed(at: Moment, digest: u32, record: &mut Record) {
+    keep(at, LISTED, digest, record);
+}
+
+/// For how long the list that a life begins with has been in force. Of one that no agent told to a life before, nobody knows
+/// how old it is.
+pub fn list_held(at: Moment, digest: u32, record: &Record) -> Nanos {
+    held(at, LISTED, digest, record).unwrap_or(Nanos::MAX)
 }
 
 /// Cordons and drains as they were noted.
--- a/explore/src/lib.rs
+++ b/explore/src/lib.rs
@@ -9,6 +9,7 @@
 mod journal;
 pub mod lend;
 pub mod property;
+pub mod roll;
 pub mod search;
 pub mod step;
 pub mod trace;
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -8,10 +8,10 @@
 use millpost_core::Fault;
 use millpost_explore::cases::{Case, Kept, large, small};
 use millpost_explore::hop;
-use millpost_explore::lend;
 use millpost_explore::search::{Explored, Limits, State, Way, search};
 use millpost_explore::trace;
 use millpost_explore::world::World;
+use millpost_explore::{lend, roll};
 
 /// Copying worlds is most of the work, and takes many small pieces of memory.
 #[global_allocator]
@@ -70,6 +70,13 @@
         #[arg(long)]
         large: bool,
     },
+    /// Who is behind among three dispatchers: words that don't come, or late, paths cut one way, and restarts. Of all orders
+    /// those that differ from a calm day in two steps at most, or as many as are asked for.
+    Roll {
+        /// More at once, too.
+        #[arg(long)]
+        large: bool,
+    },
     /// Plays a kept way again: exit code 1 if the breach is still there.
     Replay {
         /// The file that `--keep` wrote.
@@ -89,6 +96,7 @@
         What::Faults { fault } => faults(&asked, fault),
         What::Hop { large } => hop(&asked, *large),
         What::Lend { large } => lend(&asked, *large),
+        What::Roll { large } => rolled(&asked, *large),
         What::Replay { file, planted } => match replay(&asked, file, *planted) {
             Ok(good) => good,
             Err(why) => {
@@ -194,6 +202,32 @@
     good
 }
 
+fn rolled(asked: &Asked, large: bool) -> bool {
+    let limits = Limits { deviations: limits(asked).deviations.or(Some(2)), ..limits(asked) };
+    let (mut good, mut states) = (true, 0);
+    head();
+    let more = if large { roll::large() } else { Vec::new() };
+    for case in roll::cases().iter().chain(&more).filter(|case| case.name.contains(&asked.only)) {
+        let found = search(case.start(None), &limits);
+        row(case.name, &found);
+        if let Some((_, way)) = &found.breach {
+            print!("{}", roll::text(way));
+        }
+        good &= found.exhausted;
+        states += found.unique;
+    }
+    println!("{states} states");
+    for fault in roll::FAULTS {
+        let hit = roll::cases().into_iter().find_map(|case| {
+            let (name, way) = search(case.start(Some(fault)), &limits).breach?;
+            Some(format!("found by `{name}` after {} steps in {}", way.len() - 1, case.name))
+        });
+        good &= hit.is_some();
+        println!("{:<26} {}", format!("{fault:?}"), hit.as_deref().unwrap_or("NOT FOUND"));
+    }
+    good
+}
+
 fn show(asked: &Asked, way: &Way<World>, kept: &Kept) {
     print!("{}", trace::text(way));
     let write = |file: &Option<PathBuf>, text: String| {
--- a/tier/src/heard.rs
+++ b/tier/src/heard.rs
@@ -3,6 +3,8 @@
 //! Life is passed on, so that of many dispatchers each need hear only a few. Kept invariants: a life never goes back;
 //! one place for each configured number, whatever is said.
 
+use serde::Serialize;
+
 use crate::frame::{Life, Speaker};
 use crate::terms::{Terms, ms};
 use crate::{Incarnation, Nanos, Peer};
@@ -23,7 +25,7 @@
 /// Among so many the times of the terms hold as they are; among twice as many they are twice as long.
 const FEW: usize = 32;
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize)]
 struct Known {
     life: Life,
     /// When its life last went on, and when it last spoke here itself.
@@ -34,7 +36,7 @@
 }
 
 /// Who is heard by one dispatcher.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Heard {
     me: Peer,
     own: Life,
--- a/tier/src/judge.rs
+++ b/tier/src/judge.rs
@@ -101,8 +101,9 @@
     said: Nanos,
     /// How often it is still to be passed on.
     hot: u8,
-    /// Behind since, as seen from here.
+    /// Behind since, as seen from here, and as was seen of what it acted on before.
     behind: [Option<Nanos>; 4],
+    before: [Option<Nanos>; 4],
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -150,7 +151,7 @@
         let stands = Stands { who: me, seq: 1, standing, ..Stands::default() };
         let since = held.map(|held| now.saturating_sub(held));
         if let Some(own) = known.get_mut(usize::from(me)) {
-            *own = Some(Known { stands, since, said: now, hot: 0, behind: [None; 4] });
+            *own = Some(Known { stands, since, said: now, hot: 0, behind: [None; 4], before: [None; 4] });
         }
         Judge {
             me,
@@ -167,10 +168,10 @@
         }
     }
 
-    /// The same with a fault in place.
+    /// The same with a fault in place, and nothing drawn: times that would be are the least.
     #[cfg(feature = "faults")]
     pub fn with_fault(mut self, fault: Option<Fault>) -> Self {
-        self.planted = Planted { fault };
+        (self.planted, self.rng) = (Planted { fault }, None);
         self
     }
 
@@ -201,14 +202,15 @@
         self.service
     }
 
-    /// This one acts on another content from now on. Whether that is a move.
-    pub fn moves(&mut self, now: Nanos, kind: Kind, digest: u32) -> bool {
+    /// This one acts on another content, and has for so long: 0 from now on. Whether that is a move.
+    pub fn moves(&mut self, now: Nanos, kind: Kind, digest: u32, held: Nanos) -> bool {
         let before = self.standing().stamp(kind).digest;
         let Some(own) = self.own() else { return false };
         if !own.stands.standing.moves(kind, digest) {
             return false;
         }
-        (own.since[kind as usize], own.stands.seq) = (now, own.stands.seq + 1);
+        (own.since[kind as usize], own.stands.seq) = (now.saturating_sub(held), own.stands.seq + 1);
+        own.before[kind as usize] = own.behind[kind as usize].take();
         if kind == Kind::Settings {
             own.stands.refused = 0;
         }
@@ -272,13 +274,17 @@
         let before = place.as_ref();
         if before.is_some_and(|known| known.stands.version() >= stands.version()) {
             // The same once more, said later: it holds still.
-            if let Some(known) = place.as_mut().filter(|k| k.stands.version() == stands.version()) {
-                known.said = known.said.max(said);
+            let same = |known: &&mut Known| known.stands.version() == stands.version() && known.said < said;
+            if let Some(known) = place.as_mut().filter(same) {
+                known.said = said;
+                if !self.planted.has(Fault::HeldOnce) {
+                    known.stands.held = stands.held;
+                }
             }
             return false;
         }
         let mut since = stands.held.map(|held| said.saturating_sub(u64::from(held) * TENTH));
-        let mut behind = [None; 4];
+        let (mut behind, mut was) = ([None; 4], [None; 4]);
         for kind in KINDS {
             let n = kind as usize;
             let same = |known: &&Known| {
@@ -290,13 +296,13 @@
                 (since[n], behind[n]) = (known.since[n], known.behind[n]);
             } else if let Some(known) = before {
                 // It moved: whether to what most act on is seen at the next look.
-                behind[n] = known.behind[n];
+                was[n] = known.behind[n];
             }
         }
         // The same content, said again: that goes round in its turn.
         let same = before.is_some_and(|known| known.stands.says(stands));
         let hot = before.filter(|_| same).map_or(pass_on, |known| known.hot);
-        *place = Some(Known { stands: *stands, since, said, hot, behind });
+        *place = Some(Known { stands: *stands, since, said, hot, behind, before: was });
         !same
     }
 
@@ -368,9 +374,12 @@
         all.iter().for_each(|(digest, _)| *counts.entry(*digest).or_default() += 1);
         let common = counts.iter().find(|(_, count)| most(**count, of)).map(|(digest, _)| *digest);
         let mine = self.standing().stamp(kind).digest;
+        let apart = 2 * terms.clock_rate_permille;
         let mut behind = Vec::new();
         for (who, (digest, since)) in counted.iter().zip(&all) {
-            let passed = all.iter().filter(|(other, at)| other != digest && at > since);
+            // Durations are by clocks that may run apart: what is no later than that makes it is not later.
+            let later = |at: Nanos| at > since.saturating_add(now.saturating_sub(at) / 1_000 * apart);
+            let passed = all.iter().filter(|(other, at)| other != digest && later(*at));
             let mut when: Vec<Nanos> = passed.map(|(_, at)| *at).collect();
             when.sort_unstable();
             let left = kind == Kind::List && common == Some(mine) && self.left.contains(digest);
@@ -391,9 +400,13 @@
         }
         for (who, view) in behind {
             let Some(known) = self.known.get_mut(usize::from(who)).and_then(Option::as_mut) else { continue };
+            let was = known.before[n].take();
             known.behind[n] = match view {
-                // The first time that it was seen stays, also when what most act on goes on meanwhile.
-                View::Behind(at) => Some(known.behind[n].map_or(at, |first| first.min(at))),
+                // The first time that it was seen stays, also when what most act on goes on meanwhile, and where it moves
+                // from one that they left to another.
+                View::Behind(at) => Some(known.behind[n].or(was).map_or(at, |first| first.min(at))),
+                // What most moved on from stays so until it moves.
+                View::Apart => known.behind[n],
                 _ => None,
             };
             views[usize::from(who)] = known.behind[n].map_or(view, View::Behind);
@@ -404,6 +417,9 @@
     /// Votes that stand against one now: those against what it acts on, as far as that is known.
     fn standing_votes(&self, about: Peer, kind: Kind) -> Option<&Votes> {
         let votes = self.votes.get(&(about, kind))?;
+        if self.planted.has(Fault::StaleVotes) {
+            return Some(votes);
+        }
         let known = self.known(about);
         let stands = known.is_none_or(|known| {
             let standing = &known.stands.standing;
@@ -554,7 +570,8 @@
         changes: &mut Vec<Change>,
     ) {
         // Votes against what most act on by now count for nothing.
-        let found = self.found(heard, self.me).filter(|kind| !own_current[*kind as usize]);
+        let stale = self.planted.has(Fault::StaleVotes);
+        let found = self.found(heard, self.me).filter(|kind| stale || !own_current[*kind as usize]);
         let found = found.filter(|_| self.rules.shut_out);
         match (self.service, found) {
             (Service::In | Service::Returns { .. }, Some(kind)) => {
--- a/tier/src/planted.rs
+++ b/tier/src/planted.rs
@@ -20,6 +20,10 @@
     ReviveOld,
     /// Most of those that are heard can find another behind.
     MostOfHeard,
+    /// Votes stand against a dispatcher whatever it has moved to since.
+    StaleVotes,
+    /// Of a word that is said again it is forgotten that its content has been held for longer by then.
+    HeldOnce,
     /// As many are shut out as are behind.
     NobodyServes,
     /// An older word takes the place of a newer one.
--- a/tier/src/roll.rs
+++ b/tier/src/roll.rs
@@ -143,9 +143,14 @@
         self.records.all()
     }
 
-    /// Another content is acted on.
+    /// Another content is acted on from now on.
     pub fn moves(&mut self, now: Nanos, kind: Kind, digest: u32, pass_on: u8) {
-        if self.judge.moves(now, kind, digest) {
+        self.held(now, kind, digest, 0, pass_on);
+    }
+
+    /// A content is acted on, and has been for so long: what a store kept, say.
+    pub fn held(&mut self, now: Nanos, kind: Kind, digest: u32, held: Nanos, pass_on: u8) {
+        if self.judge.moves(now, kind, digest, held) {
             self.judge.heat(pass_on);
             self.look_at = now;
         }
--- a/tier/tests/model/mod.rs
+++ b/tier/tests/model/mod.rs
@@ -55,6 +55,7 @@
     confirmed: bool,
     /// What lasts of it: the settings and since when, by its clock; and the words.
     settled: u64,
+    listed: Option<u64>,
     words: Vec<Word>,
     /// It takes no messages.
     pub out: bool,
@@ -161,6 +162,7 @@
         if let Some(rules) = self.shape.rules.clone() {
             if lost {
                 (n.acts.words, n.acts.settled, n.acts.held) = (Vec::new(), now, Default::default());
+                n.acts.listed = None;
             }
             // The file is read anew; the list is what the store has, or the configuration.
             if !n.acts.refuses && !n.acts.missed && n.acts.settings != self.settings {
@@ -170,7 +172,7 @@
             let mut standing = Standing::default();
             standing.moves(Kind::List, n.acts.list);
             standing.moves(Kind::Settings, n.acts.settings);
-            let held = [u64::MAX, now - n.acts.settled, 0, 0];
+            let held = [n.acts.listed.map_or(u64::MAX, |at| now - at), now - n.acts.settled, 0, 0];
             tier.keep_roll(now, Begin { rules, standing, held, words: n.acts.words.clone() }, seed ^ 1);
         }
         tier.listed(now, [(DEST, PLACE), (DEST, PLACE + 1)]);
@@ -260,8 +262,12 @@
         let n = &mut self.nodes[node];
         let hears = !n.acts.mute && !n.paused;
         let Some((roll, pass_on)) = n.tier.as_mut().and_then(Tier::roll).filter(|_| hears) else { return };
-        if !std::mem::replace(&mut n.acts.confirmed, true) {
+        let first = !std::mem::replace(&mut n.acts.confirmed, true);
+        if n.acts.list != list {
+            n.acts.listed = Some(now);
+        } else if first && n.acts.listed.is_none() {
             roll.confirmed(now, Kind::List, pass_on);
+            n.acts.listed = Some(now);
         }
         n.acts.list = list;
         roll.moves(now, Kind::List, list, pass_on);
