--- a/dispatcher/tests/roll.rs
+++ b/dispatcher/tests/roll.rs
@@ -399,11 +399,12 @@
 }
 
 /// Kills at seeded moments, with lists that change and agents that are late; then the audit against what partners saw. More
-/// runs where `MILLPOST_RUNS` says so.
+/// runs where `MILLPOST_RUNS` says so, from the seed `MILLPOST_SEED` on.
 #[test]
 fn every_call_that_partners_saw_is_in_the_audit_whoever_is_killed_and_when() {
-    let runs = std::env::var("MILLPOST_RUNS").ok().and_then(|runs| runs.parse().ok()).unwrap_or(2);
-    for seed in 100..100 + runs {
+    let asked = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let (from, runs) = (asked("MILLPOST_SEED").unwrap_or(100), asked("MILLPOST_RUNS").unwrap_or(2));
+    for seed in from..from + runs {
         let mut rolled = rolled(3, seed, None, "");
         let loads: Vec<Load> = (0..3).map(|node| rolled.fleet.load(node, 0, 20.0)).collect();
         let mut dice = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -14,6 +14,7 @@
 mod proc;
 mod report;
 mod restart;
+mod roll;
 mod scale;
 mod shared;
 
@@ -126,6 +127,19 @@
         #[arg(long, default_value_t = 3)]
         turns: u32,
     },
+    /// Measure what it costs to say what each acts on and to record what is decided, in turns; then play runs with faults
+    /// and hold the merged audit against what partners counted.
+    Roll {
+        /// Times that the load is played with each; 0 for none.
+        #[arg(long, default_value_t = 5)]
+        turns: u32,
+        /// Runs with faults.
+        #[arg(long, default_value_t = 20)]
+        runs: u32,
+        /// Messages a second, both dispatchers together.
+        #[arg(long, default_value_t = 1_000.0)]
+        rate: f64,
+    },
     /// The bare forwarder, to these addresses.
     #[command(hide = true)]
     Forward {
@@ -254,6 +268,38 @@
             }
             Ok(rows.iter().any(|row| row.broken > 0))
         }
+        Verb::Roll { turns, runs, rate } => {
+            let program = program(a.dispatcher)?;
+            let deal = proc::deal(&proc::cores(), 3);
+            let bar = bar(8.0, a.quiet || a.json);
+            let progress = |s: &play::Sample, v: &Verdict| show(&bar, s, v);
+            let watch = play::Watch { progress: &progress, logs: None, ends: false };
+            let options = roll::Options { turns, runs, rate, seed: seed.unwrap_or(1) };
+            let mut rows = Vec::new();
+            if turns > 0 {
+                println!("{}", roll::HEAD);
+                let done = |row: &roll::Row| bar.suspend(|| println!("{}", roll::line(row)));
+                rows = threads(&deal)?.block_on(roll::cost(&options, &program, &deal, &watch, done))?;
+            }
+            let played = threads(&deal)?.block_on(roll::runs(&options, &program, &deal, &watch))?;
+            bar.finish_and_clear();
+            println!(
+                "{} runs with faults: partners saw {} calls, the audit has {}; {} runs short, {} breaches, {} rules broken, \
+                 {} runs with a gap, {} times shut out",
+                played.runs,
+                played.seen,
+                played.noted,
+                played.short,
+                played.breaches,
+                played.broken,
+                played.gaps,
+                played.outages
+            );
+            if a.json {
+                println!("{}", json(&(&rows, &played))?);
+            }
+            Ok(played.short > 0 || played.breaches + played.broken > 0)
+        }
         Verb::Restart { rate, latency, silent, crowd } => {
             std::fs::create_dir_all(&a.out).map_err(|e| format!("{}: {e}", a.out.display()))?;
             let program = program(a.dispatcher)?;
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -199,7 +199,7 @@
                 discovery: agent.server.address,
                 known: agent.known(),
                 store: None,
-                settings: Some(&settings),
+                settings: Some(&settings.replace("{node}", &number.to_string())),
                 file_bytes: None,
                 peers: relay.as_deref(),
                 log: watch.logs.map(|folder| folder.join(format!("dispatcher-{number}.log"))),
