--- a/audit/tests/logs.rs
+++ b/audit/tests/logs.rs
@@ -329,3 +329,34 @@
         }
     }
 }
+
+#[test]
+fn what_could_not_be_written_is_counted_and_it_goes_on_by_itself() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let mut log = Log::open(dir.path(), LEAST_BUDGET, author(0, 1), START).expect("a log");
+    // Where the next segment is to be there is something else for a while.
+    let in_the_way = dir.path().join("000000002.audit");
+    std::fs::create_dir(&in_the_way).expect("a folder");
+    let (mut now, mut written) = (START, 0);
+    let mut decide = |log: &mut Log, decisions: u64| {
+        for _ in 0..decisions {
+            (now, written) = (now + 1_000_000, written + 1);
+            let on = log.acts_on(now, standing(1));
+            log.refused(now, written, SECOND, on);
+            log.write(now);
+        }
+    };
+    // Beyond one segment, and some more while it fails.
+    decide(&mut log, 12_000);
+    std::fs::remove_dir(&in_the_way).expect("removed");
+    decide(&mut log, 500);
+    log.end(START + 100 * SECOND);
+    let found = audit(&[dir.path().to_owned()], 1, &Progress::default());
+    let said: Vec<&str> = found.logs[0].troubles.iter().map(|trouble| trouble.what.as_str()).collect();
+    let number = |what: &str| what.split(' ').next().and_then(|n| n.parse::<u64>().ok());
+    let lost = said.iter().find(|what| what.ends_with("could not be written")).and_then(|what| number(what));
+    let lost = lost.unwrap_or_else(|| panic!("{said:?}"));
+    assert!(lost > 100, "{lost}");
+    assert!(found.has_gaps() && found.logs[0].decisions + lost >= 12_500, "{} {said:?}", found.logs[0].decisions);
+    assert!(found.logs[0].decisions + lost <= 12_510, "{} and {lost} of 12,500", found.logs[0].decisions);
+}
