--- a/audit/src/log.rs
+++ b/audit/src/log.rs
@@ -334,6 +334,12 @@
         }
     }
 
+    /// An endpoint is listed that was not before: what was said of one of its name is over.
+    pub fn appears(&mut self, now: Nanos, place: u64, dest: u64) {
+        let endpoint = self.endpoint(now, place, dest);
+        self.add(now, &Entry::State { endpoint, state: State::InService });
+    }
+
     /// New messages are taken, or not since this is behind.
     pub fn service(&mut self, now: Nanos, out: Option<Kind>) {
         self.service = out;
--- a/audit/tests/logs.rs
+++ b/audit/tests/logs.rs
@@ -126,6 +126,16 @@
         assert_eq!(found.breaches[0].message, Some(message("b")));
         assert_eq!(found.breaches[0].standing, Some(standing(4)));
     }
+    // Gone, and listed again under its name.
+    let again = |fleet: &mut Fleet| {
+        let now = fleet.pass(1);
+        fleet.logs[0].state(now, 5, 1, State::Gone);
+        let now = fleet.pass(5_000);
+        fleet.logs[0].appears(now, 5, 1);
+        fleet.logs[0].state(now, 5, 1, State::InService);
+        fleet.message(0, "b");
+    };
+    assert_eq!(plant(&again).0, []);
     let lent = |told_anew: bool| {
         move |fleet: &mut Fleet| {
             let (now, on, right) = (fleet.pass(1), fleet.on[0], even(OF));
@@ -357,6 +367,10 @@
     let lost = said.iter().find(|what| what.ends_with("could not be written")).and_then(|what| number(what));
     let lost = lost.unwrap_or_else(|| panic!("{said:?}"));
     assert!(lost > 100, "{lost}");
-    assert!(found.has_gaps() && found.logs[0].decisions + lost >= 12_500, "{} {said:?}", found.logs[0].decisions);
+    assert!(
+        found.has_gaps() && found.logs[0].decisions + lost >= 12_500,
+        "{} {said:?}",
+        found.logs[0].decisions
+    );
     assert!(found.logs[0].decisions + lost <= 12_510, "{} and {lost} of 12,500", found.logs[0].decisions);
 }
--- a/dispatcher/src/book.rs
+++ b/dispatcher/src/book.rs
@@ -151,8 +151,13 @@
         let Some(log) = &mut self.log else { return };
         log.note(at.wall, &Entry::Listed { whole });
         let mut now = HashMap::with_capacity(self.places.len());
+        // Of the first list of a process nothing was said before.
+        let first = self.places.is_empty();
         for (place, dest, state) in all {
             now.insert(place, dest);
+            if !first && !self.places.contains_key(&place) {
+                log.appears(at.wall, place, dest);
+            }
             log.state(at.wall, place, dest, state);
         }
         for (place, dest) in std::mem::replace(&mut self.places, now) {
--- a/dispatcher/tests/roll.rs
+++ b/dispatcher/tests/roll.rs
@@ -196,7 +196,6 @@
     until("its clients are refused", || (refused() > 3).then_some(()));
     // As the operators' command shows it.
     let shown = rolled.status();
-    println!("{}", shown.text());
     let hows: Vec<How> = shown.rows.iter().map(|row| row.how).collect();
     assert_eq!(hows, [How::Current, How::Current, How::Current, How::ShutOut], "{}", shown.text());
     // The others see why; nobody lends to it.
@@ -211,8 +210,6 @@
     let found = rolled.audited(false);
     assert!(found.counts.is_empty(), "{:#?}", found.breaches);
     let outages: Vec<usize> = found.logs.iter().map(|log| log.outages.len()).collect();
-    println!("KEPT {:?}", rolled.dir.path());
-    std::process::Command::new("cp").args(["-r", rolled.dir.path().to_str().unwrap(), "/tmp/kept_logs"]).status().unwrap();
     assert_eq!(outages, [0, 0, 0, 1]);
     assert!(found.logs[3].outages[0].until.is_some());
     assert!(
@@ -269,7 +266,6 @@
     });
     pass(&rolled.fleet, BOUND + 4 * SECOND);
     let shown = rolled.status();
-    println!("{}", shown.text());
     let parts: Vec<Kind> = shown.roll_outs.iter().map(|parts| parts.kind).collect();
     assert_eq!(parts, [Kind::Settings], "{}", shown.text());
     assert_eq!(shown.roll_outs[0].turned_down, [3, 4], "{}", shown.text());
