Roll: a floor on layouts finds nobody on other kinds, nor for another program alone

Read as a stranger: with floor_layout set, kinds without a bound, and programs that only differ, had a bound of nothing and would have been voted against at once.

--- a/tier/src/judge.rs
+++ b/tier/src/judge.rs
@@ -513,10 +513,10 @@
         against: &mut usize,
         pass_on: u8,
     ) {
-        let Some(bound) = self.rules.bound(kind).or((self.rules.floor_layout > 0).then_some(0)) else {
+        let (bound, floors) = (self.rules.bound(kind), kind == Kind::Program && self.rules.floor_layout > 0);
+        if bound.is_none() && !floors {
             return;
-        };
-        let floors = kind == Kind::Program && self.rules.floor_layout > 0;
+        }
         // Whoever is under the floor itself finds nobody for that: with all under it nobody is out.
         let above = floors && self.standing().program.generation >= self.rules.floor_layout;
         let sound = above || common == Some(self.standing().stamp(kind).digest);
@@ -541,6 +541,7 @@
             if under && !above {
                 continue;
             }
+            let Some(bound) = bound.or(under.then_some(0)) else { continue };
             let bound = if under { 0 } else { bound };
             let stamp = standing.stamp(kind);
             let voted = self.standing_votes(who, kind).is_some_and(|votes| votes.voters.has(self.me));
--- a/tier/tests/model/mod.rs
+++ b/tier/tests/model/mod.rs
@@ -52,6 +52,8 @@
     pub refuses: bool,
     pub list: u32,
     pub settings: u32,
+    /// The layout of its program.
+    pub layout: u32,
     confirmed: bool,
     /// What lasts of it: the settings and since when, by its clock; and the words.
     settled: u64,
@@ -170,6 +172,8 @@
             }
             (n.acts.confirmed, n.acts.out) = (false, false);
             let mut standing = Standing::default();
+            standing.program.generation = n.acts.layout;
+            standing.moves(Kind::Program, n.acts.layout + 1);
             standing.moves(Kind::List, n.acts.list);
             standing.moves(Kind::Settings, n.acts.settings);
             let held = [n.acts.listed.map_or(u64::MAX, |at| now - at), now - n.acts.settled, 0, 0];
--- a/tier/tests/roll.rs
+++ b/tier/tests/roll.rs
@@ -231,6 +231,33 @@
     assert!(!model.nodes[0].acts.held.contains(&(PLACE, What::Cordon)), "put back by hand");
 }
 
+#[test]
+fn programs_under_the_floor_are_out_at_once_and_with_all_under_it_nobody_is() {
+    let mut floored = shape(5, 14);
+    floored.rules.as_mut().expect("rules").floor_layout = 2;
+    let mut model = begun(floored);
+    model.pass(10 * SECOND);
+    assert!(model.shut_out.is_empty(), "all are under it");
+    // One by one they are replaced by a newer program; the last one is not.
+    for node in 1..5 {
+        model.nodes[node].acts.layout = 2;
+        model.start(node, false);
+        model.pass(3 * SECOND);
+    }
+    assert_eq!(out(&model), [0]);
+    assert!(model.shut_out.iter().all(|(_, node, kind)| (*node, *kind) == (0, Kind::Program)));
+    model.nodes[0].acts.layout = 2;
+    model.start(0, false);
+    model.pass(5 * SECOND);
+    assert_eq!(out(&model), []);
+    // Back to the older one, below no floor: another program alone shuts nobody out.
+    let mut model = begun(shape(5, 15));
+    model.nodes[3].acts.layout = 1;
+    model.start(3, false);
+    model.pass(20 * SECOND);
+    assert!(model.shut_out.is_empty());
+}
+
 /// A life in which anything may happen. No more may be out than the rules say, and nobody is shut out that acted on what
 /// most acted on throughout the last bound.
 fn play(shape: Shape, seconds: u64) -> Result<Model, String> {
