Orders are confirmed by content; control out of contact feeds and confirms nothing

Cause, read and seen on real processes: a round that found its revision taken was answered 200 whatever stood there, so two contents under one revision were both confirmed; a control machine without its majority still answered /core/chosen and fed porters.

Change: orders.rs compares what stands with what was offered: the same content is confirmed wherever and however often it comes, another one gets 409 with the digest of what stands; an older revision is confirmed as before. contact.rs: an answer to news, counted from when the news were sent, shows that a voter hears this machine and is heard; without a majority for half of config_apply_ms it hands out nothing, says so at once, and after a loss reads the register before it does again.

--- a/arcade/src/glue/hall.rs
+++ b/arcade/src/glue/hall.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use hyper::{HeaderMap, Method, StatusCode};
 use millpost_barrow::mail::{self, Content, Reply};
+use millpost_bourse::contact::Answered;
 use millpost_bourse::feed::Seat;
 use millpost_bourse::floor::{Back, Bounds, Effect, Floor, Input, Start};
 use millpost_bourse::office::{Call, Errand, Heard};
@@ -28,9 +29,14 @@
 /// What a call of one's own was for.
 enum Called {
     Vote(Address, Back),
-    News,
+    /// To whom, and when.
+    News(Address, Time),
     Fetch(u64),
-    Errand { fence: u64, asked: Time, call: Call },
+    Errand {
+        fence: u64,
+        asked: Time,
+        call: Call,
+    },
 }
 
 /// Who handed a message to the voter.
@@ -98,6 +104,7 @@
             seeds: place.seeds.clone(),
             losses: rates.losses,
             contact: 4_000 * MS,
+            apply: 3_000 * MS,
             platform: Some(Bounds {
                 duty_per_s: rates.duty_per_s,
                 max_lag_ms: rates.max_lag_ms,
@@ -222,7 +229,13 @@
                     self.voted(now, from, back, message);
                 }
             }
-            Called::News => {}
+            Called::News(to, sent) => {
+                if let Some(Said::Body(body)) = said
+                    && let Some(answered) = Answered::read(sent, &body)
+                {
+                    self.floor.input(now, Input::Reached(to, answered));
+                }
+            }
             Called::Fetch(number) => {
                 let text = match said {
                     Some(Said::Body(body)) => String::from_utf8(body.to_vec()).ok(),
@@ -318,7 +331,10 @@
                     let beat = |feed: &u64| Out::Line { feed: *feed, line: Bytes::from_static(b"\n") };
                     self.outs.extend(self.seats.values().map(beat));
                 }
-                Effect::News(to, body) => self.call_out(to, Said::News(body), VOTE, Called::News),
+                Effect::News(to, body) => {
+                    let called = Called::News(to.clone(), now);
+                    self.call_out(to, Said::News(body), VOTE, called);
+                }
                 Effect::Peek(number) => {
                     let here = self.keeper.peek();
                     self.floor.input(now, Input::Peeked(number, here));
--- a/bourse/src/clerk.rs
+++ b/bourse/src/clerk.rs
@@ -8,6 +8,7 @@
     Round,
 };
 
+use crate::contact::Confirm;
 use crate::errors::Kind;
 use crate::{MS, Nanos};
 
@@ -27,6 +28,8 @@
     Read(u64),
     /// To know the configuration oneself.
     Learn,
+    /// To know that what is known is what a majority stands behind.
+    Confirm(Confirm),
     /// Who was the last steward.
     Last,
     /// To take office: the fence that stands.
--- /dev/null
+++ b/bourse/src/contact.rs
@@ -0,0 +1,269 @@
+//! Contact with a majority of the voters: whether it holds, and what has to be done to regain it.
+//!
+//! Evidence is an answer to a message of this machine: it shows that the other one hears it and is heard. Each piece counts from the
+//! moment at which the message was sent, so that an answer that was long on its way proves nothing about the present.
+//!
+//! Invariant: while contact holds, this machine has reached a majority within the span, and since it did so for the first time after a
+//! loss it has read the register from a majority. What it knows as chosen is therefore no older than the span.
+
+use std::collections::BTreeMap;
+
+use millpost_crier::{object, whole};
+use millpost_tally::{Address, Members};
+use tinyjson::JsonValue;
+
+use crate::{MS, Nanos};
+
+/// A read of the register that did not end well is begun again after this.
+const READ_AGAIN: Nanos = 300 * MS;
+/// Peers whose answers are kept: more than can vote.
+const MOST: usize = 64;
+
+/// What another control machine answered, and when it was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// When the message that it answers was sent, by this machine's clock.
+    pub sent: Nanos,
+    /// The epoch of the members that the other machine goes by.
+    pub epoch: u64,
+    /// Whether it has a state to vote with.
+    pub voting: bool,
+}
+
+impl Answered {
+    /// The body of an answer to news.
+    pub fn body(epoch: u64, voting: bool) -> String {
+        let parts =
+            object([("epoch", JsonValue::Number(epoch as f64)), ("voting", JsonValue::Boolean(voting))]);
+        parts.stringify().unwrap_or_default()
+    }
+
+    /// Reads such a body; none where it is something else.
+    pub fn read(sent: Nanos, body: &[u8]) -> Option<Answered> {
+        let JsonValue::Object(parts) = millpost_barrow::mail::json(body)? else { return None };
+        let voting = parts.get("voting") == Some(&JsonValue::Boolean(true));
+        Some(Answered { sent, epoch: whole(&parts, "epoch").ok()?, voting })
+    }
+}
+
+/// A read of the register that is to confirm what is known; its number goes with its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Confirm(pub u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Lost,
+    /// A majority is reached, and this read of the register, begun then, has not ended yet.
+    Confirming(Confirm, Nanos),
+    /// Since then.
+    Holds(Nanos),
+}
+
+/// The contact of one machine.
+#[derive(Debug)]
+pub struct Contact {
+    me: Address,
+    span: Nanos,
+    /// When the process started.
+    began: Option<Nanos>,
+    answered: BTreeMap<Address, Answered>,
+    state: State,
+    reads: u64,
+}
+
+impl Contact {
+    /// Of the machine `me`, which loses it after `span` without a majority.
+    pub fn new(me: Address, span: Nanos) -> Self {
+        Contact { me, span, began: None, answered: BTreeMap::new(), state: State::Lost, reads: 0 }
+    }
+
+    /// Another machine has answered.
+    pub fn reached(&mut self, peer: Address, answered: Answered) {
+        let known = self.answered.get(&peer);
+        if known.is_some_and(|known| known.sent >= answered.sent) {
+            return;
+        }
+        if self.answered.len() >= MOST && known.is_none() {
+            let oldest =
+                self.answered.iter().min_by_key(|(_, known)| known.sent).map(|(peer, _)| peer.clone());
+            oldest.map(|peer| self.answered.remove(&peer));
+        }
+        self.answered.insert(peer, answered);
+    }
+
+    /// When a voter answered last, by the time at which it was asked.
+    pub fn asked(&self, peer: &str) -> Option<Nanos> {
+        self.answered.get(peer).map(|answered| answered.sent)
+    }
+
+    /// Looks at where it stands. `voting`: this machine has a state to vote with. A read of the register is to be begun where one is
+    /// returned.
+    pub fn look(&mut self, now: Nanos, members: Option<&Members>, voting: bool) -> Option<Confirm> {
+        self.began.get_or_insert(now);
+        let Some(members) = members else {
+            self.state = State::Lost;
+            return None;
+        };
+        let fresh = |answered: &Answered| answered.sent + self.span > now;
+        // Whoever goes by newer members may have let other voters decide: they are asked for first.
+        let newer = self.answered.values().any(|answered| fresh(answered) && answered.epoch > members.epoch);
+        let reaches = |voter: &Address| match self.answered.get(voter) {
+            _ if *voter == self.me => voting,
+            Some(answered) => fresh(answered) && answered.voting,
+            None => false,
+        };
+        if !members.quorum(reaches) {
+            if self.state != State::Lost {
+                log::warn!("no majority of the voters is reached");
+            }
+            self.state = State::Lost;
+            return None;
+        }
+        match self.state {
+            State::Holds(_) if !newer => None,
+            State::Confirming(_, asked) if now < asked + READ_AGAIN => None,
+            _ => {
+                self.reads += 1;
+                self.state = State::Confirming(Confirm(self.reads), now);
+                Some(Confirm(self.reads))
+            }
+        }
+    }
+
+    /// A read of the register has ended, and a majority answered it.
+    pub fn confirmed(&mut self, now: Nanos, read: Confirm) {
+        if matches!(self.state, State::Confirming(under_way, _) if under_way == read) {
+            log::info!("a majority of the voters is reached");
+            self.state = State::Holds(now);
+        }
+    }
+
+    /// Whether contact holds: what is known here may be handed out as what stands.
+    pub fn holds(&self) -> bool {
+        matches!(self.state, State::Holds(_))
+    }
+
+    /// Whether a majority is reached, though the register may not have been read yet.
+    pub fn reaches(&self) -> bool {
+        self.state != State::Lost
+    }
+
+    /// Whether it is known that there is none: a round of the register would only wait. Not in the first moments of a process.
+    pub fn is_lost(&self, now: Nanos) -> bool {
+        self.state == State::Lost && self.began.is_some_and(|began| now >= began + self.span)
+    }
+
+    /// For how long it has held.
+    pub fn held_for(&self, now: Nanos) -> Option<Nanos> {
+        let State::Holds(since) = self.state else { return None };
+        Some(now.saturating_sub(since))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SPAN: Nanos = 1_500 * MS;
+
+    fn members(epoch: u64) -> Members {
+        Members { epoch, ..Members::first("u", ["a", "b", "c"].map(Address::from)) }
+    }
+
+    fn answered(sent_ms: u64, epoch: u64, voting: bool) -> Answered {
+        Answered { sent: sent_ms * MS, epoch, voting }
+    }
+
+    /// One that holds since 10 ms.
+    fn held() -> Contact {
+        let mut contact = Contact::new("a".into(), SPAN);
+        contact.reached("b".into(), answered(0, 0, true));
+        let read = contact.look(5 * MS, Some(&members(0)), true).expect("a read");
+        assert!(contact.reaches() && !contact.holds());
+        contact.confirmed(10 * MS, read);
+        assert!(contact.holds());
+        contact
+    }
+
+    #[yare::parameterized(
+        nobody = { &[], true, false },
+        one_of_three = { &[("b", 0, true)], true, true },
+        without_a_state_here = { &[("b", 0, true)], false, false },
+        both_others = { &[("b", 0, true), ("c", 0, true)], false, true },
+        one_that_lost_its_disk = { &[("b", 0, false)], true, false },
+        one_that_votes_no_more = { &[("x", 0, true)], true, false },
+    )]
+    fn a_majority_that_answers_and_has_a_state_is_contact(
+        peers: &[(&str, u64, bool)],
+        voting: bool,
+        expected: bool,
+    ) {
+        let mut contact = Contact::new("a".into(), SPAN);
+        for (peer, epoch, votes) in peers {
+            contact.reached((*peer).into(), answered(0, *epoch, *votes));
+        }
+        assert_eq!(contact.look(MS, Some(&members(0)), voting).is_some(), expected);
+    }
+
+    #[test]
+    fn an_answer_counts_from_when_its_message_was_sent() {
+        let mut contact = held();
+        assert_eq!(contact.look(SPAN - 1, Some(&members(0)), true), None);
+        assert!(contact.holds());
+        // Another answer comes now, to a message that was sent before.
+        contact.reached("b".into(), answered(0, 0, true));
+        assert_eq!(contact.look(SPAN, Some(&members(0)), true), None);
+        assert!(!contact.reaches() && contact.is_lost(SPAN + 5 * MS));
+    }
+
+    #[test]
+    fn after_a_loss_the_register_is_read_before_it_holds() {
+        let mut contact = held();
+        contact.look(2 * SPAN, Some(&members(0)), true);
+        contact.reached("c".into(), answered(3_000, 0, true));
+        let first = contact.look(3_001 * MS, Some(&members(0)), true).expect("a read");
+        assert!(!contact.holds() && !contact.is_lost(3_001 * MS));
+        let second = contact.look(3_301 * MS, Some(&members(0)), true).expect("another");
+        // The first one may have been answered before.
+        contact.confirmed(3_302 * MS, first);
+        assert!(!contact.holds());
+        contact.confirmed(3_303 * MS, second);
+        assert_eq!(contact.held_for(3_305 * MS), Some(2 * MS));
+    }
+
+    #[test]
+    fn who_hears_of_newer_members_reads_again() {
+        let mut contact = held();
+        contact.reached("c".into(), answered(20, 2, true));
+        assert!(contact.look(21 * MS, Some(&members(0)), true).is_some());
+        assert!(!contact.holds() && contact.reaches());
+    }
+
+    #[test]
+    fn a_process_that_has_just_started_may_try() {
+        let mut contact = Contact::new("a".into(), SPAN);
+        assert_eq!(contact.look(7 * MS, Some(&members(0)), true), None);
+        assert!(!contact.is_lost(8 * MS) && contact.is_lost(7 * MS + SPAN));
+    }
+
+    #[test]
+    fn what_is_kept_of_others_is_bounded() {
+        let mut contact = Contact::new("a".into(), SPAN);
+        for n in 0..3 * MOST as u64 {
+            contact.reached(format!("p{n}").into(), answered(n, 0, true));
+        }
+        assert_eq!(contact.answered.len(), MOST);
+        assert!(contact.asked("p0").is_none() && contact.asked("p191").is_some());
+    }
+
+    #[test]
+    fn an_answer_is_read_as_it_is_sent_and_nothing_else_is() {
+        assert_eq!(
+            Answered::read(3, Answered::body(7, true).as_bytes()),
+            Some(Answered { sent: 3, epoch: 7, voting: true })
+        );
+        for other in ["", "[]", "{}", r#"{"epoch":-1}"#] {
+            assert_eq!(Answered::read(3, other.as_bytes()), None, "{other}");
+        }
+    }
+}
--- a/bourse/src/errors.rs
+++ b/bourse/src/errors.rs
@@ -1,5 +1,6 @@
 //! What can go wrong, as one closed list, and what a caller is told of it.
 
+use compact_str::CompactString;
 use hyper::StatusCode;
 use millpost_barrow::mail::Reply;
 use millpost_crier::{object, text};
@@ -60,6 +61,13 @@
     Unclear,
     /// What is kept of it can't be read.
     Unreadable,
+    /// Another content stands under this revision, for good.
+    Conflict {
+        /// The revision.
+        revision: u64,
+        /// The digest of the content that stands.
+        stands: CompactString,
+    },
 }
 
 impl Kind {
@@ -76,10 +84,15 @@
             Kind::Refused(_) => (422, "refused"),
             Kind::Unclear => (503, "unclear"),
             Kind::Unreadable => (503, "unreadable"),
+            Kind::Conflict { .. } => (409, "conflict"),
         };
         let why = match self {
             Kind::Invalid(why) => text(why),
             Kind::Refused(reasons) => tinyjson::JsonValue::Array(reasons.iter().map(|r| text(r)).collect()),
+            Kind::Conflict { revision, stands } => object([
+                ("revision", tinyjson::JsonValue::Number(*revision as f64)),
+                ("stands", text(stands)),
+            ]),
             _ => tinyjson::JsonValue::Null,
         };
         let body = object([("error", text(word)), ("why", why)]).stringify().unwrap_or_default();
--- a/bourse/src/floor.rs
+++ b/bourse/src/floor.rs
@@ -4,6 +4,7 @@
 mod carts;
 mod counter;
 mod drains;
+mod follow;
 
 pub use counter::LONGEST_BODY;
 
@@ -21,12 +22,15 @@
 use tinyjson::JsonValue;
 
 use crate::clerk::{self, Clerk, For};
+use crate::contact::{Answered, Contact};
 use crate::feed::{BEAT, Feed, Seat};
 use crate::floor::carts::Carts;
 use crate::floor::drains::Outs;
+use crate::floor::follow::Waiting;
 use crate::herald::{self, Herald};
 use crate::ledger::Ledger;
 use crate::office::{Done, Errand, Heard, Next, Office, Want};
+use crate::orders::Orders;
 use crate::steward::{Steward, Told};
 use crate::voters::{Todo, Voters};
 use crate::{MS, Nanos};
@@ -54,6 +58,8 @@
     pub losses: u32,
     /// Who was not heard of for so long is not in touch.
     pub contact: Nanos,
+    /// A configuration is in force everywhere so long after its acknowledgement.
+    pub apply: Nanos,
     /// The platform's `duty_per_s`, `max_lag_ms` and `rate_per_s`, where there is one.
     pub platform: Option<Bounds>,
     /// Where each scaler's lines go, if they are wanted.
@@ -83,6 +89,7 @@
             seeds: seeds(settings),
             losses: settings.tolerance.machine_losses,
             contact: settings.bounds.contact_ms * MS,
+            apply: settings.bounds.config_apply_ms * MS,
             platform,
             sink: None,
         }
@@ -124,6 +131,8 @@
     Fetched(u64, Option<String>),
     /// The platform's answer to an errand of this fence that was decided on at this time.
     Heard(u64, Nanos, Heard),
+    /// Another control machine has answered to news.
+    Reached(Address, Answered),
     /// A follower's connection has ended, or had no room.
     Left(Seat),
     /// The seeds have changed.
@@ -149,7 +158,7 @@
     Unseat(Seat),
     /// An empty line for all seats; who has no room for it needs none.
     Beat,
-    /// News for another control machine.
+    /// News for another control machine; its answer comes as [`Input::Reached`].
     News(Address, Bytes),
     /// What stands on the own disk under the configuration's key is wanted.
     Peek(u64),
@@ -167,16 +176,21 @@
     platform: Option<Bounds>,
     sink: Option<Box<dyn Fn() -> Sink>>,
     voting: bool,
+    contact: Contact,
     clerk: Clerk,
     office: Office,
     herald: Herald,
     voters: Voters,
     feed: Feed,
+    /// Porters that wait until contact holds.
+    waiting: Waiting,
     carts: Carts,
     /// What operators have taken out.
     outs: Outs,
     /// What the platform has told this steward.
     ledger: Ledger,
+    /// Orders of operators whose rounds are under way.
+    orders: Orders,
     /// A configuration newer than the one that is known to be chosen, which another wrote here; when it is looked for, and how often it was.
     overheard: Option<(u64, Nanos, u32)>,
     beat_at: Nanos,
@@ -191,7 +205,7 @@
 impl Floor {
     /// Of a machine that starts.
     pub fn new(start: Start) -> Self {
-        let Start { me, life, seeds, losses, contact, platform, sink } = start;
+        let Start { me, life, seeds, losses, contact, apply, platform, sink } = start;
         let seed = life ^ xxhash_rust::xxh3::xxh3_64(me.as_bytes());
         Floor {
             seeds,
@@ -199,14 +213,17 @@
             platform,
             sink,
             voting: false,
+            contact: Contact::new(me.clone(), apply / 2),
             clerk: Clerk::new(&me, life, seed),
             office: Office::new(me.clone(), life, seed),
             herald: Herald::new(me.clone()),
             voters: Voters::default(),
             feed: Feed::default(),
+            waiting: Waiting::default(),
             carts: Carts::new(life, contact, platform.map_or(0.0, |bounds| bounds.duty_per_s)),
             outs: Outs::default(),
             ledger: Ledger::default(),
+            orders: Orders::default(),
             overheard: None,
             beat_at: 0,
             learn_at: 0,
@@ -225,7 +242,7 @@
     /// When to call [`Floor::tick`] next, at the latest.
     pub fn wake(&self, now: Nanos) -> Nanos {
         let due = self.clerk.next_wake().min(self.office.next_wake()).min(now + LONGEST_WAIT);
-        due.min(self.over.unwrap_or(Nanos::MAX)).max(now + MS)
+        due.min(self.herald.due()).min(self.waiting.due()).min(self.over.unwrap_or(Nanos::MAX)).max(now + MS)
     }
 
     /// Whether the process may end.
@@ -288,6 +305,10 @@
                 let heard = self.with_outs(now, heard);
                 self.office.on_heard(now, fence, asked, heard);
             }
+            Input::Reached(peer, answered) => {
+                self.contact.reached(peer, answered);
+                self.look_at_contact(now);
+            }
             Input::Left(seat) => self.feed.left(seat),
             Input::Seeds(seeds) => self.seeds = seeds,
             Input::Leave => {
@@ -303,11 +324,12 @@
     pub fn tick(&mut self, now: Nanos) {
         let out = self.clerk.tick(now);
         self.rounds(now, out);
+        self.look_at_contact(now);
         self.lease(now);
         self.take_out(now);
         self.duties(now);
         self.moves(now);
-        if self.herald.is_due(now) {
+        if now >= self.herald.due() {
             self.news(now);
         }
         if now >= self.beat_at {
@@ -380,7 +402,9 @@
                 if let Ok(Some(value)) = &outcome {
                     self.install(now, value);
                 }
-                self.answer(id, outcome.map(|value| counter::revision(value.map_or(0, |v| v.version))));
+                let stands = outcome.as_ref().map(Option::as_ref).map_err(Clone::clone);
+                let word = self.orders.end(id, stands);
+                self.answer(id, word.map(|confirmed| counter::revision(confirmed.revision)));
             }
             For::Read(id) => {
                 let outcome = outcome.map(value);
@@ -398,6 +422,15 @@
                     self.install(now, &value);
                 }
             }
+            For::Confirm(read) => {
+                if let Ok(outcome) = outcome {
+                    if let Some(value) = value(outcome) {
+                        self.install(now, &value);
+                    }
+                    self.contact.confirmed(now, read);
+                    self.look_at_contact(now);
+                }
+            }
             For::Last => {
                 if let Ok(outcome) = outcome {
                     self.office.on_last(value(outcome).as_ref());
@@ -439,6 +472,14 @@
         }
     }
 
+    /// Whether a majority is reached, and who may follow by that.
+    fn look_at_contact(&mut self, now: Nanos) {
+        if let Some(read) = self.contact.look(now, self.clerk.members(), self.voting) {
+            self.round(now, RoundKind::Read, Key::Config, For::Confirm(read));
+        }
+        self.admit(now);
+    }
+
     /// Who is the steward, if that is news.
     fn know(&mut self, fence: u64, address: &str) {
         if self.herald.know(fence, address) {
--- a/bourse/src/floor/counter.rs
+++ b/bourse/src/floor/counter.rs
@@ -16,6 +16,7 @@
 use super::{Effect, Floor, carts};
 use crate::calls::{What, what};
 use crate::clerk::For;
+use crate::contact::Answered;
 use crate::errors::Kind;
 use crate::herald::News;
 use crate::{MS, Nanos};
@@ -26,7 +27,7 @@
 const PACK_FROM: usize = 4 * 1024;
 /// A steward has longer ones read by another.
 const LONG_BODY: usize = 64 * 1024;
-/// Another control machine that was heard of so lately is there.
+/// Another control machine that has answered so lately is there.
 const FRESH: Nanos = 1_000 * MS;
 /// Configurations that were read and may be chosen yet.
 const MOST_READ: usize = 4;
@@ -57,7 +58,7 @@
     Ok(Reply::json(StatusCode::OK, text.into_owned()))
 }
 
-fn letter(call: &Call) -> Result<Letter, Kind> {
+pub(super) fn letter(call: &Call) -> Result<Letter, Kind> {
     let json = call.json().ok_or_else(|| Kind::Invalid("no JSON".to_owned()))?;
     Letter::read(&json).map_err(|e| Kind::Invalid(e.to_string()))
 }
@@ -86,11 +87,19 @@
             {
                 Err(Kind::Busy)
             }
+            // A round would only wait for a majority that is known not to answer.
+            Ok(What::Replace | What::Read | What::Order) if self.contact.is_lost(now) => {
+                Err(Kind::NoMajority)
+            }
+            Ok(What::Chosen) if !self.contact.holds() => Err(Kind::NoMajority),
             Ok(What::Replace) if call.body.len() > LONG_BODY && self.other_voter(now).is_some() => {
                 Ok(self.other_voter(now).map_or_else(|| Kind::Busy.answer(), elsewhere))
             }
             Ok(What::Replace) => match self.config(call) {
-                Ok(kind) => return self.round(now, kind, Key::Config, For::Replace(id)),
+                Ok(kind) => {
+                    self.orders.begin(id, &kind);
+                    return self.round(now, kind, Key::Config, For::Replace(id));
+                }
                 Err(kind) => Err(kind),
             },
             Ok(What::Read) => return self.round(now, RoundKind::Read, Key::Config, For::Read(id)),
@@ -125,12 +134,13 @@
         self.answer(id, answer);
     }
 
-    /// A steward has much to do: another voter, heard of just now, reads what is long.
+    /// A steward has much to do: another voter, which has answered just now, reads what is long.
     fn other_voter(&self, now: Nanos) -> Option<&Address> {
         self.office.steward()?;
         let members = self.clerk.members()?;
-        let fresh =
-            |a: &&Address| self.herald.others().get(*a).is_some_and(|s| s.voting && s.heard + FRESH > now);
+        let hears = |a: &Address| self.contact.asked(a).is_some_and(|sent| sent + FRESH > now);
+        let votes = |a: &Address| self.herald.others().get(a).is_some_and(|s| s.voting);
+        let fresh = |a: &&Address| hears(a) && votes(a);
         let all: Vec<_> = members.voters.iter().filter(|a| **a != self.me).filter(fresh).collect();
         let turn = (now / FRESH) as usize % all.len().max(1);
         all.get(turn).copied()
@@ -169,31 +179,11 @@
             self.know(fence, &steward);
         }
         self.bring(now, next);
-        Ok(Reply::empty(StatusCode::OK))
-    }
-
-    fn follow(&mut self, now: Nanos, id: u64, call: &Call) -> Result<(), Kind> {
-        let letter = letter(call)?;
-        let mut acts = 0;
-        for note in &letter.notes {
-            if let Note::Acts { revision, .. } = note {
-                acts = *revision;
-            }
-            if let Some(steward) = self.office.steward_mut() {
-                steward.note(now, note);
-            }
-        }
-        let (fence, address) = self.known();
-        let mut snapshot = vec![Note::Steward { address, fence }];
-        if let Some(steward) = self.office.steward_mut() {
-            snapshot.extend(self.outs.drains().snapshot(now, &letter.from));
-            snapshot.extend(steward.snapshot(&letter.from));
+        if !self.contact.reaches() {
+            self.herald.hasten(now);
         }
-        let whole = call.query.as_deref() != Some("whole=0");
-        let followed = self.feed.follow(now, letter.from, acts, whole, &snapshot).ok_or(Kind::Busy)?;
-        self.effects.extend(followed.before.map(Effect::Unseat));
-        self.effects.push(Effect::Seat(id, followed.seat, followed.line));
-        Ok(())
+        let epoch = self.clerk.members().map_or(0, |members| members.epoch);
+        Ok(Reply::json(StatusCode::OK, Answered::body(epoch, self.voting)))
     }
 
     fn mail(&mut self, now: Nanos, call: &Call) -> Result<Reply, Kind> {
@@ -245,6 +235,7 @@
             ("fence", number(*fence)),
             ("is_steward", JsonValue::Boolean(steward.is_some())),
             ("lease", text(self.lease_word(now))),
+            ("contact_ms", self.contact.held_for(now).map_or(JsonValue::Null, |held| number(held / MS))),
             ("revision", number(self.feed.revision())),
             ("followers_act_on", JsonValue::Object(followers)),
             ("others_heard_ms_ago", JsonValue::Object(others)),
--- a/bourse/src/hall.rs
+++ b/bourse/src/hall.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, sleep_until};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::contact::Answered;
 use crate::errors::{Error, Kind, ListenSnafu, NeededSnafu, SignalsSnafu};
 use crate::feed::Seat;
 use crate::floor::{self, Back, Effect, Floor, Input, LONGEST_BODY, Start};
@@ -321,9 +322,16 @@
 
     fn news(&mut self, to: &Address, body: Bytes) {
         let Some(client) = self.client(to) else { return };
+        let (events, to, sent) = (self.events.clone(), to.clone(), self.now());
         tokio::spawn(async move {
-            if client.call(Method::POST, "/core/news", json_headers(), body, VOTE, 1_024).await.is_err() {
-                client.clear();
+            match client.call(Method::POST, "/core/news", json_headers(), body, VOTE, 1_024).await {
+                Ok((StatusCode::OK, _, body)) => {
+                    if let Some(answered) = Answered::read(sent, &body) {
+                        let _ = events.send(Event::Input(Input::Reached(to, answered)));
+                    }
+                }
+                Ok(_) => {}
+                Err(_) => client.clear(),
             }
         });
     }
--- a/bourse/src/herald.rs
+++ b/bourse/src/herald.rs
@@ -14,8 +14,10 @@
 use crate::errors::Kind;
 use crate::{MS, Nanos};
 
-/// What is known goes round this often.
+/// What is known goes round this often,
 const NEWS: Nanos = 400 * MS;
+/// ... and no more often than this while no majority is reached and somebody was heard.
+const NEWS_GAP: Nanos = 50 * MS;
 /// Other control machines.
 pub const MOST: usize = 256;
 /// One that was not heard of for so long is told nothing unless it is a seed or a voter; for so long, is forgotten.
@@ -145,7 +147,8 @@
     at: Nanos,
 }
 
-fn digest(text: &str) -> CompactString {
+/// The name of a content, for saying which one is meant without sending it.
+pub fn digest(text: &str) -> CompactString {
     format!("{:016x}", xxh3_64(text.as_bytes())).into()
 }
 
@@ -210,9 +213,15 @@
         news
     }
 
-    /// Whether what is known is to go round again.
-    pub fn is_due(&self, now: Nanos) -> bool {
-        now >= self.at
+    /// When what is known is to go round again.
+    pub fn due(&self) -> Nanos {
+        self.at
+    }
+
+    /// Somebody may be reached who was not before: what is known goes round soon.
+    pub fn hasten(&mut self, now: Nanos) {
+        let last = self.at.saturating_sub(NEWS);
+        self.at = self.at.min((last + NEWS_GAP).max(now));
     }
 
     /// What is known here, and who is to be told.
