Whole configurations go packed to a stall; a stall that starts denies no route before it knows

Cause: at 300 machines four edge processes ended over 160 MB. After a change an agent had its configuration as a tree only, some ten times the memory of its text (19 MB at 5,500 routes, measured), and sent a copy of it each time that its stall was behind; the stall parsed each copy before it looked at the revision.

Change: the agent packs it once and sends that; the stall looks at the revision first; the text is written without a tree of the whole. A stall that has started asks which revision stands; control answers in contact only, and until the stall acts on that it answers 503 with a time instead of 404 for a route that it does not know.

--- a/arcade/src/world/net.rs
+++ b/arcade/src/world/net.rs
@@ -96,6 +96,8 @@
             44 + came.chain(names).sum::<usize>()
         }
         Note::Behind { .. } => 28,
+        Note::AskRevision => 14,
+        Note::Stands { .. } => 24,
         Note::Rest { name, .. } => 36 + name.len(),
         Note::Steward { address, .. } => 34 + address.len(),
         Note::Retire { instance } | Note::Lost { instance } | Note::Up { instance } => 24 + instance.len(),
--- a/bourse/src/floor/counter.rs
+++ b/bourse/src/floor/counter.rs
@@ -188,20 +188,36 @@
 
     fn mail(&mut self, now: Nanos, call: &Call) -> Result<Reply, Kind> {
         let letter = letter(call)?;
-        let mut missed = false;
+        let (mut missed, mut asks) = (false, false);
         for note in &letter.notes {
             match (note, self.office.steward_mut()) {
                 (Note::Acts { revision, .. }, _) => {
                     let again = self.feed.acts(now, &letter.from, *revision);
                     self.lines(again);
                 }
+                (Note::AskRevision, _) => asks = true,
                 (Note::Rest { name, left }, _) => self.rests(now, name, *left),
                 (note, Some(steward)) => steward.note(now, note),
                 (Note::Alive { .. }, None) => {}
                 (_, None) => missed = true,
             }
         }
-        if missed { Err(Kind::NotSteward) } else { Ok(Reply::empty(StatusCode::OK)) }
+        if missed {
+            return Err(Kind::NotSteward);
+        }
+        // Who is not in contact can't say what stands.
+        Ok(if asks && self.contact.holds() { self.stands() } else { Reply::empty(StatusCode::OK) })
+    }
+
+    /// Which configuration stands, for a stall that has started.
+    fn stands(&self) -> Reply {
+        let stands = Note::Stands { revision: self.herald.revision() };
+        let body = object([
+            ("from", text(&self.me)),
+            ("life", JsonValue::Number(0.0)),
+            ("notes", JsonValue::Array(vec![stands.to_json()])),
+        ]);
+        Reply::json(StatusCode::OK, body.stringify().unwrap_or_default())
     }
 
     /// How far this machine is from the steward's lease.
--- a/bourse/tests/floor.rs
+++ b/bourse/tests/floor.rs
@@ -158,6 +158,26 @@
     assert!(first.contains(&packed(&configuration)), "{first}");
 }
 
+/// A stall that has started hears which configuration stands from a machine in contact only.
+#[test]
+fn which_configuration_stands_is_told_in_contact_only() {
+    let (mut town, steward) = settled(0);
+    town.put(steward, &config(7, "one"));
+    town.run(town.now + 1_000 * MS);
+    let other = (steward + 1) % 3;
+    let asked = |town: &mut Town| {
+        let letter = r#"{"from":"edge-1","life":1,"notes":[{"t":"acts","v":0,"n":0},{"t":"askrev"}]}"#;
+        let id = town.call(other, Method::POST, "/mail", letter);
+        town.run(town.now + MS);
+        town.answer_to(id).map(|(status, body)| (status, body.to_owned())).expect("an answer")
+    };
+    let (status, body) = asked(&mut town);
+    assert!(status == 200 && body.contains(r#""t":"stands""#) && body.contains(r#""v":7"#), "{body}");
+    town.cut(other, 1);
+    town.run(town.now + 2_000 * MS);
+    assert_eq!(asked(&mut town), (200, String::new()));
+}
+
 /// A porter that comes while a machine starts waits for its contact, and for its contact only.
 #[test]
 fn who_follows_a_machine_that_starts_is_seated_once_it_is_in_contact() {
--- a/crier/src/note.rs
+++ b/crier/src/note.rs
@@ -287,6 +287,13 @@
         /// The digest of that naming, where it is known.
         digest: Option<u64>,
     },
+    /// Up: a stall has started, and wants to know which configuration stands.
+    AskRevision,
+    /// Down, in answer to that: a majority stood behind this one after the question was asked, and perhaps behind a newer one.
+    Stands {
+        /// Its revision; 0: none.
+        revision: u64,
+    },
     /// Up, no further than the porter: a shift came that goes from another naming than is known here.
     Behind {
         /// The naming that is.
@@ -516,6 +523,8 @@
             Note::Acts { revision, number } => {
                 object([("t", text("acts")), ("v", n(revision)), ("n", n(number))])
             }
+            Note::AskRevision => object([("t", text("askrev"))]),
+            Note::Stands { revision } => object([("t", text("stands")), ("v", n(revision))]),
             Note::Behind { version: v } => object([("t", text("behind")), ("v", version(*v))]),
             Note::Alive { peer, serving, split, digest } => object([
                 ("t", text("alive")),
@@ -632,6 +641,8 @@
                 },
                 digest: if from.contains_key("d") { Some(read_digest(from, "d")?) } else { None },
             },
+            "askrev" => Note::AskRevision,
+            "stands" => Note::Stands { revision: whole(from, "v")? },
             "behind" => Note::Behind { version: read_version(from, "v")? },
             _ => return Err(Fault { key: "t".to_owned(), reason: "no note that is known here" }),
         })
@@ -729,6 +740,8 @@
                 split: vec!["f".into()],
                 joined: vec!["g".into()],
             }),
+            Note::AskRevision,
+            Note::Stands { revision: 3 },
             Note::Behind { version: (1, 2) },
         ]
     }
--- a/porter/src/newest.rs
+++ b/porter/src/newest.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
-use millpost_barrow::pack::unpack;
+use millpost_barrow::pack::{pack, unpack};
 use millpost_crier::{Instance, Note, Roster, Version};
 use millpost_tariff::{At, Config, change};
 use tinyjson::JsonValue;
@@ -44,7 +44,7 @@
     config: Option<Config>,
     /// Bytes that the whole one came in, and all changes since.
     weight: usize,
-    /// The whole of it as it came.
+    /// The whole of it, as it came or once it was wanted.
     packed: Option<Note>,
     /// The stalls; under version 0 while none were named.
     stalls: Roster,
@@ -189,16 +189,19 @@
         Taken::News(note)
     }
 
-    /// The whole configuration, for a stall that starts or could not follow a change.
-    pub fn whole(&self) -> Option<Note> {
-        self.packed.clone().or_else(|| {
+    /// The whole configuration, for a stall that starts or could not follow a change. Packed: as a tree of values it takes some ten
+    /// times the memory of its text, in the note that waits and at the stall that reads it.
+    pub fn whole(&mut self) -> Option<Note> {
+        if self.packed.is_none() {
             let config = self.config.as_ref()?;
-            Some(Note::Config { revision: config.revision, body: config.to_value() })
-        })
+            let packed = pack(&config.to_json())?;
+            self.packed = Some(Note::Packed { revision: config.revision, packed });
+        }
+        self.packed.clone()
     }
 
     /// Everything, for a stall that starts.
-    pub fn all(&self) -> Vec<Note> {
+    pub fn all(&mut self) -> Vec<Note> {
         let mut notes = Vec::from_iter(self.whole());
         if self.version > (0, 0) {
             let set = self.instances.values().cloned().collect();
--- a/porter/src/round.rs
+++ b/porter/src/round.rs
@@ -62,6 +62,8 @@
         /// Its number.
         feed: u64,
     },
+    /// A control machine's answer to notes: a letter.
+    Answered(Bytes),
     /// A letter of the stall; [`Effect::Answer`] follows.
     Letter(Bytes),
     /// The stall takes mail, for the first time or again.
@@ -205,6 +207,7 @@
                 self.follow.ended(now, feed);
                 self.steps(now);
             }
+            Input::Answered(body) => self.answered(&body),
             Input::Letter(body) => self.letter(now, &body),
             // A stall that is there again has forgotten all.
             Input::Up => self.tell_all(now),
@@ -366,6 +369,13 @@
         self.effects.extend(self.newest.all().into_iter().map(Effect::Tell));
     }
 
+    /// What control says in answer to the stall's question goes to the stall.
+    fn answered(&mut self, body: &[u8]) {
+        let Some(letter) = mail::json(body).and_then(|json| Letter::read(&json).ok()) else { return };
+        let stands = letter.notes.into_iter().filter(|note| matches!(note, Note::Stands { .. }));
+        self.effects.extend(stands.map(Effect::Tell));
+    }
+
     /// The stall's words.
     fn letter(&mut self, now: Nanos, body: &[u8]) {
         let Some(letter) = mail::json(body).and_then(|json| Letter::read(&json).ok()) else {
@@ -385,6 +395,8 @@
                         self.tell_all(now);
                     }
                 }
+                // Any machine that is in contact with a majority can say.
+                Note::AskRevision => self.up(note, true),
                 note => self.up(note, false),
             }
         }
--- a/porter/src/run.rs
+++ b/porter/src/run.rs
@@ -182,6 +182,9 @@
                     self.give(Input::Lost { feed, notes: notes.len() as u64 }, None);
                 }
             }
+            Came::Mail(Event::Answered { peer, body }) if &*peer != STALL => {
+                self.give(Input::Answered(body), None);
+            }
             Came::Mail(_) => {}
         }
     }
--- a/porter/src/tape.rs
+++ b/porter/src/tape.rs
@@ -116,6 +116,7 @@
         Input::New(_) => "new",
         Input::Line { .. } => "line",
         Input::Ended { .. } => "ended",
+        Input::Answered(_) => "answered",
         Input::Letter(_) => "letter",
         Input::Up => "up",
         Input::Full => "full",
@@ -139,7 +140,7 @@
         Input::Ended { feed } => {
             line.whole("feed", *feed);
         }
-        Input::Letter(of) => body(line, of),
+        Input::Answered(of) | Input::Letter(of) => body(line, of),
         Input::Lost { feed, notes } => {
             line.whole("feed", *feed).whole("c", *notes);
         }
@@ -223,6 +224,7 @@
             }),
             "line" => Input::Line { feed: feed()?, line: read_body(from)? },
             "ended" => Input::Ended { feed: feed()? },
+            "answered" => Input::Answered(read_body(from)?),
             "letter" => Input::Letter(read_body(from)?),
             "up" => Input::Up,
             "full" => Input::Full,
@@ -258,6 +260,7 @@
             Input::Line { feed: 1, line: Bytes::from(long) },
             Input::Line { feed: 1, line: spoilt.clone() },
             Input::Ended { feed: 1 },
+            Input::Answered(Bytes::from_static(b"{}")),
             Input::Letter(Bytes::from_static(
                 br#"{"from":"edge-1","life":1,"notes":[{"t":"acts","v":3,"n":0}]}"#,
             )),
--- a/stall/src/front.rs
+++ b/stall/src/front.rs
@@ -187,7 +187,8 @@
     };
     one(&ATTEMPT).ok_or(Kind::Malformed)?;
     let host = one(&HOST).and_then(|h| h.to_str().ok()).ok_or(Kind::Malformed)?;
-    let route = force.table.find(host, head.uri.path()).ok_or(Kind::NoRoute)?.clone();
+    let unknown = if shop.currency.knows_routes() { Kind::NoRoute } else { Kind::Refused(Refusal::Empty) };
+    let route = force.table.find(host, head.uri.path()).ok_or(unknown)?.clone();
     let given = match one(&DEADLINE) {
         Some(ms) => ms
             .to_str()
--- a/stall/src/main.rs
+++ b/stall/src/main.rs
@@ -1,6 +1,7 @@
 //! `stall`: the proxy of an edge machine. It takes requests from clients, asks the owner of the function for a permit and sends the
 //! request to the instance that it names. Its configuration, the other stalls and the instances come from the porter beside it.
 
+mod currency;
 mod errors;
 mod front;
 mod opening;
--- a/stall/src/shop.rs
+++ b/stall/src/shop.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::currency::Currency;
 use crate::errors::Error;
 use crate::pool::Pool;
 use crate::rest::Rest;
@@ -79,7 +80,8 @@
     /// The porter's mail.
     urgent: mpsc::Sender<Input>,
     coming: RefCell<Option<Coming>>,
-    acted: Cell<u64>,
+    /// Which configuration is in force here, and which one stands.
+    pub currency: Currency,
     rest: Rest,
     /// The porter did not take the last word: it is said again then.
     hurry: Cell<Option<Instant>>,
@@ -184,7 +186,7 @@
             inputs,
             urgent,
             coming: RefCell::new(Some(Coming { urgent: first, others })),
-            acted: Cell::new(0),
+            currency: Currency::default(),
             rest: Rest::default(),
             hurry: Cell::new(None),
             life,
@@ -274,7 +276,10 @@
                 if let Some(left) = self.rest.left(self.now()) {
                     self.up(&Note::Rest { name: self.settings.node_name.clone(), left });
                 }
-                self.up(&Note::Acts { revision: self.acted.get(), number: 0 });
+                self.up(&Note::Acts { revision: self.currency.acted(), number: 0 });
+                if self.currency.asks() {
+                    self.up(&Note::AskRevision);
+                }
             }
             if sweep.elapsed() >= Duration::from_secs(1) {
                 sweep = Instant::now();
@@ -342,10 +347,17 @@
                     | Note::Floor { .. }
                     | Note::Steward { .. }
                     | Note::Rest { .. }
+                    | Note::Stands { .. }
             )
         });
         for note in down {
             match note {
+                // One life never goes back; what was told before is not unpacked again.
+                Note::Config { revision, .. }
+                | Note::Packed { revision, .. }
+                | Note::Patch { revision, .. }
+                | Note::Folded { revision, .. }
+                    if self.has(revision) => {}
                 Note::Config { revision, body } => self.configure(revision, &body),
                 Note::Packed { revision, packed } => {
                     match mail::json(
@@ -364,6 +376,7 @@
                     }
                 }
                 Note::Rest { name, left } => self.rest(&name, left),
+                Note::Stands { revision } => self.currency.stands(revision),
                 note => self.desk.borrow_mut().told(now, note),
             }
         }
@@ -388,11 +401,12 @@
         }
     }
 
+    /// Whether this configuration, or a newer one, is in force.
+    fn has(&self, revision: u64) -> bool {
+        self.force.borrow().as_ref().is_some_and(|force| force.config.revision >= revision)
+    }
+
     fn configure(&self, revision: u64, body: &JsonValue) {
-        // One life never goes back.
-        if self.force.borrow().as_ref().is_some_and(|f| f.config.revision >= revision) {
-            return;
-        }
         match Config::read(&At::root(body)) {
             Ok(config) => self.put_in_force(config),
             Err(e) => log::error!("configuration {revision}: {e}"),
@@ -401,9 +415,6 @@
 
     fn patch(&self, revision: u64, difference: &JsonValue) {
         let Some(force) = self.force.borrow().clone() else { return };
-        if force.config.revision >= revision {
-            return;
-        }
         match change::apply(&force.config, difference) {
             Ok(config) => self.put_in_force(config),
             // Who is behind says so with its beat, and gets all of it.
@@ -412,7 +423,7 @@
     }
 
     fn put_in_force(&self, config: Config) {
-        self.acted.set(config.revision);
+        self.currency.act(config.revision);
         self.trail(self.now(), &Trail::Acts { revision: config.revision });
         let named: HashSet<_> = config.routes.iter().map(|r| &r.name).collect();
         self.patience.borrow_mut().retain(|name| named.contains(name));
@@ -423,7 +434,7 @@
         if let Some(before) = before.filter(|before| before.config.services == config.services) {
             let force = Force { table: Table::new(&config), idle: before.idle.clone(), config };
             *self.force.borrow_mut() = Some(Rc::new(force));
-            return self.up(&Note::Acts { revision: self.acted.get(), number: 0 });
+            return self.up(&Note::Acts { revision: self.currency.acted(), number: 0 });
         }
         let stalls = self.desk.borrow().owners().len().max(1);
         let idle = config.services.iter().map(|s| {
@@ -443,7 +454,7 @@
         let force = Force { table: Table::new(&config), idle: Rc::new(idle.collect()), config };
         *self.force.borrow_mut() = Some(Rc::new(force));
         self.desk.borrow_mut().configure(self.now(), specs.into_iter());
-        self.up(&Note::Acts { revision: self.acted.get(), number: 0 });
+        self.up(&Note::Acts { revision: self.currency.acted(), number: 0 });
         // The caller carries out.
     }
 
--- a/tariff/src/config.rs
+++ b/tariff/src/config.rs
@@ -4,6 +4,7 @@
 
 use std::borrow::Cow;
 use std::collections::{HashMap, HashSet};
+use std::fmt::Write;
 
 use compact_str::CompactString;
 use tinyjson::JsonValue;
@@ -180,7 +181,20 @@
     /// The configuration as text, which reads back equal. Fields that were not known are gone.
     #[must_use]
     pub fn to_json(&self) -> String {
-        values::write(&self.to_value())
+        let list = |parts: &mut dyn Iterator<Item = JsonValue>| {
+            let mut out = String::from("[");
+            for (number, part) in parts.enumerate() {
+                out.push_str(if number == 0 { "" } else { "," });
+                values::write_to(&mut out, &part);
+            }
+            out
+        };
+        // As `values::write` has it, without the tree of the whole, which takes ten times as much memory as its text.
+        let mut out = format!(r#"{{"limits":{}"#, values::write(&self.limits.to_value()));
+        let _ = write!(out, r#","revision":{}"#, self.revision);
+        let _ = write!(out, r#","routes":{}]"#, list(&mut self.routes.iter().map(Route::to_value)));
+        let _ = write!(out, r#","services":{}]}}"#, list(&mut self.services.iter().map(Service::to_value)));
+        out
     }
 
     /// A service by its name.
--- a/tariff/src/values.rs
+++ b/tariff/src/values.rs
@@ -57,7 +57,8 @@
     out
 }
 
-fn write_to(out: &mut String, value: &JsonValue) {
+/// Writes a value behind what is there.
+pub(crate) fn write_to(out: &mut String, value: &JsonValue) {
     match value {
         JsonValue::Null => out.push_str("null"),
         JsonValue::Boolean(flag) => out.push_str(if *flag { "true" } else { "false" }),
