The first naming waits 200 ms, not 600, where control is new and no stall owns anything

Where a stall goes by a naming, or control has run for long, it waits as before: there a naming without stalls that still own functions would move what they hold.

--- a/bourse/src/contact.rs
+++ b/bourse/src/contact.rs
@@ -153,6 +153,11 @@
         self.state == State::Lost && self.began.is_some_and(|began| now >= began + self.span)
     }
 
+    /// For how long the process has run.
+    pub fn age(&self, now: Nanos) -> Nanos {
+        self.began.map_or(0, |began| now.saturating_sub(began))
+    }
+
     /// For how long it has held.
     pub fn held_for(&self, now: Nanos) -> Option<Nanos> {
         let State::Holds(since) = self.state else { return None };
--- a/bourse/src/floor.rs
+++ b/bourse/src/floor.rs
@@ -43,6 +43,8 @@
 /// be gone.
 const OVERHEARD: Nanos = 600 * MS;
 const LOOKS: u32 = 3;
+/// A process is new for so long.
+const NEW: Nanos = 5_000 * MS;
 /// What is under way when the process is told to end gets its answer within this.
 const LEAVE: Nanos = 300 * MS;
 
@@ -463,7 +465,8 @@
                 let Some(bounds) = self.platform else { return };
                 let terms = Terms::new(fence, bounds.duty_per_s, bounds.max_lag_ms);
                 let sink = self.sink.as_ref().map(|sink| sink());
-                let steward = Steward::new(now, terms, bounds.rate_per_s, self.feed.config(), sink);
+                let mut steward = Steward::new(now, terms, bounds.rate_per_s, self.feed.config(), sink);
+                steward.control_is_new = self.contact.age(now) < NEW;
                 self.office.seat(steward);
                 self.ledger = Ledger::default();
                 self.know(fence, &self.me.clone());
--- a/bourse/src/steward.rs
+++ b/bourse/src/steward.rs
@@ -20,6 +20,8 @@
 /// The first naming of stalls waits until nobody new was heard for so long, and no longer than this in all.
 const NOBODY_NEW: Nanos = 120 * MS;
 const HEARD_ALL: Nanos = 600 * MS;
+/// ... nor than this where control has just started and no stall goes by a naming: then nobody owns anything, and nothing is served.
+const NONE_OWNS: Nanos = 200 * MS;
 /// Between two namings: what changes together is named together, since each goes to all.
 const NAME_GAP: Nanos = 250 * MS;
 /// A steward that has just taken office names whom it hears of at once, since they have nobody else.
@@ -110,6 +112,8 @@
     /// The average time of a start, by service.
     boots: BTreeMap<CompactString, u32>,
     specs: Vec<ServiceSpec>,
+    /// The process of this control machine has started so lately that all of control may have.
+    pub control_is_new: bool,
     /// Stalls that operators have taken out: they are not named.
     pub rests: BTreeSet<CompactString>,
     floors: Floors,
@@ -225,6 +229,7 @@
             strains: BTreeMap::new(),
             boots: boots(&specs),
             specs,
+            control_is_new: false,
             rests: BTreeSet::new(),
             floors: Floors::default(),
         }
@@ -411,6 +416,14 @@
         self.name(now)
     }
 
+    /// When the first naming is due, unless somebody new is heard before. One that goes without stalls which still own functions makes
+    /// them give up what they hold; where none can own any, waiting only leaves requests unserved.
+    fn first_naming(&self) -> Nanos {
+        let nobody_owns = self.control_is_new && self.split_of == (0, 0);
+        let heard_all = if nobody_owns { NONE_OWNS } else { HEARD_ALL };
+        (self.newest + NOBODY_NEW).min(self.began + heard_all)
+    }
+
     /// The stalls and the functions that are split, where they have changed, for all; and for each whose functions have changed with
     /// that the instances of those that are now its own.
     pub fn name(&mut self, now: Nanos) -> Option<(Note, Told)> {
@@ -421,9 +434,7 @@
             false => NAME_GAP,
         };
         let first = !self.has_named();
-        if first && now < (self.newest + NOBODY_NEW).min(self.began + HEARD_ALL)
-            || !first && now < self.named_at + gap
-        {
+        if first && now < self.first_naming() || !first && now < self.named_at + gap {
             return None;
         }
         for stall in self.stalls.values_mut() {
--- a/bourse/tests/steward.rs
+++ b/bourse/tests/steward.rs
@@ -248,6 +248,25 @@
     assert!(matches!(told(&[], before.digest() + 1, 9), Note::Stalls { .. }));
 }
 
+/// After a loss of all power stalls come one by one for half a second, and nothing is served before they are named.
+#[yare::parameterized(
+    all_is_new = { true, None, 200 },
+    control_has_run_for_long = { false, None, 600 },
+    one_goes_by_a_naming = { true, Some((1, 4)), 600 },
+)]
+fn the_first_naming_waits_less_where_nobody_can_own_anything(is_new: bool, known: Option<Version>, at: u64) {
+    let mut steward = Steward::new(0, Terms::new(2, 100.0, 100), 100.0, Some(&config()), None);
+    steward.control_is_new = is_new;
+    let named = (0..=700).find(|ms| {
+        if ms % 50 == 0 {
+            let split = known.map(|version| (version, &[][..]));
+            steward.note(ms * MS, &alive((ms / 50) as usize, &["z"], split));
+        }
+        steward.name(ms * MS).is_some()
+    });
+    assert_eq!(named, Some(at));
+}
+
 #[test]
 fn many_that_come_within_a_short_span_are_named_together_and_few_at_once() {
     for (many, expected) in [(40, 40), (200, 3)] {
