--- a/arcade/src/auditor.rs
+++ b/arcade/src/auditor.rs
@@ -56,6 +56,8 @@
     table: Rc<Table>,
     sent: Time,
     acked: Option<Time>,
+    /// Control has confirmed it, though its operator may not have heard that.
+    confirmed: bool,
     valid: bool,
 }
 
@@ -115,7 +117,35 @@
     /// An operator sends a version for the first time.
     pub fn offered(&mut self, at: Time, config: &Config, valid: bool) {
         let (revision, digest, table) = (config.revision, config.digest(), Rc::new(Table::new(config)));
-        self.versions.push(Version { revision, digest, table, sent: at, acked: None, valid });
+        self.versions.push(Version {
+            revision,
+            digest,
+            table,
+            sent: at,
+            acked: None,
+            confirmed: false,
+            valid,
+        });
+    }
+
+    /// Control confirms it, whether its operator hears that or not. Where nothing newer can stand, another content under its revision
+    /// was not confirmed before.
+    pub fn confirmed(&mut self, at: Time, revision: u64, digest: u64) {
+        let newer = self.versions.iter().any(|v| v.valid && v.revision > revision && v.sent <= at);
+        let other = |v: &Version| v.valid && v.confirmed && v.revision == revision && v.digest != digest;
+        if !newer && self.versions.iter().any(other) {
+            self.broken("CONFIG", at, format!("two contents are confirmed as revision {revision}"));
+        }
+        let same = |v: &&mut Version| v.revision == revision && v.digest == digest;
+        self.versions.iter_mut().filter(same).for_each(|v| v.confirmed = true);
+    }
+
+    /// Control refuses it for good.
+    pub fn refused(&mut self, at: Time, revision: u64, digest: u64) {
+        let confirmed = |v: &Version| v.confirmed && v.revision == revision && v.digest == digest;
+        if self.versions.iter().any(confirmed) {
+            self.broken("CONFIG", at, format!("revision {revision} is refused after it was confirmed"));
+        }
     }
 
     /// An operator got an answer for it.
--- a/arcade/src/glue/hall.rs
+++ b/arcade/src/glue/hall.rs
@@ -316,6 +316,12 @@
                     self.call_out(to.clone(), said, VOTE, Called::Vote(to, back));
                 }
                 Effect::Ask(call, from, message) => self.hand(from, message, Handed::Other(call)),
+                // A test of the auditor.
+                Effect::Answer(call, reply)
+                    if self.place.plant == Some(Plant::Lenient) && reply.status == StatusCode::CONFLICT =>
+                {
+                    self.outs.push(Out::Reply { call, said: Said::Body(Bytes::from_static(b"{}")) });
+                }
                 Effect::Answer(call, reply) => self.outs.push(Out::Reply { call, said: said(reply) }),
                 Effect::Seat(call, seat, line) => {
                     self.seats.insert(seat, call);
--- a/arcade/src/hunt.rs
+++ b/arcade/src/hunt.rs
@@ -34,13 +34,16 @@
     pub strained: bool,
     /// How fast workers are.
     pub speeds: Speeds,
+    /// Days with more troubles of the control side.
+    pub control: bool,
 }
 
 /// Plays days, each to its first broken rule; `told` of each as it ends, says whether the search goes on.
 pub fn hunt(of: &Search, mut told: impl FnMut(&Report) -> bool) -> Hunted {
     let mut hunted = Hunted { days: 0, events: 0, requests: 0, broken: 0 };
     for day in 0..of.days {
-        let drawn = Plan::draw(of.seed.wrapping_add(day), of.size, of.plant);
+        let draw = if of.control { Plan::draw_control } else { Plan::draw };
+        let drawn = draw(of.seed.wrapping_add(day), of.size, of.plant);
         let plan = Plan { strict: of.strict, strained: of.strained, speeds: of.speeds, ..drawn };
         let report = play(&plan, true, false);
         hunted.days += 1;
--- a/arcade/src/main.rs
+++ b/arcade/src/main.rs
@@ -48,6 +48,9 @@
     /// a guard to take out
     #[argh(option)]
     plant: Option<Plant>,
+    /// days with more troubles of the control side, and longer cuts
+    #[argh(switch)]
+    control: bool,
     /// judge LIMIT while the core is not settled, too
     #[argh(switch)]
     strict: bool,
@@ -99,6 +102,9 @@
     /// a folder for the recordings of all processes, for almanac
     #[argh(option)]
     record: Option<PathBuf>,
+    /// days with more troubles of the control side, and longer cuts
+    #[argh(switch)]
+    control: bool,
     /// judge LIMIT while the core is not settled, too
     #[argh(switch)]
     strict: bool,
@@ -126,6 +132,9 @@
     /// a guard to take out
     #[argh(option)]
     plant: Option<Plant>,
+    /// days with more troubles of the control side, and longer cuts
+    #[argh(switch)]
+    control: bool,
     /// judge LIMIT while the core is not settled, too
     #[argh(switch)]
     strict: bool,
@@ -154,15 +163,16 @@
 
 fn hunt(of: &Hunt) -> ExitCode {
     let begun = Instant::now();
-    let Hunt { days, seed, size, plant, strict, strained, speeds, .. } = *of;
-    let hunted = hunt::hunt(&Search { days, seed, size, plant, strict, strained, speeds }, |report| {
-        log::info!("day {} of {} requests", report.seed, report.requests);
-        let broke = !report.breaches.is_empty();
-        if broke {
-            show(report, of.json);
-        }
-        !(broke && of.first) && of.seconds.is_none_or(|most| begun.elapsed().as_secs() < most)
-    });
+    let Hunt { days, seed, size, plant, strict, strained, speeds, control, .. } = *of;
+    let hunted =
+        hunt::hunt(&Search { days, seed, size, plant, strict, strained, speeds, control }, |report| {
+            log::info!("day {} of {} requests", report.seed, report.requests);
+            let broke = !report.breaches.is_empty();
+            if broke {
+                show(report, of.json);
+            }
+            !(broke && of.first) && of.seconds.is_none_or(|most| begun.elapsed().as_secs() < most)
+        });
     let per_minute = hunted.days as f64 / begun.elapsed().as_secs_f64().max(1e-9) * 60.0;
     let (days, events, requests, broken) = (hunted.days, hunted.events, hunted.requests, hunted.broken);
     if of.json {
@@ -185,9 +195,14 @@
     ExitCode::from(2)
 }
 
+/// The day of this seed, with more troubles of the control side or not.
+fn drawn(control: bool, seed: u64, size: Size, plant: Option<Plant>) -> Plan {
+    if control { Plan::draw_control(seed, size, plant) } else { Plan::draw(seed, size, plant) }
+}
+
 fn day(of: &Day) -> ExitCode {
     let mut plan =
-        if of.quiet { Plan::quiet(of.seed, of.size) } else { Plan::draw(of.seed, of.size, of.plant) };
+        if of.quiet { Plan::quiet(of.seed, of.size) } else { drawn(of.control, of.seed, of.size, of.plant) };
     (plan.plant, plan.strict, plan.part) = (of.plant, of.strict, of.part);
     (plan.strained, plan.speeds) = (of.strained, of.speeds);
     if of.open {
@@ -232,7 +247,7 @@
         strict: of.strict,
         strained: of.strained,
         speeds: of.speeds,
-        ..Plan::draw(of.seed, of.size, of.plant)
+        ..drawn(of.control, of.seed, of.size, of.plant)
     };
     match hunt::shrink(&whole, |line| log::info!("{line}")) {
         None => {
--- a/arcade/src/plan.rs
+++ b/arcade/src/plan.rs
@@ -82,6 +82,20 @@
     ServiceDrop,
     /// So many changes of the configuration in a row.
     ConfigStorm { count: usize, every: Time },
+    /// This part of the answers to operators is lost; they send the same again, to other machines first.
+    AckLost { share: f64, lasts: Time },
+    /// So many operators send as many contents under one revision at once.
+    ConfigRaceOf { count: usize },
+    /// The configuration that was acknowledged last is sent once more.
+    SentAgain,
+    /// Another content is sent under the revision that was acknowledged last.
+    SameRevision,
+    /// The core machine that acknowledges next is gone right after it: killed, or without power.
+    AfterAckKill { power: bool, lasts: Time },
+    /// The core is cut in two halves; all others reach both.
+    CoreSplit { lasts: Time },
+    /// An edge machine is cut off from the core.
+    NodeCut { lasts: Time },
 }
 
 impl What {
@@ -113,6 +127,13 @@
             What::Drain { .. } => "drain",
             What::ServiceDrop => "service_drop",
             What::ConfigStorm { .. } => "config_storm",
+            What::AckLost { .. } => "ack_lost",
+            What::ConfigRaceOf { .. } => "config_race",
+            What::SentAgain => "sent_again",
+            What::SameRevision => "bad_config same_version",
+            What::AfterAckKill { .. } => "after_ack_kill",
+            What::CoreSplit { .. } => "core_cut split",
+            What::NodeCut { .. } => "node_cut",
         }
     }
 }
@@ -209,6 +230,21 @@
         }
     }
 
+    /// The same day with four to nine further troubles of its control side, and cuts that last for up to 20 s.
+    pub fn draw_control(seed: u64, size: Size, plant: Option<Plant>) -> Self {
+        let mut plan = Self::draw(seed, size, plant);
+        let site = Site::new(size);
+        let mut chance = Chance::new(seed ^ 0xc047_801);
+        for _ in 0..4 + chance.below(6) {
+            let at = chance.between(site.lead / 2, site.lead + site.length - SECOND);
+            let lasts = chance.between(800 * MS, 8_000 * MS);
+            let what = drawn_control(&mut chance, lasts);
+            plan.troubles.push(Trouble { at, what, dice: chance.seed() });
+        }
+        plan.troubles.sort_by_key(|t| t.at);
+        plan
+    }
+
     /// A day without any trouble.
     pub fn quiet(seed: u64, size: Size) -> Self {
         Plan {
@@ -265,3 +301,19 @@
         _ => What::ConfigStorm { count: 4 + (share * 8.0) as usize, every: chance.between(5 * MS, 250 * MS) },
     }
 }
+
+/// Troubles of the control side, as they meet there on its worst days.
+fn drawn_control(chance: &mut Chance, lasts: Time) -> What {
+    let flag = chance.one(0.5);
+    match chance.below(12) {
+        0 | 1 => What::AckLost { share: 0.7, lasts },
+        2 | 3 => What::ConfigRaceOf { count: 2 + chance.below(7) },
+        4 => What::SentAgain,
+        5 => What::SameRevision,
+        6 | 7 => What::AfterAckKill { power: flag, lasts: lasts / 3 },
+        8 => What::CoreSplit { lasts },
+        9 => What::NodeCut { lasts },
+        10 => What::CoreCut { count: 1, from: From::All, lasts: 20 * SECOND },
+        _ => What::NodeTerm { core: true },
+    }
+}
--- a/arcade/src/plant.rs
+++ b/arcade/src/plant.rs
@@ -37,10 +37,12 @@
     Hurried,
     /// A stall turns some proper requests down.
     Surly,
+    /// Control confirms whatever comes under a revision that stands.
+    Lenient,
 }
 
 /// Every one, by its name.
-pub const ALL: [(&str, Plant); 15] = [
+pub const ALL: [(&str, Plant); 16] = [
     ("repeated", Plant::Repeated),
     ("promised", Plant::Promised),
     ("crowded", Plant::Crowded),
@@ -56,6 +58,7 @@
     ("unsealed", Plant::Unsealed),
     ("hurried", Plant::Hurried),
     ("surly", Plant::Surly),
+    ("lenient", Plant::Lenient),
 ];
 
 /// No such guard.
--- a/arcade/src/world/mod.rs
+++ b/arcade/src/world/mod.rs
@@ -154,6 +154,8 @@
     /// Cut off from other core machines, and what it sends, until then.
     cut_core: Time,
     cut_out: Time,
+    /// Its half of the core, and until when the halves don't reach each other.
+    half: (usize, Time),
     /// Until then what is sent to it takes so much longer.
     lag: (Time, Time),
     stall: Option<Stall>,
@@ -242,6 +244,12 @@
     lost_share: (f64, Time),
     garbled_share: (f64, Time),
     wipe_next: Option<Time>,
+    /// The core machine that acknowledges next is gone, without power or not, for so long.
+    kill_next: Option<(bool, Time)>,
+    /// This part of the answers to operators is lost, until then.
+    lost_acks: (f64, Time),
+    /// The newest configuration that an operator knows to be acknowledged.
+    last_acked: Option<millpost_tariff::Config>,
     wiped_at: Option<Time>,
     closed: Option<(Time, Time)>,
     calm: Calm,
@@ -273,6 +281,7 @@
             cut: 0,
             cut_core: 0,
             cut_out: 0,
+            half: (0, 0),
             lag: (0, 0),
             stall: None,
             porter: None,
@@ -352,6 +361,9 @@
             lost_share: (0.0, 0),
             garbled_share: (0.0, 0),
             wipe_next: None,
+            kill_next: None,
+            lost_acks: (0.0, 0),
+            last_acked: None,
             wiped_at: None,
             closed: None,
             trace: trace.then(Vec::new),
--- a/arcade/src/world/net.rs
+++ b/arcade/src/world/net.rs
@@ -224,6 +224,14 @@
         let core = ends().filter(|m| m.core).count() == 2;
         let cut = ends().map(|m| if core { m.cut.max(m.cut_core) } else { m.cut }).max().unwrap_or(0);
         let cut = cut.max(from.map_or(0, |at| self.machines[at].cut_out));
+        let halves: Vec<_> = ends().filter(|m| m.core).map(|m| m.half).collect();
+        let cut = match halves.as_slice() {
+            [(one, until), (other, _)] if one != other => cut.max(*until),
+            _ => cut,
+        };
+        // An edge machine that is cut off from the core reaches its kind and its clients.
+        let edge_cut = ends().filter(|m| !m.core).map(|m| m.cut_core).max().unwrap_or(0);
+        let cut = if ends().any(|m| m.core) { cut.max(edge_cut) } else { cut };
         let operator = from.is_none() && to.is_some() || to.is_none() && from.is_some();
         // What is sent into a cut waits for its end; the operator reaches both sides.
         if cut > now && !operator { cut + base + there - now } else { there }
--- a/arcade/src/world/operator.rs
+++ b/arcade/src/world/operator.rs
@@ -138,6 +138,31 @@
         self.put(config, true, probes, closes, now, machine);
     }
 
+    /// So many contents under one revision, each from an operator of its own.
+    pub(super) fn config_race_of(&mut self, count: usize) {
+        let changes: Vec<_> = (0..count).map(|_| self.change()).collect();
+        let number = changes.iter().map(|(config, _)| config.revision).max().unwrap_or(0);
+        for (place, (mut config, probes)) in changes.into_iter().enumerate() {
+            config.revision = number;
+            if place == 0 {
+                self.model = config.clone();
+            }
+            let machine = self.core();
+            let at = self.now + self.chance.between(0, 30 * MS);
+            self.put(config, true, if place == 0 { probes } else { Vec::new() }, false, at, machine);
+        }
+    }
+
+    /// What was acknowledged last is sent once more; with `other` another content under its revision.
+    pub(super) fn send_again(&mut self, other: bool) {
+        let Some(mut config) = self.last_acked.clone() else { return };
+        if other && let Some(route) = config.routes.first_mut() {
+            route.deadline_ms += 7;
+        }
+        let (machine, now) = (self.core(), self.now);
+        self.put(config, true, Vec::new(), false, now, machine);
+    }
+
     pub(super) fn config_race(&mut self) {
         let (mut one, probes) = self.change();
         let (mut two, _) = self.change();
@@ -246,6 +271,7 @@
 
     pub(super) fn operator_hears(&mut self, at: usize, said: Option<Said>) {
         let now = self.now;
+        let said = self.answer_arrives(at, said);
         let Some(order) = self.orders.get_mut(at).filter(|o| !o.done) else { return };
         let (machine, tries) = (order.machine, order.tries);
         match (&order.what, said) {
@@ -254,6 +280,9 @@
                 let (revision, digest, closes) = (config.revision, *digest, order.closes);
                 let probed = !probes.is_empty();
                 self.auditor.acknowledged(now, revision, digest);
+                if order_is_newest(&self.last_acked, config_of(&self.orders[at])) {
+                    self.last_acked = config_of(&self.orders[at]).cloned();
+                }
                 self.note(|| format!("revision {revision} is acknowledged by machine {machine}"));
                 self.acknowledged_by(machine);
                 self.at(now + MS, Event::Over(Over::Force(at)));
@@ -271,6 +300,13 @@
                 order.done = true;
                 return;
             }
+            (Task::Put { config, digest, .. }, Some(Said::Refused(409))) => {
+                order.done = true;
+                let (revision, digest) = (config.revision, *digest);
+                self.note(|| format!("revision {revision} is refused by machine {machine}"));
+                self.auditor.refused(now, revision, digest);
+                return;
+            }
             (Task::Drain(text), Some(answer @ (Said::Body(_) | Said::Refused(422)))) => {
                 order.done = true;
                 let (text, done) = (Arc::clone(text), matches!(answer, Said::Body(_)));
@@ -294,6 +330,24 @@
         self.at(now + pause, Event::Order(at));
     }
 
+    /// What control has said, and whether it arrives: on some days confirmations are lost on their way.
+    fn answer_arrives(&mut self, at: usize, said: Option<Said>) -> Option<Said> {
+        let now = self.now;
+        let order = self.orders.get(at).filter(|o| !o.done)?;
+        let (Task::Put { config, digest, .. }, Some(Said::Body(_))) = (&order.what, &said) else {
+            return said;
+        };
+        self.auditor.confirmed(now, config.revision, *digest);
+        let (share, until) = self.lost_acks;
+        if until <= now || !self.chance.one(share) {
+            return said;
+        }
+        let (revision, machine) = (config.revision, order.machine);
+        self.note(|| format!("machine {machine} confirms revision {revision}, and nobody hears it"));
+        self.acknowledged_by(machine);
+        None
+    }
+
     pub(super) fn over(&mut self, what: Over) {
         let now = self.now;
         match what {
@@ -335,3 +389,15 @@
         }
     }
 }
+
+fn config_of(order: &Order) -> Option<&Config> {
+    match &order.what {
+        Task::Put { config, .. } if order.valid => Some(config),
+        _ => None,
+    }
+}
+
+fn order_is_newest(last: &Option<Config>, config: Option<&Config>) -> bool {
+    let revision = |config: &Config| config.revision;
+    config.is_some() && config.map(revision) > last.as_ref().map(revision)
+}
--- a/arcade/src/world/trouble.rs
+++ b/arcade/src/world/trouble.rs
@@ -74,6 +74,25 @@
                 self.config_change(false);
             }
             What::ConfigRace => self.config_race(),
+            What::ConfigRaceOf { count } => self.config_race_of(count),
+            What::SentAgain => self.send_again(false),
+            What::SameRevision => self.send_again(true),
+            What::AckLost { share, lasts } => self.lost_acks = (share, now + lasts),
+            What::AfterAckKill { power, lasts } => {
+                self.kill_next = Some((power, lasts));
+                self.config_change(false);
+            }
+            What::CoreSplit { lasts } => {
+                for (place, at) in cores.iter().enumerate() {
+                    self.machines[*at].half = (place * 2 / cores.len(), now + lasts);
+                    self.hit(*at, now + lasts);
+                }
+            }
+            What::NodeCut { lasts } => {
+                let machine = one(&mut dice, false);
+                self.machines[machine].cut_core = now + lasts;
+                self.hit(machine, now + lasts);
+            }
             What::ConfigChange => self.config_change(false),
             What::BadConfig => self.bad_config(),
             What::AnswerLost { share, lasts } => {
@@ -277,6 +296,11 @@
 
     /// A control machine has just acknowledged: some days it loses its disk now.
     pub(super) fn acknowledged_by(&mut self, machine: usize) {
+        if let Some((power, lasts)) = self.kill_next.take()
+            && self.machines[machine].powered
+        {
+            self.kill(machine, power, if power { lasts } else { RESTART });
+        }
         let Some(lasts) = self.wipe_next.take() else { return };
         let now = self.now;
         // No more disks at once than may be lost.
--- a/arcade/tests/rules.rs
+++ b/arcade/tests/rules.rs
@@ -27,6 +27,9 @@
         Plant::Hurried => {
             (8..24).fold(quiet, |plan, at| plan.with(at * SECOND, What::NodeTerm { core: false }))
         }
+        Plant::Lenient => {
+            (8..20).fold(quiet, |plan, at| plan.with(at * SECOND, What::ConfigRaceOf { count: 8 }))
+        }
         Plant::Surly | Plant::Crowded | Plant::Unexpected | Plant::Renamed => quiet,
     };
     Plan { plant: Some(plant), ..plan }
@@ -47,6 +50,7 @@
     mixed = { Plant::Unsealed, "MIXED" },
     lost_request = { Plant::Hurried, "LOST" },
     denied = { Plant::Surly, "DENIED" },
+    two_contents = { Plant::Lenient, "CONFIG" },
 )]
 fn a_rule_breaks_without_its_guard_and_holds_with_it(plant: Plant, rule: &str) {
     let mut seeds = 1..40;
@@ -66,6 +70,34 @@
     }
 }
 
+/// Confirmations that nobody hears, races of many, cuts of 20 s, halves, who acknowledged is gone.
+#[test]
+fn the_worst_days_of_control_break_none() {
+    for seed in 1_300..1_312 {
+        let report = play(&Plan::draw_control(seed, Size::Small, None), false, false);
+        assert_eq!(report.breaches, [], "seed {seed}");
+    }
+}
+
+/// What was confirmed is confirmed again, another content under its revision is refused, and what no operator heard is sent again.
+#[test]
+fn orders_that_come_again_are_answered_by_what_stands() {
+    let mut refused = 0;
+    for seed in 1..6 {
+        let day = Plan::quiet(seed, Size::Small)
+            .with(7 * SECOND, What::ConfigChange)
+            .with(9 * SECOND, What::SameRevision)
+            .with(10 * SECOND, What::SentAgain)
+            .with(11 * SECOND, What::AckLost { share: 0.7, lasts: 8 * SECOND })
+            .with(12 * SECOND, What::ConfigChange)
+            .with(15 * SECOND, What::AfterAckKill { power: true, lasts: SECOND });
+        let report = play(&day, false, true);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        refused += report.trace.iter().filter(|line| line.contains("is refused by machine")).count();
+    }
+    assert_eq!(refused, 5);
+}
+
 #[test]
 fn the_same_seed_is_the_same_day() {
     let plan = Plan::draw(17, Size::Small, None);
