--- a/broker/tests/handover.rs
+++ b/broker/tests/handover.rs
@@ -485,14 +485,27 @@
     assert_eq!(town.desks[&third].broker().permits().count(), 4);
 }
 
+/// In which order the asker and the new owner hear of one ask's grant by the owner of before.
+#[derive(Clone, Copy, PartialEq)]
+enum Order {
+    /// The old owner's word comes to the new one before the ask does.
+    WordFirst,
+    AskFirst,
+    /// The new owner grants it elsewhere before it hears, and the asker hears of the old grant first.
+    TwiceOldFirst,
+    /// Likewise, and it hears of the new one first.
+    TwiceNewFirst,
+}
+
 /// The grant of the owner of before is on its way while the ask goes to the owner of now, which hears of the permit and of the ask.
 /// It granted the ask a second time, and the first one's return freed the slot that was used.
 #[yare::parameterized(
-    its_word_first = { true, false },
-    the_ask_first = { false, false },
-    granted_twice_and_the_old_one_comes_first = { false, true },
+    its_word_first = { Order::WordFirst },
+    the_ask_first = { Order::AskFirst },
+    granted_twice_and_the_old_one_comes_first = { Order::TwiceOldFirst },
+    granted_twice_and_the_new_one_comes_first = { Order::TwiceNewFirst },
 )]
-fn an_ask_uses_one_grant_and_its_slot_is_freed_once(word_first: bool, granted_twice: bool) {
+fn an_ask_uses_one_grant_and_its_slot_is_freed_once(order: Order) {
     let [_, (two, first), (three, second)] = three_owners();
     let mut town = Town::new(&ALL);
     let names: Vec<_> = ALL.iter().map(|n| format!("edge-{n}")).collect();
@@ -503,23 +516,29 @@
     town.ask(now, &asker);
     town.post(now, &[&asker]);
     let grant = town.mail.pop().expect("a grant on its way");
-    assert!(matches!(grant.2, Note::Grant { .. }));
+    let Note::Grant { instance: old, .. } = grant.2.clone() else { panic!("{grant:?}") };
     for name in [&asker, &first, &second] {
         town.with(now, name, |desk| desk.told(now, stalls(3, &three, false)));
     }
-    town.mail.sort_by_key(|(from, ..)| (*from == first) != word_first);
-    // The new owner may give what it found only once it has heard, or has waited; its own grant then comes after the first one's.
+    town.mail.sort_by_key(|(from, ..)| (*from == first) != (order == Order::WordFirst));
     let now = now + 10 * MS;
-    if granted_twice {
+    if matches!(order, Order::TwiceOldFirst | Order::TwiceNewFirst) {
         let word = town.mail.iter().position(|(from, ..)| *from == first).expect("its word");
         let word = town.mail.remove(word);
+        // It knows all instances but that one, so that it grants another.
+        let Note::Instances { set, .. } = instances(2) else { panic!("instances") };
+        let but: Vec<_> = set.iter().filter(|i| i.id != old).cloned().collect();
+        let whole = |version, set| Note::Instances { version: (1, version), all: true, set, gone: vec![] };
+        town.with(now, &second, |desk| desk.told(now, whole(3, but)));
         town.post(now, &[&asker]);
         for step in 0..80 {
             let now = now + step * 25 * MS;
             town.with(now, &second, |desk| desk.tick(now));
         }
+        town.with(now, &second, |desk| desk.told(now, whole(4, set)));
         assert!(town.mail.iter().any(|(_, _, note)| matches!(note, Note::Grant { .. })));
-        town.mail.insert(0, grant);
+        let place = if order == Order::TwiceOldFirst { 0 } else { town.mail.len() };
+        town.mail.insert(place, grant);
         town.mail.push(word);
     } else {
         town.post(now, &[]);
@@ -528,6 +547,7 @@
     town.post(now + 2 * SECOND, &[]);
     let used: Vec<_> = town.granted.iter().map(|(.., instance)| instance.clone()).collect();
     assert_eq!(used.len(), 1, "one grant is used");
+    assert_eq!(used[0] == old, order != Order::TwiceNewFirst);
     let out: Vec<_> =
         town.desks[&second].broker().permits().map(|(.., instance)| instance.to_owned()).collect();
     assert_eq!(out, used, "and that one is counted");
