--- a/bourse/tests/town/mod.rs
+++ b/bourse/tests/town/mod.rs
@@ -101,9 +101,8 @@
 impl Town {
     /// So many voters, and machines beside them that start with nothing.
     pub fn new(voters: usize, spares: usize) -> Self {
-        let mut town = Town::default();
-        town.seeds = (0..voters).map(address).collect();
-        let seeds = town.seeds.clone();
+        let seeds: Vec<_> = (0..voters).map(address).collect();
+        let mut town = Town { seeds: seeds.clone(), ..Town::default() };
         for n in 0..voters + spares {
             let mut voter = Voter::open(address(n), [], seeds.clone(), 1, 0).expect("empty");
             let mut disk = BTreeMap::new();
