A refusal of another request proves nothing of this one; early answers are passed on at once

A late 421 or X-Not-Executed that names another try was taken as the proof that this one had not run, so that one that may run once could have been sent twice; now an answer counts only for the try that it names. After an answer that came before the body was read, the client waited until the endpoint read on, and the connection was kept while the rest was still being written, so that the watch of written bytes would have counted it to the next request; now it is closed. Tests for both.

--- a/stall/src/pool.rs
+++ b/stall/src/pool.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response, StatusCode};
 use millpost_barrow::link::{Error, Link, Options};
 use millpost_broker::Outcome;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Answers are kept whole before they are passed on, up to this.
 const LONGEST_BODY: usize = 8 << 20;
@@ -24,6 +24,8 @@
 const IDLE: Duration = Duration::from_secs(4);
 /// A connection that was used so lately has not been given up since.
 const JUST_USED: Duration = Duration::from_millis(50);
+/// After an answer its connection can carry another request within this, or is closed.
+const REST: Duration = Duration::from_millis(20);
 /// Idle connections in all.
 const MOST: usize = 1_500;
 
@@ -182,7 +184,9 @@
                 return Exchange::of(outcome, true);
             }
             let within = idle_for(&head.headers);
-            if sized && link.rested().await {
+            // An endpoint may answer before it has read a long body, and read on later: its client does not wait for that, and what
+            // is written of the next request could not be told from what is left of this one.
+            if sized && link.all_written() && matches!(timeout(REST, link.rested()).await, Ok(true)) {
                 self.keep(instance, link, within, most);
             }
             let sent = true;
@@ -209,13 +213,18 @@
 
 /// What an answer means. One that belongs to another request, or is no endpoint's, is none.
 fn judge(request: &Request<Bytes>, status: StatusCode, headers: &HeaderMap, sized: bool) -> Outcome {
+    let (asked, named) = (request.headers().get(ATTEMPT), headers.get(ATTEMPT));
+    // A late answer to another request proves nothing of this one, whatever it says: this one may run yet.
+    if named.is_some() && named != asked {
+        return Outcome::NoAnswer;
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::Elsewhere;
     }
     if headers.contains_key(NOT_RUN) {
         return Outcome::Full;
     }
-    if headers.get(ATTEMPT) != request.headers().get(ATTEMPT) {
+    if named != asked {
         return Outcome::NoAnswer;
     }
     if status.is_success() {
@@ -235,3 +244,70 @@
     // It closes by its own clock, and its word is in whole seconds.
     told.map_or(IDLE, |s| Duration::from_millis((s.min(3_600) * 1_000).saturating_sub(300)))
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    use super::*;
+
+    fn request(body: usize) -> Request<Bytes> {
+        let request = Request::post("/a").header("host", "h").header(ATTEMPT, "mine");
+        request.body(Bytes::from(vec![b'x'; body])).expect("a request")
+    }
+
+    /// Status, headers, whether its length is known.
+    #[yare::parameterized(
+        success = { 200, &[("x-attempt-id", "mine"), ("x-endpoint-seal", "s")], true, Outcome::Answered },
+        of_another_request = { 200, &[("x-attempt-id", "other"), ("x-endpoint-seal", "s")], true, Outcome::NoAnswer },
+        of_none = { 200, &[("x-endpoint-seal", "s")], true, Outcome::NoAnswer },
+        without_a_seal = { 200, &[("x-attempt-id", "mine")], true, Outcome::NoAnswer },
+        without_an_end = { 200, &[("x-attempt-id", "mine"), ("x-endpoint-seal", "s")], false, Outcome::NoAnswer },
+        failure = { 500, &[("x-attempt-id", "mine")], true, Outcome::Failed },
+        turned_away = { 503, &[("x-attempt-id", "mine"), ("x-not-executed", "1")], true, Outcome::Full },
+        another_was_turned_away = { 503, &[("x-attempt-id", "other"), ("x-not-executed", "1")], true, Outcome::NoAnswer },
+        elsewhere = { 421, &[("x-attempt-id", "mine")], true, Outcome::Elsewhere },
+        another_was_elsewhere = { 421, &[("x-attempt-id", "other")], true, Outcome::NoAnswer },
+        a_promise_of_nobody = { 503, &[("x-attempt-id", "mine")], true, Outcome::NoAnswer },
+    )]
+    fn an_answer_counts_for_the_request_that_it_names(
+        status: u16,
+        headers: &[(&'static str, &'static str)],
+        sized: bool,
+        expected: Outcome,
+    ) {
+        let mut all = HeaderMap::new();
+        headers.iter().for_each(|(name, value)| {
+            all.insert(*name, value.parse().expect("a value"));
+        });
+        let status = StatusCode::from_u16(status).expect("a status");
+        assert_eq!(judge(&request(0), status, &all, sized), expected);
+    }
+
+    /// It answers once it has read the head, and never reads on: its answer is passed on, and no other request goes that way.
+    #[tokio::test]
+    async fn an_answer_before_the_body_is_read_is_passed_on_at_once_and_ends_the_connection() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let endpoint = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                head.push(stream.read_u8().await.expect("a head"));
+            }
+            let answer =
+                b"HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-endpoint-seal: s\r\ncontent-length: 2\r\n\r\nok";
+            stream.write_all(answer).await.expect("sent");
+            std::future::pending::<()>().await;
+        });
+        let pool = Pool::default();
+        let request = request(32 << 20);
+        let deadline = Instant::now() + Duration::from_secs(60);
+        let call = Call { request: &request, once: true, deadline, until: None, most: 1 };
+        let done = pool.exchange(&"i".into(), address, call).await;
+        assert_eq!(done.outcome, Outcome::Answered);
+        assert!(pool.idle.borrow().is_empty());
+        endpoint.abort();
+    }
+}
