--- a/bourse/src/floor.rs
+++ b/bourse/src/floor.rs
@@ -21,7 +21,6 @@
 use millpost_tariff::{Config, Settings, change};
 use tinyjson::JsonValue;
 
-use crate::clerk::{self, Clerk, For};
 use crate::contact::{Answered, Contact};
 use crate::feed::{BEAT, Feed, Seat};
 use crate::floor::carts::Carts;
@@ -31,6 +30,7 @@
 use crate::ledger::Ledger;
 use crate::office::{Done, Errand, Heard, Next, Office, Want};
 use crate::orders::Orders;
+use crate::rounds::{self, For, Rounds};
 use crate::steward::{Steward, Told};
 use crate::voters::{Todo, Voters};
 use crate::{MS, Nanos};
@@ -179,7 +179,7 @@
     sink: Option<Box<dyn Fn() -> Sink>>,
     voting: bool,
     contact: Contact,
-    clerk: Clerk,
+    rounds: Rounds,
     office: Office,
     herald: Herald,
     voters: Voters,
@@ -216,7 +216,7 @@
             sink,
             voting: false,
             contact: Contact::new(me.clone(), apply / 2),
-            clerk: Clerk::new(&me, life, seed),
+            rounds: Rounds::new(&me, life, seed),
             office: Office::new(me.clone(), life, seed),
             herald: Herald::new(me.clone()),
             voters: Voters::default(),
@@ -243,7 +243,7 @@
 
     /// When to call [`Floor::tick`] next, at the latest.
     pub fn wake(&self, now: Nanos) -> Nanos {
-        let due = self.clerk.next_wake().min(self.office.next_wake()).min(now + LONGEST_WAIT);
+        let due = self.rounds.next_wake().min(self.office.next_wake()).min(now + LONGEST_WAIT);
         due.min(self.herald.due()).min(self.waiting.due()).min(self.over.unwrap_or(Nanos::MAX)).max(now + MS)
     }
 
@@ -259,7 +259,7 @@
 
     /// Rounds of the register that are under way.
     pub fn under_way(&self) -> usize {
-        self.clerk.under_way()
+        self.rounds.under_way()
     }
 
     /// Something happened.
@@ -277,13 +277,13 @@
             }
             Input::Copy(out) => self.vote(out, Back::Voter),
             Input::Answer(id, from, message) => {
-                let out = self.clerk.on_answer(now, id, &from, &message);
+                let out = self.rounds.on_answer(now, id, &from, &message);
                 self.rounds(now, out);
             }
             Input::Lease(from, message) => {
                 let out = self.office.on_lease(now, &from, &message);
                 if let Some(members) = self.office.members() {
-                    self.clerk.adopt(members);
+                    self.rounds.adopt(members);
                 }
                 self.vote(out, Back::Lease);
             }
@@ -325,7 +325,7 @@
 
     /// Time passes.
     pub fn tick(&mut self, now: Nanos) {
-        let out = self.clerk.tick(now);
+        let out = self.rounds.tick(now);
         self.rounds(now, out);
         self.look_at_contact(now);
         self.lease(now);
@@ -341,7 +341,7 @@
             let lines = self.feed.late(now);
             self.lines(lines);
         }
-        if self.herald.chosen().is_none() && self.clerk.members().is_some() && now >= self.learn_at {
+        if self.herald.chosen().is_none() && self.rounds.members().is_some() && now >= self.learn_at {
             self.learn_at = now + LEARN;
             self.round(now, RoundKind::Read, Key::Config, For::Learn);
         }
@@ -372,18 +372,18 @@
     }
 
     fn adopt(&mut self, members: &Members) {
-        self.clerk.adopt(members);
+        self.rounds.adopt(members);
         self.office.adopt(members);
     }
 
     fn round(&mut self, now: Nanos, kind: RoundKind, key: Key, to: For) {
-        let out = self.clerk.round(now, kind, key, to);
+        let out = self.rounds.round(now, kind, key, to);
         self.rounds(now, out);
     }
 
-    /// What the clerk wants done.
-    fn rounds(&mut self, now: Nanos, out: clerk::Out) {
-        if let Some(members) = self.clerk.members() {
+    /// What the rounds want done.
+    fn rounds(&mut self, now: Nanos, out: rounds::Out) {
+        if let Some(members) = self.rounds.members() {
             self.office.adopt(members);
         }
         let vote = |(id, to, message)| Effect::Vote(to, message, Back::Round(id));
@@ -393,7 +393,7 @@
         }
     }
 
-    fn ended(&mut self, now: Nanos, clerk::Ended { to, outcome }: clerk::Ended) {
+    fn ended(&mut self, now: Nanos, rounds::Ended { to, outcome }: rounds::Ended) {
         let value = |outcome| match outcome {
             Outcome::Written(value) => Some(value),
             Outcome::Found(value) | Outcome::Held(value) => value,
@@ -478,7 +478,7 @@
 
     /// Whether a majority is reached, and who may follow by that.
     fn look_at_contact(&mut self, now: Nanos) {
-        if let Some(read) = self.contact.look(now, self.clerk.members(), self.voting) {
+        if let Some(read) = self.contact.look(now, self.rounds.members(), self.voting) {
             self.round(now, RoundKind::Read, Key::Config, For::Confirm(read));
         }
         self.admit(now);
@@ -558,7 +558,7 @@
     /// Tells the other control machines what is known here.
     fn news(&mut self, now: Nanos) {
         let standing = herald::Standing { voting: self.voting, leaving: self.over.is_some() };
-        let (to, news) = self.herald.tell(now, &self.seeds, self.clerk.members(), standing);
+        let (to, news) = self.herald.tell(now, &self.seeds, self.rounds.members(), standing);
         let mut news = news.to_json();
         let outs = self.outs.drains().news(now);
         if let (JsonValue::Object(parts), JsonValue::Object(_)) = (&mut news, &outs) {
@@ -571,10 +571,10 @@
     fn lease(&mut self, now: Nanos) {
         // Without a platform there is nothing to start or to poll, and nobody is the steward.
         let stands = self.voting && self.platform.is_some();
-        let (out, want) = self.office.tick(now, self.clerk.members(), stands);
+        let (out, want) = self.office.tick(now, self.rounds.members(), stands);
         self.vote(out, Back::Lease);
         match want {
-            Some(Want::Last) if !self.clerk.at_work_for(For::Last) => {
+            Some(Want::Last) if !self.rounds.at_work_for(For::Last) => {
                 self.round(now, RoundKind::Read, Key::Steward, For::Last);
             }
             Some(Want::Fence) => self.round(now, RoundKind::Read, Key::Steward, For::Fence),
@@ -605,14 +605,14 @@
     }
 
     fn look_after_voters(&mut self, now: Nanos) {
-        if self.clerk.at_work_for(For::Voters) {
+        if self.rounds.at_work_for(For::Voters) {
             return;
         }
-        let Some(members) = self.clerk.members() else { return };
+        let Some(members) = self.rounds.members() else { return };
         let todo = self.voters.look(now, &self.me, members, self.herald.others(), self.losses);
         let out = match todo {
-            Some(Todo::End) => self.clerk.change(now, None),
-            Some(Todo::Make(change)) => self.clerk.change(now, Some(change)),
+            Some(Todo::End) => self.rounds.change(now, None),
+            Some(Todo::Make(change)) => self.rounds.change(now, Some(change)),
             None => return,
         };
         self.rounds(now, out);
--- a/bourse/src/floor/carts.rs
+++ b/bourse/src/floor/carts.rs
@@ -13,8 +13,8 @@
 use percent_encoding::percent_decode_str;
 
 use super::{Floor, counter};
-use crate::clerk::For;
 use crate::errors::Kind;
+use crate::rounds::For;
 use crate::{MS, Nanos};
 
 /// What is seen is told this often while a move is open.
--- a/bourse/src/floor/counter.rs
+++ b/bourse/src/floor/counter.rs
@@ -15,10 +15,10 @@
 
 use super::{Effect, Floor, carts};
 use crate::calls::{What, what};
-use crate::clerk::For;
 use crate::contact::Answered;
 use crate::errors::Kind;
 use crate::herald::News;
+use crate::rounds::For;
 use crate::{MS, Nanos};
 
 /// The longest configuration.
@@ -137,7 +137,7 @@
     /// A steward has much to do: another voter, which has answered just now, reads what is long.
     fn other_voter(&self, now: Nanos) -> Option<&Address> {
         self.office.steward()?;
-        let members = self.clerk.members()?;
+        let members = self.rounds.members()?;
         let hears = |a: &Address| self.contact.asked(a).is_some_and(|sent| sent + FRESH > now);
         let votes = |a: &Address| self.herald.others().get(a).is_some_and(|s| s.voting);
         let fresh = |a: &&Address| hears(a) && votes(a);
@@ -182,7 +182,7 @@
         if !self.contact.reaches() {
             self.herald.hasten(now);
         }
-        let epoch = self.clerk.members().map_or(0, |members| members.epoch);
+        let epoch = self.rounds.members().map_or(0, |members| members.epoch);
         Ok(Reply::json(StatusCode::OK, Answered::body(epoch, self.voting)))
     }
 
@@ -234,7 +234,7 @@
         let number = |n: u64| JsonValue::Number(n as f64);
         let strings = |all: &[Address]| JsonValue::Array(all.iter().map(|a| text(a)).collect());
         let followers = self.feed.followers().map(|(name, acts)| (name.to_string(), number(acts))).collect();
-        let members = self.clerk.members();
+        let members = self.rounds.members();
         let voters = members.map_or(JsonValue::Null, |m| strings(&m.voters));
         let next = members.and_then(|m| m.next.as_deref()).map_or(JsonValue::Null, strings);
         let ago = |heard: Nanos| number(now.saturating_sub(heard) / MS);
--- a/bourse/src/lib.rs
+++ b/bourse/src/lib.rs
@@ -2,14 +2,13 @@
 //! to do, so that an emulator can drive it like the daemon does.
 //!
 //! - [`floor`]: the sum of the rooms; inputs in, effects out.
-//! - [`clerk`]: rounds of the register. [`office`]: the lease and the steward's duties. [`herald`]: news between control machines.
+//! - [`rounds`]: rounds of the register. [`office`]: the lease and the steward's duties. [`herald`]: news between control machines.
 //!   [`voters`]: who should vote. [`pages`]: the platform's list. [`feed`]: what porters are told.
 //! - `contact`: whether a majority of the voters is reached. `orders`: what an operator's order is answered.
 //! - `functions`, `duty`, `ledger`: what operators are told of the steward's duty.
 //! - [`hall`]: sockets, the thread of the voter and the platform's client; it carries effects out.
 
 pub mod calls;
-pub mod clerk;
 pub mod contact;
 mod disk;
 mod drains;
@@ -25,6 +24,7 @@
 mod orders;
 pub mod pages;
 mod platform;
+pub mod rounds;
 pub mod steward;
 mod teller;
 pub mod voters;
--- a/bourse/src/clerk.rs
+++ b/bourse/src/rounds.rs
@@ -44,7 +44,7 @@
     Load(u64),
 }
 
-/// A round that is over. One that changed voters is not told of: see [`Clerk::members`].
+/// A round that is over. One that changed voters is not told of: see [`Rounds::members`].
 #[derive(Debug)]
 pub struct Ended {
     /// What it was for.
@@ -92,7 +92,7 @@
 }
 
 /// All rounds of a machine, and the newest members it knows.
-pub struct Clerk {
+pub struct Rounds {
     ballots: Ballots,
     /// Chance differs from machine to machine, also where all start in one moment.
     seed: u64,
@@ -101,10 +101,10 @@
     next: u64,
 }
 
-impl Clerk {
+impl Rounds {
     /// Of a machine that knows of no members yet. `life` differs at each start.
     pub fn new(me: &str, life: u64, seed: u64) -> Self {
-        Clerk { ballots: Ballots::new(me, life), seed, members: None, rounds: BTreeMap::new(), next: 0 }
+        Rounds { ballots: Ballots::new(me, life), seed, members: None, rounds: BTreeMap::new(), next: 0 }
     }
 
     /// The newest members it knows of.
@@ -129,7 +129,7 @@
         self.rounds.len()
     }
 
-    /// When to call [`Clerk::tick`] next.
+    /// When to call [`Rounds::tick`] next.
     pub fn next_wake(&self) -> Nanos {
         self.rounds.values().map(|r| r.wake).min().unwrap_or(Nanos::MAX)
     }
--- a/bourse/tests/floor.rs
+++ b/bourse/tests/floor.rs
@@ -3,9 +3,9 @@
 mod town;
 
 use hyper::Method;
-use millpost_bourse::clerk;
 use millpost_bourse::floor::Input;
 use millpost_bourse::office::Call;
+use millpost_bourse::rounds;
 use tinyjson::JsonValue;
 use town::{MS, Town, address, config};
 
@@ -234,12 +234,12 @@
 fn rounds_are_bounded_and_each_call_is_answered_once() {
     let (mut town, _) = settled(0);
     town.cut(0, 1);
-    let ids: Vec<_> = (0..2 * clerk::MOST).map(|_| town.read(0)).collect();
+    let ids: Vec<_> = (0..2 * rounds::MOST).map(|_| town.read(0)).collect();
     town.run(town.now + MS);
-    assert!(town.floor(0).under_way() <= clerk::MOST);
+    assert!(town.floor(0).under_way() <= rounds::MOST);
     town.run(town.now + 900 * MS);
     let busy = ids.iter().filter(|id| town.answers[id].2.contains("busy")).count();
-    assert!((clerk::MOST..2 * clerk::MOST).contains(&busy), "{busy}");
+    assert!((rounds::MOST..2 * rounds::MOST).contains(&busy), "{busy}");
     assert!(town.floor(0).under_way() <= 2);
 }
 
