--- a/bourse/src/floor.rs
+++ b/bourse/src/floor.rs
@@ -26,7 +26,7 @@
 use crate::floor::carts::Carts;
 use crate::floor::drains::Outs;
 use crate::floor::follow::Waiting;
-use crate::herald::{self, Herald};
+use crate::gossip::{self, Gossip};
 use crate::ledger::Ledger;
 use crate::office::{Done, Errand, Heard, Next, Office, Want};
 use crate::orders::Orders;
@@ -181,7 +181,7 @@
     contact: Contact,
     rounds: Rounds,
     office: Office,
-    herald: Herald,
+    gossip: Gossip,
     voters: Voters,
     feed: Feed,
     /// Porters that wait until contact holds.
@@ -218,7 +218,7 @@
             contact: Contact::new(me.clone(), apply / 2),
             rounds: Rounds::new(&me, life, seed),
             office: Office::new(me.clone(), life, seed),
-            herald: Herald::new(me.clone()),
+            gossip: Gossip::new(me.clone()),
             voters: Voters::default(),
             feed: Feed::default(),
             waiting: Waiting::default(),
@@ -244,7 +244,7 @@
     /// When to call [`Floor::tick`] next, at the latest.
     pub fn wake(&self, now: Nanos) -> Nanos {
         let due = self.rounds.next_wake().min(self.office.next_wake()).min(now + LONGEST_WAIT);
-        due.min(self.herald.due()).min(self.waiting.due()).min(self.over.unwrap_or(Nanos::MAX)).max(now + MS)
+        due.min(self.gossip.due()).min(self.waiting.due()).min(self.over.unwrap_or(Nanos::MAX)).max(now + MS)
     }
 
     /// Whether the process may end.
@@ -288,11 +288,11 @@
                 self.vote(out, Back::Lease);
             }
             Input::Peeked(number, value) => {
-                let next = self.herald.peeked(number, value);
+                let next = self.gossip.peeked(number, value);
                 self.bring(now, next);
             }
             Input::Fetched(number, text) => {
-                self.herald.fetched(number);
+                self.gossip.fetched(number);
                 let read = |text: &str| Config::parse(&counter::plain(text)?).ok();
                 if let Some(text) = text
                     && let Some(config) = read(&text)
@@ -332,7 +332,7 @@
         self.take_out(now);
         self.duties(now);
         self.moves(now);
-        if now >= self.herald.due() {
+        if now >= self.gossip.due() {
             self.news(now);
         }
         if now >= self.beat_at {
@@ -341,13 +341,13 @@
             let lines = self.feed.late(now);
             self.lines(lines);
         }
-        if self.herald.chosen().is_none() && self.rounds.members().is_some() && now >= self.learn_at {
+        if self.gossip.chosen().is_none() && self.rounds.members().is_some() && now >= self.learn_at {
             self.learn_at = now + LEARN;
             self.round(now, RoundKind::Read, Key::Config, For::Learn);
         }
         if let Some((version, due, looks)) = self.overheard.filter(|(_, due, _)| now >= *due) {
             self.overheard = None;
-            if version > self.herald.revision() && looks < LOOKS {
+            if version > self.gossip.revision() && looks < LOOKS {
                 self.overheard = Some((version, due + LEARN, looks + 1));
                 self.round(now, RoundKind::Read, Key::Config, For::Learn);
             }
@@ -357,7 +357,7 @@
     /// Another writes a value here. Whether it is chosen, its writer tells, if that lives.
     fn overhear(&mut self, now: Nanos, message: &Message) {
         let Message::Write { key: Key::Config, value, .. } = message else { return };
-        let known = self.overheard.map_or(0, |(version, ..)| version).max(self.herald.revision());
+        let known = self.overheard.map_or(0, |(version, ..)| version).max(self.gossip.revision());
         if value.version > known {
             self.overheard = Some((value.version, now + OVERHEARD, 0));
         }
@@ -486,31 +486,31 @@
 
     /// Who is the steward, if that is news.
     fn know(&mut self, fence: u64, address: &str) {
-        if self.herald.know(fence, address) {
+        if self.gossip.know(fence, address) {
             let lines = self.feed.tell(&[Note::Steward { address: address.into(), fence }]);
             self.lines(lines);
         }
     }
 
     /// The next step towards a newer configuration.
-    fn bring(&mut self, now: Nanos, next: Option<herald::Next>) {
+    fn bring(&mut self, now: Nanos, next: Option<gossip::Next>) {
         match next {
-            Some(herald::Next::Peek(number)) => self.effects.push(Effect::Peek(number)),
-            Some(herald::Next::Here(value, step)) => {
+            Some(gossip::Next::Peek(number)) => self.effects.push(Effect::Peek(number)),
+            Some(gossip::Next::Here(value, step)) => {
                 let stepped = self.step(now, &value, step);
                 if !stepped {
                     self.install(now, &value);
                 }
             }
-            Some(herald::Next::Fetch(number, from)) => self.effects.push(Effect::Fetch(number, from)),
+            Some(gossip::Next::Fetch(number, from)) => self.effects.push(Effect::Fetch(number, from)),
             None => {}
         }
     }
 
     /// A chosen configuration by how it differs from the one that stands here, if that is the one meant: reading a long one whole takes
     /// ten times as long. Whether that was so.
-    fn step(&mut self, now: Nanos, value: &Value, step: Option<herald::Step>) -> bool {
-        let Some(step) = step.filter(|s| self.herald.mark() == Some(&s.from)) else { return false };
+    fn step(&mut self, now: Nanos, value: &Value, step: Option<gossip::Step>) -> bool {
+        let Some(step) = step.filter(|s| self.gossip.mark() == Some(&s.from)) else { return false };
         let read = || {
             let text = pack::unpack(&step.packed, LONGEST_BODY)?;
             let config = change::apply(self.feed.config()?, &text.parse().ok()?).ok()?;
@@ -523,7 +523,7 @@
 
     /// A configuration that is chosen.
     fn install(&mut self, now: Nanos, value: &Value) {
-        if self.herald.revision() >= value.version && self.herald.chosen().is_some() {
+        if self.gossip.revision() >= value.version && self.gossip.chosen().is_some() {
             return;
         }
         // What an operator put here was read when it came.
@@ -539,7 +539,7 @@
     }
 
     fn choose(&mut self, now: Nanos, revision: u64, content: Arc<str>, config: Config) {
-        if self.herald.revision() >= revision && self.herald.chosen().is_some() {
+        if self.gossip.revision() >= revision && self.gossip.chosen().is_some() {
             return;
         }
         let packed = (!content.starts_with('{')).then(|| content.to_string());
@@ -550,15 +550,15 @@
         let lines = self.feed.configure(now, config, packed);
         self.lines(lines);
         let change = self.feed.change().and_then(pack::pack);
-        self.herald.choose(revision, content, change);
+        self.gossip.choose(revision, content, change);
         self.news(now);
         self.chosen_for_moves(now);
     }
 
     /// Tells the other control machines what is known here.
     fn news(&mut self, now: Nanos) {
-        let standing = herald::Standing { voting: self.voting, leaving: self.over.is_some() };
-        let (to, news) = self.herald.tell(now, &self.seeds, self.rounds.members(), standing);
+        let standing = gossip::Standing { voting: self.voting, leaving: self.over.is_some() };
+        let (to, news) = self.gossip.tell(now, &self.seeds, self.rounds.members(), standing);
         let mut news = news.to_json();
         let outs = self.outs.drains().news(now);
         if let (JsonValue::Object(parts), JsonValue::Object(_)) = (&mut news, &outs) {
@@ -609,7 +609,7 @@
             return;
         }
         let Some(members) = self.rounds.members() else { return };
-        let todo = self.voters.look(now, &self.me, members, self.herald.others(), self.losses);
+        let todo = self.voters.look(now, &self.me, members, self.gossip.others(), self.losses);
         let out = match todo {
             Some(Todo::End) => self.rounds.change(now, None),
             Some(Todo::Make(change)) => self.rounds.change(now, Some(change)),
@@ -619,6 +619,6 @@
     }
 
     fn known(&self) -> (u64, CompactString) {
-        self.herald.known().clone()
+        self.gossip.known().clone()
     }
 }
--- a/bourse/src/floor/carts.rs
+++ b/bourse/src/floor/carts.rs
@@ -160,7 +160,7 @@
         if !self.carts.carter.is_busy() {
             return;
         }
-        let text = self.herald.chosen().and_then(|content| counter::plain(content));
+        let text = self.gossip.chosen().and_then(|content| counter::plain(content));
         let (Some(text), Some(config)) = (text, self.feed.config()) else { return };
         let stands = Stands { config: config.clone(), text: text.into_owned().into() };
         self.cart(now, Input::Stands(stands));
--- a/bourse/src/floor/counter.rs
+++ b/bourse/src/floor/counter.rs
@@ -17,7 +17,7 @@
 use crate::calls::{What, what};
 use crate::contact::Answered;
 use crate::errors::Kind;
-use crate::herald::News;
+use crate::gossip::News;
 use crate::rounds::For;
 use crate::{MS, Nanos};
 
@@ -111,7 +111,7 @@
                 Err(kind) => Err(kind),
             },
             Ok(What::News) => self.heard(now, call),
-            Ok(What::Chosen) => match self.herald.chosen() {
+            Ok(What::Chosen) => match self.gossip.chosen() {
                 Some(text) => Ok(Reply::json(StatusCode::OK, text.to_string())),
                 None => Err(Kind::Empty),
             },
@@ -139,7 +139,7 @@
         self.office.steward()?;
         let members = self.rounds.members()?;
         let hears = |a: &Address| self.contact.asked(a).is_some_and(|sent| sent + FRESH > now);
-        let votes = |a: &Address| self.herald.others().get(a).is_some_and(|s| s.voting);
+        let votes = |a: &Address| self.gossip.others().get(a).is_some_and(|s| s.voting);
         let fresh = |a: &&Address| hears(a) && votes(a);
         let all: Vec<_> = members.voters.iter().filter(|a| **a != self.me).filter(fresh).collect();
         let turn = (now / FRESH) as usize % all.len().max(1);
@@ -173,14 +173,14 @@
         let json = call.json().ok_or_else(|| Kind::Invalid("no JSON".to_owned()))?;
         let news = News::read(&json)?;
         let (fence, steward) = (news.fence, news.steward.clone());
-        let next = self.herald.heard(now, news)?;
+        let next = self.gossip.heard(now, news)?;
         self.heard_outs(now, &json);
         if fence > 0 {
             self.know(fence, &steward);
         }
         self.bring(now, next);
         if !self.contact.reaches() {
-            self.herald.hasten(now);
+            self.gossip.hasten(now);
         }
         let epoch = self.rounds.members().map_or(0, |members| members.epoch);
         Ok(Reply::json(StatusCode::OK, Answered::body(epoch, self.voting)))
@@ -211,7 +211,7 @@
 
     /// Which configuration stands, for a stall that has started.
     fn stands(&self) -> Reply {
-        let stands = Note::Stands { revision: self.herald.revision() };
+        let stands = Note::Stands { revision: self.gossip.revision() };
         let body = object([
             ("from", text(&self.me)),
             ("life", JsonValue::Number(0.0)),
@@ -238,9 +238,9 @@
         let voters = members.map_or(JsonValue::Null, |m| strings(&m.voters));
         let next = members.and_then(|m| m.next.as_deref()).map_or(JsonValue::Null, strings);
         let ago = |heard: Nanos| number(now.saturating_sub(heard) / MS);
-        let others = self.herald.others().iter().map(|(a, s)| (a.to_string(), ago(s.heard))).collect();
+        let others = self.gossip.others().iter().map(|(a, s)| (a.to_string(), ago(s.heard))).collect();
         let steward = self.office.steward();
-        let (fence, address) = self.herald.known();
+        let (fence, address) = self.gossip.known();
         let body = object([
             ("address", text(&self.me)),
             ("voting", JsonValue::Boolean(self.voting)),
--- a/bourse/src/herald.rs
+++ b/bourse/src/gossip.rs
@@ -150,7 +150,7 @@
 }
 
 /// What is known of other control machines.
-pub struct Herald {
+pub struct Gossip {
     me: Address,
     others: BTreeMap<Address, Seen>,
     known: (u64, CompactString),
@@ -167,11 +167,11 @@
     format!("{:016x}", xxh3_64(text.as_bytes())).into()
 }
 
-impl Herald {
+impl Gossip {
     /// Of the machine `me`, which knows nothing yet.
     pub fn new(me: Address) -> Self {
         let known = (0, CompactString::default());
-        Herald {
+        Gossip {
             me,
             others: BTreeMap::new(),
             known,
@@ -329,7 +329,7 @@
 
     #[test]
     fn a_newer_configuration_that_many_tell_of_is_fetched_once() {
-        let mut herald = Herald::new("10.1.0.0:1".into());
+        let mut herald = Gossip::new("10.1.0.0:1".into());
         assert_eq!(herald.heard(0, news(1, 7, "m")), Ok(Some(Next::Peek(1))));
         assert_eq!(herald.peeked(1, None), Some(Next::Fetch(1, news(1, 0, "").from)));
         assert_eq!(herald.heard(MS, news(2, 7, "m")), Ok(None));
@@ -352,7 +352,7 @@
 
     #[test]
     fn the_own_disk_brings_it_only_where_the_content_is_the_same() {
-        let mut herald = Herald::new("10.1.0.0:1".into());
+        let mut herald = Gossip::new("10.1.0.0:1".into());
         let value = |version, content: &str| Value { version, content: content.into() };
         assert_eq!(herald.heard(0, news(1, 7, &digest("{1}"))), Ok(Some(Next::Peek(1))));
         for other in [value(7, "{2}"), value(6, "{1}")] {
@@ -363,7 +363,7 @@
 
     #[test]
     fn others_are_bounded_and_those_known_go_on_being_heard() {
-        let mut herald = Herald::new("10.1.0.0:1".into());
+        let mut herald = Gossip::new("10.1.0.0:1".into());
         for n in 0..2 * MOST {
             assert_eq!(herald.heard(0, news(n, 0, "")).is_ok(), n < MOST);
         }
--- a/bourse/src/orders.rs
+++ b/bourse/src/orders.rs
@@ -11,7 +11,7 @@
 
 use crate::errors::Kind;
 use crate::floor::LONGEST_BODY;
-use crate::herald::digest;
+use crate::gossip::digest;
 
 /// The orders whose rounds are under way, by call. Each entry is removed when its round ends, so there are no more than rounds.
 #[derive(Default)]
--- a/bourse/src/voters.rs
+++ b/bourse/src/voters.rs
@@ -4,7 +4,7 @@
 
 use millpost_tally::{Address, Change, Members};
 
-use crate::herald::Seen;
+use crate::gossip::Seen;
 use crate::{MS, Nanos};
 
 /// A voter that nothing was heard of for so long gives way to a spare.
