--- a/arcade/src/glue/hall.rs
+++ b/arcade/src/glue/hall.rs
@@ -9,7 +9,7 @@
 use millpost_bourse::contact::Answered;
 use millpost_bourse::feed::Seat;
 use millpost_bourse::floor::{Back, Bounds, Effect, Floor, Input, Start};
-use millpost_bourse::office::{Call, Errand, Heard};
+use millpost_bourse::leadership::{Call, Errand, Heard};
 use millpost_crier::{object, text};
 use millpost_pitches::{Sink, StartFault, StopFault};
 use millpost_tally::{Address, Members, Message};
--- a/bourse/src/floor.rs
+++ b/bourse/src/floor.rs
@@ -27,8 +27,8 @@
 use crate::floor::drains::Outs;
 use crate::floor::follow::Waiting;
 use crate::gossip::{self, Gossip};
+use crate::leadership::{Done, Errand, Heard, Leadership, Next, Want};
 use crate::ledger::Ledger;
-use crate::office::{Done, Errand, Heard, Next, Office, Want};
 use crate::orders::Orders;
 use crate::rounds::{self, For, Rounds};
 use crate::steward::{Steward, Told};
@@ -180,7 +180,7 @@
     voting: bool,
     contact: Contact,
     rounds: Rounds,
-    office: Office,
+    leadership: Leadership,
     gossip: Gossip,
     voters: Voters,
     feed: Feed,
@@ -217,7 +217,7 @@
             voting: false,
             contact: Contact::new(me.clone(), apply / 2),
             rounds: Rounds::new(&me, life, seed),
-            office: Office::new(me.clone(), life, seed),
+            leadership: Leadership::new(me.clone(), life, seed),
             gossip: Gossip::new(me.clone()),
             voters: Voters::default(),
             feed: Feed::default(),
@@ -243,7 +243,7 @@
 
     /// When to call [`Floor::tick`] next, at the latest.
     pub fn wake(&self, now: Nanos) -> Nanos {
-        let due = self.rounds.next_wake().min(self.office.next_wake()).min(now + LONGEST_WAIT);
+        let due = self.rounds.next_wake().min(self.leadership.next_wake()).min(now + LONGEST_WAIT);
         due.min(self.gossip.due()).min(self.waiting.due()).min(self.over.unwrap_or(Nanos::MAX)).max(now + MS)
     }
 
@@ -254,7 +254,7 @@
 
     /// Whether this machine is the steward.
     pub fn is_steward(&self) -> bool {
-        self.office.steward().is_some()
+        self.leadership.steward().is_some()
     }
 
     /// Rounds of the register that are under way.
@@ -281,8 +281,8 @@
                 self.rounds(now, out);
             }
             Input::Lease(from, message) => {
-                let out = self.office.on_lease(now, &from, &message);
-                if let Some(members) = self.office.members() {
+                let out = self.leadership.on_lease(now, &from, &message);
+                if let Some(members) = self.leadership.members() {
                     self.rounds.adopt(members);
                 }
                 self.vote(out, Back::Lease);
@@ -301,11 +301,11 @@
                 }
             }
             Input::Heard(fence, asked, heard) => {
-                if self.office.term().is_some_and(|(of, _)| of == fence) {
+                if self.leadership.term().is_some_and(|(of, _)| of == fence) {
                     self.ledger.heard(now, &heard);
                 }
                 let heard = self.with_outs(now, heard);
-                self.office.on_heard(now, fence, asked, heard);
+                self.leadership.on_heard(now, fence, asked, heard);
             }
             Input::Reached(peer, answered) => {
                 self.contact.reached(peer, answered);
@@ -316,7 +316,7 @@
             Input::Leave => {
                 log::info!("leaving");
                 self.over.get_or_insert(now + LEAVE);
-                let out = self.office.leave(now);
+                let out = self.leadership.leave(now);
                 self.vote(out, Back::Lease);
                 self.news(now);
             }
@@ -373,7 +373,7 @@
 
     fn adopt(&mut self, members: &Members) {
         self.rounds.adopt(members);
-        self.office.adopt(members);
+        self.leadership.adopt(members);
     }
 
     fn round(&mut self, now: Nanos, kind: RoundKind, key: Key, to: For) {
@@ -384,7 +384,7 @@
     /// What the rounds want done.
     fn rounds(&mut self, now: Nanos, out: rounds::Out) {
         if let Some(members) = self.rounds.members() {
-            self.office.adopt(members);
+            self.leadership.adopt(members);
         }
         let vote = |(id, to, message)| Effect::Vote(to, message, Back::Round(id));
         self.effects.extend(out.send.into_iter().map(vote));
@@ -436,15 +436,15 @@
             }
             For::Last => {
                 if let Ok(outcome) = outcome {
-                    self.office.on_last(value(outcome).as_ref());
+                    self.leadership.on_last(value(outcome).as_ref());
                 }
             }
             For::Fence => {
-                let next = self.office.on_fence(now, outcome.map(value));
+                let next = self.leadership.on_fence(now, outcome.map(value));
                 self.enter(now, next);
             }
-            For::Office(fence) => {
-                let next = self.office.on_office(now, fence, outcome);
+            For::Leadership(fence) => {
+                let next = self.leadership.on_fence_written(now, fence, outcome);
                 self.enter(now, next);
             }
             For::Voters => {}
@@ -460,7 +460,7 @@
             Next::Offer(fence) => {
                 let content = Arc::from(self.me.as_str());
                 let kind = RoundKind::Offer { version: fence, content, over: Some(fence - 1) };
-                self.round(now, kind, Key::Steward, For::Office(fence));
+                self.round(now, kind, Key::Steward, For::Leadership(fence));
             }
             Next::Take(fence) => {
                 let Some(bounds) = self.platform else { return };
@@ -468,7 +468,7 @@
                 let sink = self.sink.as_ref().map(|sink| sink());
                 let mut steward = Steward::new(now, terms, bounds.rate_per_s, self.feed.config(), sink);
                 steward.control_is_new = self.contact.age(now) < NEW;
-                self.office.seat(steward);
+                self.leadership.seat(steward);
                 self.ledger = Ledger::default();
                 self.know(fence, &self.me.clone());
                 self.news(now);
@@ -544,7 +544,7 @@
         }
         let packed = (!content.starts_with('{')).then(|| content.to_string());
         self.read.retain(|(_, read)| read.revision > revision);
-        if let Some(steward) = self.office.steward_mut() {
+        if let Some(steward) = self.leadership.steward_mut() {
             steward.configure(now, &config);
         }
         let lines = self.feed.configure(now, config, packed);
@@ -571,7 +571,7 @@
     fn lease(&mut self, now: Nanos) {
         // Without a platform there is nothing to start or to poll, and nobody is the steward.
         let stands = self.voting && self.platform.is_some();
-        let (out, want) = self.office.tick(now, self.rounds.members(), stands);
+        let (out, want) = self.leadership.tick(now, self.rounds.members(), stands);
         self.vote(out, Back::Lease);
         match want {
             Some(Want::Last) if !self.rounds.at_work_for(For::Last) => {
@@ -585,7 +585,7 @@
     /// What the steward does.
     fn duties(&mut self, now: Nanos) {
         let feed = &self.feed;
-        let Some(Done { named, told, errands }) = self.office.duties(now, |name| feed.has(name)) else {
+        let Some(Done { named, told, errands }) = self.leadership.duties(now, |name| feed.has(name)) else {
             return;
         };
         let tell = |told: Told, feed: &mut Feed| -> Vec<_> {
--- a/bourse/src/floor/carts.rs
+++ b/bourse/src/floor/carts.rs
@@ -59,11 +59,12 @@
 impl Floor {
     /// The lease, time, and what is seen of proxies and functions.
     pub(super) fn moves(&mut self, now: Nanos) {
-        let lease = self.office.term().map_or(Input::Unleased, |(fence, until)| Input::Lease(fence, until));
+        let lease =
+            self.leadership.term().map_or(Input::Unleased, |(fence, until)| Input::Lease(fence, until));
         self.cart(now, lease);
         let out = |standing: &Standing| standing.record().moves.iter().any(|of| of.state.out());
         if self.carts.carter.standing().is_some_and(|standing| !out(standing))
-            && let Some(steward) = self.office.steward_mut()
+            && let Some(steward) = self.leadership.steward_mut()
         {
             steward.cool();
         }
@@ -73,7 +74,7 @@
         self.carts.seen_at = now;
         let acts = self.feed.followers().map(|(name, acts)| (name.clone(), acts)).collect();
         self.cart(now, Input::Acts(acts));
-        let Some(steward) = self.office.steward() else { return };
+        let Some(steward) = self.leadership.steward() else { return };
         let room = steward.scaler.room();
         let names = self.carts.carter.looks_at();
         let config = self.feed.config();
@@ -120,7 +121,7 @@
                         }
                     }
                     Said::Warm { service, count } => {
-                        if let Some(steward) = self.office.steward_mut() {
+                        if let Some(steward) = self.leadership.steward_mut() {
                             steward.warm(now, service, *count);
                         }
                     }
@@ -176,7 +177,7 @@
             }
             _ => return Err(Kind::Invalid("the query: name, or nothing".to_owned())),
         };
-        if self.office.steward().is_none() {
+        if self.leadership.steward().is_none() {
             return Err(Kind::NotSteward);
         }
         let told = self.carts.carter.tell(self.carts.at(now), name.as_deref()).ok_or(Kind::Unclear)?;
--- a/bourse/src/floor/counter.rs
+++ b/bourse/src/floor/counter.rs
@@ -116,8 +116,10 @@
                 None => Err(Kind::Empty),
             },
             Ok(What::Status) => Ok(self.status(now)),
-            Ok(What::Functions) => crate::functions::reply(self.office.steward(), now, call.query.as_deref()),
-            Ok(What::Duty) => crate::duty::reply(self.office.steward(), &self.ledger, now),
+            Ok(What::Functions) => {
+                crate::functions::reply(self.leadership.steward(), now, call.query.as_deref())
+            }
+            Ok(What::Duty) => crate::duty::reply(self.leadership.steward(), &self.ledger, now),
             Ok(What::Drains) => self.told_outs(now),
             Ok(What::Drain) => self.order_out(now, call),
             Ok(What::Moves) => self.told_moves(now, call.query.as_deref()),
@@ -136,7 +138,7 @@
 
     /// A steward has much to do: another voter, which has answered just now, reads what is long.
     fn other_voter(&self, now: Nanos) -> Option<&Address> {
-        self.office.steward()?;
+        self.leadership.steward()?;
         let members = self.rounds.members()?;
         let hears = |a: &Address| self.contact.asked(a).is_some_and(|sent| sent + FRESH > now);
         let votes = |a: &Address| self.gossip.others().get(a).is_some_and(|s| s.voting);
@@ -190,7 +192,7 @@
         let letter = letter(call)?;
         let (mut missed, mut asks) = (false, false);
         for note in &letter.notes {
-            match (note, self.office.steward_mut()) {
+            match (note, self.leadership.steward_mut()) {
                 (Note::Acts { revision, .. }, _) => {
                     let again = self.feed.acts(now, &letter.from, *revision);
                     self.lines(again);
@@ -225,7 +227,7 @@
         match () {
             () if self.platform.is_none() => "no_platform",
             () if !self.voting => "no_vote",
-            () => self.office.lease_word(now),
+            () => self.leadership.lease_word(now),
         }
     }
 
@@ -239,7 +241,7 @@
         let next = members.and_then(|m| m.next.as_deref()).map_or(JsonValue::Null, strings);
         let ago = |heard: Nanos| number(now.saturating_sub(heard) / MS);
         let others = self.gossip.others().iter().map(|(a, s)| (a.to_string(), ago(s.heard))).collect();
-        let steward = self.office.steward();
+        let steward = self.leadership.steward();
         let (fence, address) = self.gossip.known();
         let body = object([
             ("address", text(&self.me)),
--- a/bourse/src/floor/drains.rs
+++ b/bourse/src/floor/drains.rs
@@ -13,7 +13,7 @@
 use super::Floor;
 use crate::drains::{Drains, Order, Seen};
 use crate::errors::Kind;
-use crate::office::Heard;
+use crate::leadership::Heard;
 use crate::{MS, Nanos};
 
 /// Instances on workers that are out are looked at this often.
@@ -40,10 +40,10 @@
 impl Floor {
     /// Time passes: who does not own functions, who is told, and instances that go.
     pub(super) fn take_out(&mut self, now: Nanos) {
-        let fence = self.office.steward().map(|steward| steward.fence);
+        let fence = self.leadership.steward().map(|steward| steward.fence);
         self.outs.drains.tick(now, fence);
-        let rests = self.office.steward().is_some_and(|steward| !steward.rests.is_empty());
-        let Some(steward) = self.office.steward_mut().filter(|_| rests || !self.outs.drains.is_empty())
+        let rests = self.leadership.steward().is_some_and(|steward| !steward.rests.is_empty());
+        let Some(steward) = self.leadership.steward_mut().filter(|_| rests || !self.outs.drains.is_empty())
         else {
             return self.outs.empties.clear();
         };
@@ -64,7 +64,7 @@
         self.outs.looked = now;
         let longest = self.feed.config().and_then(|c| c.routes.iter().map(|r| r.deadline_ms).max());
         let longest = longest.map_or(REQUESTS, |ms| (ms * MS).min(REQUESTS));
-        let Some(steward) = self.office.steward_mut() else { return };
+        let Some(steward) = self.leadership.steward_mut() else { return };
         let drains = &self.outs.drains;
         let goes = steward.scaler.shown().filter(|i| i.state == State::Draining);
         let goes: Vec<_> = goes.filter(|i| drains.has_worker(now, &i.worker)).map(|i| i.id.clone()).collect();
@@ -95,7 +95,7 @@
         let json = call.json().ok_or_else(|| Kind::Invalid("no JSON".to_owned()))?;
         let order = Order::read(&json)?;
         self.take_out(now);
-        let steward = self.office.steward().ok_or(Kind::NotSteward)?;
+        let steward = self.leadership.steward().ok_or(Kind::NotSteward)?;
         let up = steward.standing(now).filter(|stall| !matches!(stall.out, Some("silent" | "leaves")));
         let stalls = up.map(|stall| (stall.name, stall.zone)).collect();
         let workers = self.ledger.workers().iter().filter(|worker| !worker.draining);
@@ -110,7 +110,7 @@
 
     /// What is out, for operators.
     pub(super) fn told_outs(&self, now: Nanos) -> Result<Reply, Kind> {
-        let steward = self.office.steward().ok_or(Kind::NotSteward)?;
+        let steward = self.leadership.steward().ok_or(Kind::NotSteward)?;
         let mut on: BTreeMap<&str, usize> = BTreeMap::new();
         for instance in steward.scaler.shown() {
             *on.entry(&instance.worker).or_default() += 1;
@@ -125,7 +125,7 @@
 
     /// A stall says that it rests.
     pub(super) fn rests(&mut self, now: Nanos, name: &str, left: f64) {
-        let Some(steward) = self.office.steward() else { return };
+        let Some(steward) = self.leadership.steward() else { return };
         let zone = steward.standing(now).find(|stall| stall.name == name).map(|stall| stall.zone);
         self.outs.drains.said(now, name, zone, left);
     }
--- a/bourse/src/floor/follow.rs
+++ b/bourse/src/floor/follow.rs
@@ -71,13 +71,13 @@
             if let Note::Acts { revision, .. } = note {
                 acts = *revision;
             }
-            if let Some(steward) = self.office.steward_mut() {
+            if let Some(steward) = self.leadership.steward_mut() {
                 steward.note(now, note);
             }
         }
         let (fence, address) = self.known();
         let mut snapshot = vec![Note::Steward { address, fence }];
-        if let Some(steward) = self.office.steward_mut() {
+        if let Some(steward) = self.leadership.steward_mut() {
             snapshot.extend(self.outs.drains().snapshot(now, &letter.from));
             snapshot.extend(steward.snapshot(&letter.from));
         }
--- a/bourse/src/gossip.rs
+++ b/bourse/src/gossip.rs
@@ -329,47 +329,47 @@
 
     #[test]
     fn a_newer_configuration_that_many_tell_of_is_fetched_once() {
-        let mut herald = Gossip::new("10.1.0.0:1".into());
-        assert_eq!(herald.heard(0, news(1, 7, "m")), Ok(Some(Next::Peek(1))));
-        assert_eq!(herald.peeked(1, None), Some(Next::Fetch(1, news(1, 0, "").from)));
-        assert_eq!(herald.heard(MS, news(2, 7, "m")), Ok(None));
-        assert_eq!(herald.heard(2 * MS, news(3, 6, "m")), Ok(None));
+        let mut gossip = Gossip::new("10.1.0.0:1".into());
+        assert_eq!(gossip.heard(0, news(1, 7, "m")), Ok(Some(Next::Peek(1))));
+        assert_eq!(gossip.peeked(1, None), Some(Next::Fetch(1, news(1, 0, "").from)));
+        assert_eq!(gossip.heard(MS, news(2, 7, "m")), Ok(None));
+        assert_eq!(gossip.heard(2 * MS, news(3, 6, "m")), Ok(None));
         // A still newer one does not wait for it.
-        assert_eq!(herald.heard(3 * MS, news(3, 8, "m")), Ok(Some(Next::Peek(2))));
-        assert_eq!(herald.peeked(1, None), None);
-        herald.fetched(1);
-        assert_eq!(herald.heard(4 * MS, news(2, 8, "m")), Ok(None));
+        assert_eq!(gossip.heard(3 * MS, news(3, 8, "m")), Ok(Some(Next::Peek(2))));
+        assert_eq!(gossip.peeked(1, None), None);
+        gossip.fetched(1);
+        assert_eq!(gossip.heard(4 * MS, news(2, 8, "m")), Ok(None));
         // Nor is one waited for that brings nothing, or answers nothing.
-        herald.fetched(2);
-        assert_eq!(herald.heard(5 * MS, news(2, 8, "m")), Ok(Some(Next::Peek(3))));
+        gossip.fetched(2);
+        assert_eq!(gossip.heard(5 * MS, news(2, 8, "m")), Ok(Some(Next::Peek(3))));
         // Where even the own disk says nothing, that is not waited for again.
         let again = Next::Fetch(4, news(1, 0, "").from);
-        assert_eq!(herald.heard(5 * MS + NEWS, news(1, 8, "m")), Ok(Some(again)));
-        assert_eq!(herald.heard(5 * MS + NEWS, news(2, 8, "m")), Ok(None));
-        herald.choose(8, "{}".into(), None);
-        assert_eq!(herald.heard(5 * MS + NEWS, news(1, 8, "m")), Ok(None));
+        assert_eq!(gossip.heard(5 * MS + NEWS, news(1, 8, "m")), Ok(Some(again)));
+        assert_eq!(gossip.heard(5 * MS + NEWS, news(2, 8, "m")), Ok(None));
+        gossip.choose(8, "{}".into(), None);
+        assert_eq!(gossip.heard(5 * MS + NEWS, news(1, 8, "m")), Ok(None));
     }
 
     #[test]
     fn the_own_disk_brings_it_only_where_the_content_is_the_same() {
-        let mut herald = Gossip::new("10.1.0.0:1".into());
+        let mut gossip = Gossip::new("10.1.0.0:1".into());
         let value = |version, content: &str| Value { version, content: content.into() };
-        assert_eq!(herald.heard(0, news(1, 7, &digest("{1}"))), Ok(Some(Next::Peek(1))));
+        assert_eq!(gossip.heard(0, news(1, 7, &digest("{1}"))), Ok(Some(Next::Peek(1))));
         for other in [value(7, "{2}"), value(6, "{1}")] {
-            assert_eq!(herald.peeked(1, Some(other)), Some(Next::Fetch(1, news(1, 0, "").from)));
+            assert_eq!(gossip.peeked(1, Some(other)), Some(Next::Fetch(1, news(1, 0, "").from)));
         }
-        assert_eq!(herald.peeked(1, Some(value(7, "{1}"))), Some(Next::Here(value(7, "{1}"), None)));
+        assert_eq!(gossip.peeked(1, Some(value(7, "{1}"))), Some(Next::Here(value(7, "{1}"), None)));
     }
 
     #[test]
     fn others_are_bounded_and_those_known_go_on_being_heard() {
-        let mut herald = Gossip::new("10.1.0.0:1".into());
+        let mut gossip = Gossip::new("10.1.0.0:1".into());
         for n in 0..2 * MOST {
-            assert_eq!(herald.heard(0, news(n, 0, "")).is_ok(), n < MOST);
+            assert_eq!(gossip.heard(0, news(n, 0, "")).is_ok(), n < MOST);
         }
-        assert!(herald.heard(30_000 * MS, news(0, 0, "")).is_ok());
-        assert!(herald.heard(60_000 * MS, news(MOST, 0, "")).is_ok());
-        assert_eq!(herald.others().len(), 2);
+        assert!(gossip.heard(30_000 * MS, news(0, 0, "")).is_ok());
+        assert!(gossip.heard(60_000 * MS, news(MOST, 0, "")).is_ok());
+        assert_eq!(gossip.others().len(), 2);
     }
 
     #[test]
--- a/bourse/src/hall.rs
+++ b/bourse/src/hall.rs
@@ -28,7 +28,7 @@
 use crate::errors::{Error, Kind, ListenSnafu, NeededSnafu, SignalsSnafu};
 use crate::feed::Seat;
 use crate::floor::{self, Back, Effect, Floor, Input, LONGEST_BODY, Start};
-use crate::office::Errand;
+use crate::leadership::Errand;
 use crate::platform::Platform;
 use crate::teller::{self, Said, Teller};
 use crate::{MS, Nanos};
--- a/bourse/src/office.rs
+++ b/bourse/src/leadership.rs
@@ -1,5 +1,5 @@
-//! The steward's office: the lease, taking office, standing back, and what is asked of the platform. Invariants: there is a steward
-//! only while the lease is held; it took office under the lease that it asked for its fence with; every call to the platform names
+//! The leadership of one machine: the lease, taking over, standing back, and what is asked of the platform. Invariants: there is a steward
+//! only while the lease is held; it took over under the lease that it asked for its fence with; every call to the platform names
 //! the time by which it must have begun, and whoever keeps it back says so.
 
 use std::net::SocketAddr;
@@ -80,7 +80,7 @@
 pub enum Want {
     /// Who was the last steward.
     Last,
-    /// Which fence stands; answered by [`Office::on_fence`] in any case.
+    /// Which fence stands; answered by [`Leadership::on_fence`] in any case.
     Fence,
 }
 
@@ -91,7 +91,7 @@
     Rest,
     /// These messages go to the voters: the lease is given back.
     StandBack(Vec<(Address, Message)>),
-    /// This fence is to be written over the one below it; answered by [`Office::on_office`] in any case.
+    /// This fence is to be written over the one below it; answered by [`Leadership::on_fence_written`] in any case.
     Offer(u64),
     /// The steward of this fence is to be seated, at once.
     Take(u64),
@@ -115,8 +115,8 @@
     pub errands: Vec<Errand>,
 }
 
-/// The office of one machine.
-pub struct Office {
+/// Whether this machine leads, and what it does as the leader.
+pub struct Leadership {
     me: Address,
     life: u64,
     seed: u64,
@@ -129,11 +129,11 @@
     leaving: bool,
 }
 
-impl Office {
+impl Leadership {
     /// Of this machine; `life` differs at each start.
     pub fn new(me: Address, life: u64, seed: u64) -> Self {
         let (holder, last, seeking, steward) = (None, None, Seeking::No, None);
-        Office { me, life, seed, holder, last, seeking, steward, pages: Pages::default(), leaving: false }
+        Leadership { me, life, seed, holder, last, seeking, steward, pages: Pages::default(), leaving: false }
     }
 
     /// The fence and the end of the lease, while this machine is the steward.
@@ -163,7 +163,7 @@
         }
     }
 
-    /// When to call [`Office::tick`] next.
+    /// When to call [`Leadership::tick`] next.
     pub fn next_wake(&self) -> Nanos {
         let holder = self.holder.as_ref().map_or(Nanos::MAX, Holder::next_wake);
         holder.min(self.steward.as_ref().map_or(Nanos::MAX, |s| s.pace.next()))
@@ -241,7 +241,7 @@
         let Ok(value) = outcome else { return Next::Rest };
         let mine = value.as_ref().is_some_and(|v| *v.content == *self.me);
         if !mine && self.is_again() {
-            // Somebody has taken office since: his lease is waited for like any other's.
+            // Somebody has taken over since: that lease is waited for like any other's.
             return self.stand_back(now);
         }
         if seeking != Seeking::Yes {
@@ -252,7 +252,7 @@
     }
 
     /// How writing this fence ended.
-    pub fn on_office(&mut self, now: Nanos, fence: u64, outcome: Result<Outcome, Kind>) -> Next {
+    pub fn on_fence_written(&mut self, now: Nanos, fence: u64, outcome: Result<Outcome, Kind>) -> Next {
         self.lapse(now);
         let seeking = std::mem::replace(&mut self.seeking, Seeking::No);
         match outcome {
@@ -369,62 +369,62 @@
 
     const BOUNDS: f64 = 100.0;
 
-    /// An office under one voter, which grants what is asked at this time.
-    fn granted(office: &mut Office, now: Nanos) -> Option<Want> {
+    /// An leadership under one voter, which grants what is asked at this time.
+    fn granted(leadership: &mut Leadership, now: Nanos) -> Option<Want> {
         let members = Members::first("u", ["a".into()]);
-        let (out, want) = office.tick(now, Some(&members), true);
+        let (out, want) = leadership.tick(now, Some(&members), true);
         for (from, message) in out {
             if let Message::Ask { duty, life, ask, .. } = message {
-                office.on_lease(now, &from, &Message::Granted { duty, life, ask });
+                leadership.on_lease(now, &from, &Message::Granted { duty, life, ask });
             }
         }
         want
     }
 
-    fn held(last: Option<&str>) -> Office {
-        let mut office = Office::new("a".into(), 1, 1);
-        assert_eq!(granted(&mut office, 0), Some(Want::Last));
-        office.on_last(last.map(stands).as_ref());
-        assert_eq!(granted(&mut office, 0), None);
-        assert_eq!(granted(&mut office, 100 * MS), None);
-        assert_eq!(granted(&mut office, 101 * MS), Some(Want::Fence));
-        office
+    fn held(last: Option<&str>) -> Leadership {
+        let mut leadership = Leadership::new("a".into(), 1, 1);
+        assert_eq!(granted(&mut leadership, 0), Some(Want::Last));
+        leadership.on_last(last.map(stands).as_ref());
+        assert_eq!(granted(&mut leadership, 0), None);
+        assert_eq!(granted(&mut leadership, 100 * MS), None);
+        assert_eq!(granted(&mut leadership, 101 * MS), Some(Want::Fence));
+        leadership
     }
 
     fn stands(who: &str) -> Value {
         Value { version: 4, content: who.into() }
     }
 
-    fn seated(now: Nanos) -> Office {
-        let mut office = held(None);
-        assert_eq!(office.on_fence(now, Ok(None)), Next::Offer(1));
-        assert_eq!(office.on_office(now, 1, Ok(Outcome::Written(stands("a")))), Next::Take(1));
-        office.seat(Steward::new(now, Terms::new(1, BOUNDS, 100), BOUNDS, None, None));
-        office
+    fn seated(now: Nanos) -> Leadership {
+        let mut leadership = held(None);
+        assert_eq!(leadership.on_fence(now, Ok(None)), Next::Offer(1));
+        assert_eq!(leadership.on_fence_written(now, 1, Ok(Outcome::Written(stands("a")))), Next::Take(1));
+        leadership.seat(Steward::new(now, Terms::new(1, BOUNDS, 100), BOUNDS, None, None));
+        leadership
     }
 
     #[test]
     fn a_fence_of_a_lease_that_was_lost_on_the_way_is_of_no_use() {
-        let mut office = held(None);
-        assert_eq!(office.on_fence(102 * MS, Ok(Some(stands("b")))), Next::Offer(5));
+        let mut leadership = held(None);
+        assert_eq!(leadership.on_fence(102 * MS, Ok(Some(stands("b")))), Next::Offer(5));
         // Its lease ends; it is given back, asked for again and granted, before the register answers.
         for at in [1_700, 1_701, 2_200] {
-            assert_eq!(granted(&mut office, at * MS), None);
+            assert_eq!(granted(&mut leadership, at * MS), None);
         }
-        assert!(office.may_act(2_201 * MS));
+        assert!(leadership.may_act(2_201 * MS));
         let written = Ok(Outcome::Written(Value { version: 5, content: "a".into() }));
-        assert_eq!(office.on_office(2_201 * MS, 5, written), Next::Rest);
-        assert_eq!(granted(&mut office, 2_202 * MS), Some(Want::Fence));
+        assert_eq!(leadership.on_fence_written(2_201 * MS, 5, written), Next::Rest);
+        assert_eq!(granted(&mut leadership, 2_202 * MS), Some(Want::Fence));
     }
 
     #[test]
     fn a_fence_that_was_read_under_a_lease_that_was_lost_is_read_again() {
-        let mut office = held(None);
+        let mut leadership = held(None);
         for at in [1_700, 1_701, 2_200] {
-            assert_eq!(granted(&mut office, at * MS), None);
+            assert_eq!(granted(&mut leadership, at * MS), None);
         }
-        assert_eq!(office.on_fence(2_201 * MS, Ok(Some(stands("b")))), Next::Rest);
-        assert_eq!(granted(&mut office, 2_202 * MS), Some(Want::Fence));
+        assert_eq!(leadership.on_fence(2_201 * MS, Ok(Some(stands("b")))), Next::Rest);
+        assert_eq!(granted(&mut leadership, 2_202 * MS), Some(Want::Fence));
     }
 
     #[yare::parameterized(
@@ -437,34 +437,34 @@
         now: Option<&str>,
         back: bool,
     ) {
-        let mut office = held(last);
-        let next = office.on_fence(102 * MS, Ok(now.map(stands)));
+        let mut leadership = held(last);
+        let next = leadership.on_fence(102 * MS, Ok(now.map(stands)));
         assert_eq!(matches!(next, Next::StandBack(_)), back, "{next:?}");
-        assert_eq!(office.may_act(102 * MS), !back);
+        assert_eq!(leadership.may_act(102 * MS), !back);
     }
 
     #[test]
     fn an_office_ends_with_its_lease_also_where_nothing_more_is_asked_for() {
-        let mut office = seated(102 * MS);
+        let mut leadership = seated(102 * MS);
         let members = Members::first("u", ["a".into()]);
-        assert_eq!(office.tick(1_400 * MS, Some(&members), false), (Vec::new(), None));
-        assert!(office.steward().is_some());
-        assert_eq!(office.tick(1_501 * MS, Some(&members), false), (Vec::new(), None));
-        assert!(office.steward().is_none());
+        assert_eq!(leadership.tick(1_400 * MS, Some(&members), false), (Vec::new(), None));
+        assert!(leadership.steward().is_some());
+        assert_eq!(leadership.tick(1_501 * MS, Some(&members), false), (Vec::new(), None));
+        assert!(leadership.steward().is_none());
     }
 
     #[test]
     fn a_list_that_was_kept_back_is_asked_for_again() {
-        let mut office = seated(102 * MS);
-        let list = |office: &mut Office, at: Nanos| {
-            let errands = office.duties(at * MS, |_| true).map_or_else(Vec::new, |done| done.errands);
+        let mut leadership = seated(102 * MS);
+        let list = |leadership: &mut Leadership, at: Nanos| {
+            let errands = leadership.duties(at * MS, |_| true).map_or_else(Vec::new, |done| done.errands);
             errands.into_iter().find(|e| matches!(e.call, Call::List { .. }))
         };
-        let errand = (103..1_000).find_map(|at| list(&mut office, at)).expect("a list");
+        let errand = (103..1_000).find_map(|at| list(&mut leadership, at)).expect("a list");
         let (fence, asked, until) = (errand.fence, errand.asked, errand.until);
         // Its turn comes too late, while the lease was renewed.
         let kept_back = errand.begin(until).expect_err("too late");
-        office.on_heard(until, fence, asked, kept_back);
-        assert!((1_600..2_600).any(|at| list(&mut office, at).is_some()));
+        leadership.on_heard(until, fence, asked, kept_back);
+        assert!((1_600..2_600).any(|at| list(&mut leadership, at).is_some()));
     }
 }
--- a/bourse/src/ledger.rs
+++ b/bourse/src/ledger.rs
@@ -8,7 +8,7 @@
 use millpost_pitches::{StartFault, StopFault, Worker};
 use tinyjson::JsonValue;
 
-use crate::office::Heard;
+use crate::leadership::Heard;
 use crate::{MS, Nanos};
 
 /// Faults that are kept, and workers that are told of.
--- a/bourse/src/lib.rs
+++ b/bourse/src/lib.rs
@@ -2,7 +2,7 @@
 //! to do, so that an emulator can drive it like the daemon does.
 //!
 //! - [`floor`]: the sum of the rooms; inputs in, effects out.
-//! - [`rounds`]: rounds of the register. [`office`]: the lease and the steward's duties. [`gossip`]: news between control machines.
+//! - [`rounds`]: rounds of the register. [`leadership`]: the lease and the steward's duties. [`gossip`]: news between control machines.
 //!   [`voters`]: who should vote. [`pages`]: the platform's list. [`feed`]: what porters are told.
 //! - `contact`: whether a majority of the voters is reached. `orders`: what an operator's order is answered.
 //! - `functions`, `duty`, `ledger`: what operators are told of the steward's duty.
@@ -19,8 +19,8 @@
 mod functions;
 pub mod gossip;
 pub mod hall;
+pub mod leadership;
 mod ledger;
-pub mod office;
 mod orders;
 pub mod pages;
 mod platform;
--- a/bourse/src/platform.rs
+++ b/bourse/src/platform.rs
@@ -11,7 +11,7 @@
 use millpost_barrow::link::{Client, Options};
 use millpost_pitches::platform::{self, StartFault, StopFault, Worker};
 
-use crate::office::{Call, Heard, Page};
+use crate::leadership::{Call, Heard, Page};
 
 /// The list and the workers answer within this, or the next time.
 const LIST_WITHIN: Duration = Duration::from_millis(1_500);
--- a/bourse/src/rounds.rs
+++ b/bourse/src/rounds.rs
@@ -32,10 +32,10 @@
     Confirm(Confirm),
     /// Who was the last steward.
     Last,
-    /// To take office: the fence that stands.
+    /// To become the leader: the fence that stands.
     Fence,
-    /// To take office: this fence is mine.
-    Office(u64),
+    /// To become the leader: this fence is mine.
+    Leadership(u64),
     /// The voters change.
     Voters,
     /// The record of moves is read or written, for the carter's question of this number.
--- a/bourse/tests/floor.rs
+++ b/bourse/tests/floor.rs
@@ -4,7 +4,7 @@
 
 use hyper::Method;
 use millpost_bourse::floor::Input;
-use millpost_bourse::office::Call;
+use millpost_bourse::leadership::Call;
 use millpost_bourse::rounds;
 use tinyjson::JsonValue;
 use town::{MS, Town, address, config};
--- a/bourse/tests/town/mod.rs
+++ b/bourse/tests/town/mod.rs
@@ -10,7 +10,7 @@
 use millpost_barrow::mail::{Call, Content, Reply, json};
 use millpost_bourse::contact::Answered;
 use millpost_bourse::floor::{Back, Bounds, Effect, Floor, Input, Start};
-use millpost_bourse::office::{self, Errand, Heard};
+use millpost_bourse::leadership::{self, Errand, Heard};
 use millpost_pitches::{Entry, Worker};
 use millpost_tally::{Address, Key, Members, Message, Voter, Write};
 use tinyjson::JsonValue;
@@ -320,13 +320,13 @@
         }
     }
 
-    fn platform(&mut self, call: office::Call) -> Heard {
+    fn platform(&mut self, call: leadership::Call) -> Heard {
         match call {
-            office::Call::List { .. } => {
+            leadership::Call::List { .. } => {
                 let up = self.started.iter().filter(|(at, _)| at + 400 * MS < self.now);
                 Heard::Listed(Some((up.map(|(_, entry)| entry.clone()).collect(), None)))
             }
-            office::Call::Workers => {
+            leadership::Call::Workers => {
                 let worker = |(name, mb): (&str, u64)| Worker {
                     name: name.into(),
                     zone: "z".into(),
@@ -338,7 +338,7 @@
                 let all = all.map(worker).into_iter().filter(|worker| worker.memory_mb > 0);
                 Heard::Workers(Some(all.collect()))
             }
-            office::Call::Start { service, worker, nonce } if self.workers > 0 => {
+            leadership::Call::Start { service, worker, nonce } if self.workers > 0 => {
                 let id = CompactString::from(format!("i-{}", self.names));
                 let address = ([10, 1, 0, self.names as u8], 80).into();
                 self.names += 1;
@@ -353,7 +353,7 @@
                 self.started.push((self.now, entry));
                 Heard::Started { nonce, answer: Ok((id, address)) }
             }
-            office::Call::Stop { id } => {
+            leadership::Call::Stop { id } => {
                 self.started.retain(|(_, entry)| entry.id != id);
                 Heard::Stopped { id, answer: Ok(()) }
             }
