--- a/bourse/src/floor.rs
+++ b/bourse/src/floor.rs
@@ -1,12 +1,12 @@
 //! The sum of the rooms: all of a control machine that decides. Inputs go in with the time at which they came, effects come out and are
 //! carried out in their order. Invariant: each call that comes in is answered once.
 
+mod api;
 mod carts;
-mod counter;
 mod drains;
 mod follow;
 
-pub use counter::LONGEST_BODY;
+pub use api::LONGEST_BODY;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -293,7 +293,7 @@
             }
             Input::Fetched(number, text) => {
                 self.gossip.fetched(number);
-                let read = |text: &str| Config::parse(&counter::plain(text)?).ok();
+                let read = |text: &str| Config::parse(&api::plain(text)?).ok();
                 if let Some(text) = text
                     && let Some(config) = read(&text)
                 {
@@ -407,12 +407,12 @@
                 }
                 let stands = outcome.as_ref().map(Option::as_ref).map_err(Clone::clone);
                 let word = self.orders.end(id, stands);
-                self.answer(id, word.map(|confirmed| counter::revision(confirmed.revision)));
+                self.answer(id, word.map(|confirmed| api::revision(confirmed.revision)));
             }
             For::Read(id) => {
                 let outcome = outcome.map(value);
                 let reply = match &outcome {
-                    Ok(value) => counter::content(value.as_ref()),
+                    Ok(value) => api::content(value.as_ref()),
                     Err(kind) => Err(kind.clone()),
                 };
                 self.answer(id, reply);
@@ -531,7 +531,7 @@
             let (content, config) = self.read.swap_remove(at);
             return self.choose(now, value.version, content, config);
         }
-        match counter::plain(&value.content).map(|text| Config::parse(&text)) {
+        match api::plain(&value.content).map(|text| Config::parse(&text)) {
             Some(Ok(config)) => self.choose(now, value.version, value.content.clone(), config),
             Some(Err(e)) => log::error!("the configuration that stands can't be read: {e}"),
             None => log::error!("the configuration that stands can't be unpacked"),
--- a/bourse/src/floor/carts.rs
+++ b/bourse/src/floor/carts.rs
@@ -12,7 +12,7 @@
 use millpost_tariff::At;
 use percent_encoding::percent_decode_str;
 
-use super::{Floor, counter};
+use super::{Floor, api};
 use crate::errors::Kind;
 use crate::rounds::For;
 use crate::{MS, Nanos};
@@ -161,7 +161,7 @@
         if !self.carts.carter.is_busy() {
             return;
         }
-        let text = self.gossip.chosen().and_then(|content| counter::plain(content));
+        let text = self.gossip.chosen().and_then(|content| api::plain(content));
         let (Some(text), Some(config)) = (text, self.feed.config()) else { return };
         let stands = Stands { config: config.clone(), text: text.into_owned().into() };
         self.cart(now, Input::Stands(stands));
--- a/bourse/src/floor/follow.rs
+++ b/bourse/src/floor/follow.rs
@@ -6,7 +6,7 @@
 use millpost_barrow::mail::Call;
 use millpost_crier::{Letter, Note};
 
-use super::{Effect, Floor, counter};
+use super::{Effect, Floor, api};
 use crate::errors::Kind;
 use crate::{MS, Nanos};
 
@@ -38,7 +38,7 @@
 impl Floor {
     /// A porter wants to be fed.
     pub(super) fn follow(&mut self, now: Nanos, call: u64, request: &Call) -> Result<(), Kind> {
-        let letter = counter::letter(request)?;
+        let letter = api::letter(request)?;
         let whole = request.query.as_deref() != Some("whole=0");
         let follow = Follow { call, letter, whole, until: now + WAIT };
         if self.contact.holds() {
