--- a/bourse/src/hall.rs
+++ b/bourse/src/hall.rs
@@ -30,7 +30,7 @@
 use crate::floor::{self, Back, Effect, Floor, Input, LONGEST_BODY, Start};
 use crate::leadership::Errand;
 use crate::platform::Platform;
-use crate::teller::{self, Said, Teller};
+use crate::voter_thread::{self, Said, VoterThread};
 use crate::{MS, Nanos};
 
 /// Answers of other control machines.
@@ -54,7 +54,7 @@
     me: Address,
     clock: Instant,
     events: mpsc::UnboundedSender<Event>,
-    teller: Teller,
+    voter: VoterThread,
     clients: BTreeMap<Address, Arc<Client>>,
     /// Whoever waits for an answer.
     calls: BTreeMap<u64, oneshot::Sender<Reply>>,
@@ -109,8 +109,9 @@
     let uid = format!("{:016x}", xxh3_64(seeds.join(" ").as_bytes()));
     let first = settings.bootstrap.then(|| Members::first(&uid, seeds.iter().cloned()));
     let (said, mut says) = mpsc::unbounded_channel();
-    let voter = teller::Start { me: me.clone(), folder: teller::folder(&data_dir), seeds, life, first };
-    let teller = Teller::start(voter, said, clock.into_std())?;
+    let voter =
+        voter_thread::Start { me: me.clone(), folder: voter_thread::folder(&data_dir), seeds, life, first };
+    let voter = VoterThread::start(voter, said, clock.into_std())?;
     let told = events.clone();
     tokio::spawn(async move {
         while let Some(said) = says.recv().await {
@@ -126,7 +127,7 @@
         me,
         clock,
         events,
-        teller,
+        voter,
         clients: BTreeMap::new(),
         calls: BTreeMap::new(),
         last_call: 0,
@@ -265,17 +266,17 @@
 
     /// Sends a message to a voter; its answer goes where `back` says.
     fn vote(&mut self, to: Address, message: Message, back: Back) {
-        let (events, teller) = (self.events.clone(), self.teller.clone());
+        let (events, voter) = (self.events.clone(), self.voter.clone());
         let hand_back = move |from, answer| {
             let input = match back {
                 Back::Round(id) => Input::Answer(id, from, answer),
                 Back::Lease => Input::Lease(from, answer),
-                Back::Voter => return drop(teller.ask(from, answer)),
+                Back::Voter => return drop(voter.ask(from, answer)),
             };
             let _ = events.send(Event::Input(input));
         };
         if to == self.me {
-            let reply = self.teller.ask(self.me.clone(), message);
+            let reply = self.voter.ask(self.me.clone(), message);
             tokio::spawn(async move {
                 if let Ok(Some(answer)) = reply.await {
                     hand_back(to, answer);
@@ -308,7 +309,7 @@
     /// Hands another's message to the voter here, whose answer is that of the call.
     fn ask(&mut self, call: u64, from: Address, message: Message) {
         let Some(waits) = self.calls.remove(&call) else { return };
-        let answer = self.teller.ask(from, message);
+        let answer = self.voter.ask(from, message);
         tokio::spawn(async move {
             let _ = waits.send(match answer.await {
                 Ok(Some(message)) => {
@@ -337,7 +338,7 @@
     }
 
     fn peek(&self, number: u64) {
-        let (events, here) = (self.events.clone(), self.teller.peek());
+        let (events, here) = (self.events.clone(), self.voter.peek());
         tokio::spawn(async move {
             let _ = events.send(Event::Input(Input::Peeked(number, here.await.ok().flatten())));
         });
--- a/bourse/src/lib.rs
+++ b/bourse/src/lib.rs
@@ -26,7 +26,7 @@
 mod platform;
 pub mod rounds;
 pub mod steward;
-mod teller;
+mod voter_thread;
 pub mod voters;
 
 /// Nanoseconds of a clock that never steps back.
--- a/bourse/src/teller.rs
+++ b/bourse/src/voter_thread.rs
@@ -54,21 +54,21 @@
 
 /// The way to the voter.
 #[derive(Clone)]
-pub struct Teller {
+pub struct VoterThread {
     asked: mpsc::SyncSender<Asked>,
 }
 
-impl Teller {
+impl VoterThread {
     /// Starts the thread.
     pub fn start(start: Start, said: outward::UnboundedSender<Said>, clock: Instant) -> Result<Self, Error> {
         let (asked, asks) = mpsc::sync_channel(WAITING);
         let run = move || run(&start, &asks, &said, clock);
         thread::Builder::new()
-            .name("teller".to_owned())
+            .name("voter".to_owned())
             .stack_size(512 * 1024)
             .spawn(run)
             .context(ThreadSnafu)?;
-        Ok(Teller { asked })
+        Ok(VoterThread { asked })
     }
 
     /// Hands a message over. Where the disk hangs and too much waits it is dropped, and its answer with it.
@@ -273,7 +273,7 @@
         let members = start.first.clone().expect("the first");
         spoil(&start.folder, "x");
         let (said, mut says) = outward::unbounded_channel();
-        let teller = Teller::start(start, said, Instant::now()).expect("a thread");
+        let voter = VoterThread::start(start, said, Instant::now()).expect("a thread");
         let first = says.blocking_recv();
         assert!(
             matches!(first, Some(Said::Standing { voting: false, .. })),
@@ -281,7 +281,7 @@
         );
         let ballot = millpost_tally::Ballots::new("127.0.0.1:1", 2).next(0);
         let prepare = Message::Prepare { key: Key::Config, ballot, members };
-        let answer = teller.ask("127.0.0.1:1".into(), prepare).blocking_recv();
+        let answer = voter.ask("127.0.0.1:1".into(), prepare).blocking_recv();
         assert!(matches!(answer, Ok(None)), "{answer:?}");
     }
 }
