--- a/bourse/src/lib.rs
+++ b/bourse/src/lib.rs
@@ -6,7 +6,7 @@
 //!   [`voters`]: who should vote. [`pages`]: the platform's list. [`feed`]: what porters are told.
 //! - `contact`: whether a majority of the voters is reached. `orders`: what an operator's order is answered.
 //! - `functions`, `duty`, `ledger`: what operators are told of the steward's duty.
-//! - [`hall`]: sockets, the thread of the voter and the platform's client; it carries effects out.
+//! - [`runtime`]: sockets, the thread of the voter and the platform's client; it carries effects out.
 
 pub mod calls;
 pub mod contact;
@@ -18,13 +18,13 @@
 pub mod floor;
 mod functions;
 pub mod gossip;
-pub mod hall;
 pub mod leadership;
 mod ledger;
 mod orders;
 pub mod pages;
 mod platform;
 pub mod rounds;
+pub mod runtime;
 pub mod steward;
 mod voter_thread;
 pub mod voters;
--- a/bourse/src/main.rs
+++ b/bourse/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use millpost_barrow::lines::{Bound, Lines};
-use millpost_bourse::hall;
+use millpost_bourse::runtime;
 use millpost_crier::frame;
 use millpost_tariff::Settings;
 
@@ -63,7 +63,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let ended = runtime.block_on(hall::run(settings, path, lines));
+    let ended = runtime.block_on(runtime::run(settings, path, lines));
     runtime.shutdown_background();
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/bourse/src/hall.rs
+++ b/bourse/src/runtime.rs
@@ -48,7 +48,7 @@
     Input(Input),
 }
 
-struct Hall {
+struct Runtime {
     settings: Settings,
     path: PathBuf,
     me: Address,
@@ -122,7 +122,7 @@
         }
     });
 
-    let mut hall = Hall {
+    let mut runtime = Runtime {
         path,
         me,
         clock,
@@ -139,29 +139,29 @@
     };
     log::info!("control on {address}");
     loop {
-        let wake = hall.floor.wake(hall.now());
+        let wake = runtime.floor.wake(runtime.now());
         tokio::select! {
             event = coming.recv() => match event {
-                Some(event) => hall.event(event),
+                Some(event) => runtime.event(event),
                 None => return Ok(()),
             },
-            _ = hang_up.recv() => hall.reload(),
-            _ = term.recv() => hall.input(Input::Leave),
-            () = sleep_until(hall.clock + Duration::from_nanos(wake)) => {}
+            _ = hang_up.recv() => runtime.reload(),
+            _ = term.recv() => runtime.input(Input::Leave),
+            () = sleep_until(runtime.clock + Duration::from_nanos(wake)) => {}
         }
         // All that has come is taken in before anything is decided.
         while let Ok(event) = coming.try_recv() {
-            hall.event(event);
+            runtime.event(event);
         }
-        hall.tick();
-        if hall.floor.is_over(hall.now()) {
+        runtime.tick();
+        if runtime.floor.is_over(runtime.now()) {
             server.abort();
             return Ok(());
         }
     }
 }
 
-impl Hall {
+impl Runtime {
     fn now(&self) -> Nanos {
         self.clock.elapsed().as_nanos() as Nanos
     }
