--- a/arcade/src/glue/hall.rs
+++ b/arcade/src/glue/hall.rs
@@ -1,4 +1,4 @@
-//! A control machine: what `bourse/src/hall.rs` carries out for its [`Floor`], on the played network, disk and platform.
+//! A control machine: what `bourse/src/runtime.rs` carries out for its [`Core`], on the played network, disk and platform.
 
 use std::collections::BTreeMap;
 
@@ -7,8 +7,8 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use millpost_barrow::mail::{self, Content, Reply};
 use millpost_bourse::contact::Answered;
+use millpost_bourse::core::{Back, Bounds, Core, Effect, Input, Start};
 use millpost_bourse::feed::Seat;
-use millpost_bourse::floor::{Back, Bounds, Effect, Floor, Input, Start};
 use millpost_bourse::leadership::{Call, Errand, Heard};
 use millpost_crier::{object, text};
 use millpost_pitches::{Sink, StartFault, StopFault};
@@ -61,7 +61,7 @@
 /// Control on one core machine.
 pub struct Hall {
     place: Place,
-    floor: Floor,
+    core: Core,
     keeper: Keeper,
     standing: Option<(bool, Option<Members>)>,
     handed: BTreeMap<u64, Handed>,
@@ -117,7 +117,7 @@
             }),
         };
         Hall {
-            floor: Floor::new(start),
+            core: Core::new(start),
             keeper,
             standing: None,
             handed: BTreeMap::new(),
@@ -132,18 +132,18 @@
 
     /// It acts as the steward.
     pub fn is_steward(&self) -> bool {
-        self.floor.is_steward()
+        self.core.is_steward()
     }
 
     /// Its process ends.
     pub fn over(&self, now: Time) -> bool {
-        self.floor.is_over(now)
+        self.core.is_over(now)
     }
 
     /// When [`In::Tick`] is due.
     pub fn wake(&self, now: Time, disk: &Disk) -> Time {
         let later = self.later.iter().map(|l| l.0).min().unwrap_or(Time::MAX);
-        self.floor.wake(now).min(later).min(self.keeper.wake(disk)).max(now + MS / 10)
+        self.core.wake(now).min(later).min(self.keeper.wake(disk)).max(now + MS / 10)
     }
 
     /// What it does with this.
@@ -159,18 +159,18 @@
                 if let Some(seat) = self.seats.iter().find(|(_, call)| **call == feed).map(|(seat, _)| *seat)
                 {
                     self.seats.remove(&seat);
-                    self.floor.input(now, Input::Left(seat));
+                    self.core.input(now, Input::Left(seat));
                 }
             }
             In::Seeds(seeds) => {
                 self.place.seeds.clone_from(&seeds);
-                self.floor.input(now, Input::Seeds(seeds));
+                self.core.input(now, Input::Seeds(seeds));
             }
-            In::Leave => self.floor.input(now, Input::Leave),
+            In::Leave => self.core.input(now, Input::Leave),
             _ => {}
         }
         self.settle(now, disk);
-        self.floor.tick(now);
+        self.core.tick(now);
         self.settle(now, disk);
         std::mem::take(&mut self.outs)
     }
@@ -219,7 +219,7 @@
             }
             _ => return self.outs.push(Out::Reply { call: id, said: Said::Refused(404) }),
         };
-        self.floor.input(now, Input::Call(id, call));
+        self.core.input(now, Input::Call(id, call));
     }
 
     fn answered(&mut self, now: Time, called: Called, said: Option<Said>) {
@@ -233,7 +233,7 @@
                 if let Some(Said::Body(body)) = said
                     && let Some(answered) = Answered::read(sent, &body)
                 {
-                    self.floor.input(now, Input::Reached(to, answered));
+                    self.core.input(now, Input::Reached(to, answered));
                 }
             }
             Called::Fetch(number) => {
@@ -241,7 +241,7 @@
                     Some(Said::Body(body)) => String::from_utf8(body.to_vec()).ok(),
                     _ => None,
                 };
-                self.floor.input(now, Input::Fetched(number, text));
+                self.core.input(now, Input::Fetched(number, text));
             }
             Called::Errand { fence, asked, call } => {
                 let mut heard = heard(call, said);
@@ -252,7 +252,7 @@
                         _ => {}
                     }
                 }
-                self.floor.input(now, Input::Heard(fence, asked, heard));
+                self.core.input(now, Input::Heard(fence, asked, heard));
             }
         }
     }
@@ -260,8 +260,8 @@
     /// A voter's answer goes where it is wanted.
     fn voted(&mut self, now: Time, from: Address, back: Back, message: Message) {
         match back {
-            Back::Round(id) => self.floor.input(now, Input::Answer(id, from, message)),
-            Back::Lease => self.floor.input(now, Input::Lease(from, message)),
+            Back::Round(id) => self.core.input(now, Input::Answer(id, from, message)),
+            Back::Lease => self.core.input(now, Input::Lease(from, message)),
             Back::Voter => {
                 self.next += 1;
                 self.keeper.hand(self.next, from, message);
@@ -282,12 +282,12 @@
             }
         }
         if !asks.is_empty() {
-            self.floor.input(now, Input::Copy(asks));
+            self.core.input(now, Input::Copy(asks));
         }
         let standing = self.keeper.standing();
         if self.standing.as_ref() != Some(&standing) {
             self.standing = Some(standing.clone());
-            self.floor.input(now, Input::Standing(standing.0, standing.1));
+            self.core.input(now, Input::Standing(standing.0, standing.1));
         }
     }
 
@@ -305,7 +305,7 @@
 
     /// Whether there was anything.
     fn carry_out(&mut self, now: Time) -> bool {
-        let effects = self.floor.take();
+        let effects = self.core.take();
         let any = !effects.is_empty();
         let me = self.place.address.clone();
         for effect in effects {
@@ -343,7 +343,7 @@
                 }
                 Effect::Peek(number) => {
                     let here = self.keeper.peek();
-                    self.floor.input(now, Input::Peeked(number, here));
+                    self.core.input(now, Input::Peeked(number, here));
                 }
                 Effect::Fetch(number, from) => {
                     self.call_out(from, Said::Chosen, VOTE, Called::Fetch(number));
@@ -358,7 +358,7 @@
         let (fence, asked) = (errand.fence, errand.asked);
         let call = match errand.begin(now) {
             Ok(call) => call,
-            Err(kept_back) => return self.floor.input(now, Input::Heard(fence, asked, kept_back)),
+            Err(kept_back) => return self.core.input(now, Input::Heard(fence, asked, kept_back)),
         };
         let (said, within) = match &call {
             Call::List { token } => {
--- a/arcade/src/glue/keeper.rs
+++ b/arcade/src/glue/keeper.rs
@@ -1,4 +1,4 @@
-//! A voter with its disk: one message at a time, and its answer only once what it rests on lasts. After `bourse/src/teller.rs`.
+//! A voter with its disk: one message at a time, and its answer only once what it rests on lasts. After `bourse/src/voter_thread.rs`.
 
 use std::collections::{BTreeMap, VecDeque};
 
--- a/bourse/src/floor.rs
+++ b/bourse/src/core.rs
@@ -22,10 +22,10 @@
 use tinyjson::JsonValue;
 
 use crate::contact::{Answered, Contact};
+use crate::core::carts::Carts;
+use crate::core::drains::Outs;
+use crate::core::follow::Waiting;
 use crate::feed::{BEAT, Feed, Seat};
-use crate::floor::carts::Carts;
-use crate::floor::drains::Outs;
-use crate::floor::follow::Waiting;
 use crate::gossip::{self, Gossip};
 use crate::leadership::{Done, Errand, Heard, Leadership, Next, Want};
 use crate::ledger::Ledger;
@@ -35,7 +35,7 @@
 use crate::voters::{Todo, Voters};
 use crate::{MS, Nanos};
 
-/// The longest that the floor waits for time to pass.
+/// The longest that the core waits for time to pass.
 const LONGEST_WAIT: Nanos = 100 * MS;
 /// The configuration is looked for this often while none is known.
 const LEARN: Nanos = 1_500 * MS;
@@ -48,7 +48,7 @@
 /// What is under way when the process is told to end gets its answer within this.
 const LEAVE: Nanos = 300 * MS;
 
-/// What a floor starts from.
+/// What the core starts from.
 pub struct Start {
     /// This machine's address, which is its name among the voters.
     pub me: Address,
@@ -171,7 +171,7 @@
 }
 
 /// All of a control machine that decides.
-pub struct Floor {
+pub struct Core {
     me: Address,
     seeds: Vec<Address>,
     losses: u32,
@@ -204,12 +204,12 @@
     effects: Vec<Effect>,
 }
 
-impl Floor {
+impl Core {
     /// Of a machine that starts.
     pub fn new(start: Start) -> Self {
         let Start { me, life, seeds, losses, contact, apply, platform, sink } = start;
         let seed = life ^ xxhash_rust::xxh3::xxh3_64(me.as_bytes());
-        Floor {
+        Core {
             seeds,
             losses,
             platform,
@@ -241,7 +241,7 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// When to call [`Floor::tick`] next, at the latest.
+    /// When to call [`Core::tick`] next, at the latest.
     pub fn wake(&self, now: Nanos) -> Nanos {
         let due = self.rounds.next_wake().min(self.leadership.next_wake()).min(now + LONGEST_WAIT);
         due.min(self.gossip.due()).min(self.waiting.due()).min(self.over.unwrap_or(Nanos::MAX)).max(now + MS)
--- a/bourse/src/floor/api.rs
+++ b/bourse/src/core/api.rs
@@ -13,7 +13,7 @@
 use millpost_tariff::Config;
 use tinyjson::JsonValue;
 
-use super::{Effect, Floor, carts};
+use super::{Core, Effect, carts};
 use crate::calls::{What, what};
 use crate::contact::Answered;
 use crate::errors::Kind;
@@ -72,7 +72,7 @@
     read().ok_or_else(|| Kind::Invalid("no message of a register".to_owned()))
 }
 
-impl Floor {
+impl Core {
     pub(super) fn answer(&mut self, id: u64, answer: Result<Reply, Kind>) {
         self.effects.push(Effect::Answer(id, answer.unwrap_or_else(|kind| kind.answer())));
     }
--- a/bourse/src/floor/carts.rs
+++ b/bourse/src/core/carts.rs
@@ -1,4 +1,4 @@
-//! Moves on a control machine: the carter is told what it has to know, and what it decides is made the floor's. Nothing is decided here.
+//! Moves on a control machine: the carter is told what it has to know, and what it decides is carried into the core. Nothing is decided here.
 //! Invariants: each order is answered once; while no move is open and no order waits, the record is read when office is taken, once more
 //! when nothing old can come to stand any more, and not at all otherwise.
 
@@ -12,7 +12,7 @@
 use millpost_tariff::At;
 use percent_encoding::percent_decode_str;
 
-use super::{Floor, api};
+use super::{Core, api};
 use crate::errors::Kind;
 use crate::rounds::For;
 use crate::{MS, Nanos};
@@ -56,7 +56,7 @@
     }
 }
 
-impl Floor {
+impl Core {
     /// The lease, time, and what is seen of proxies and functions.
     pub(super) fn moves(&mut self, now: Nanos) {
         let lease =
--- a/bourse/src/floor/drains.rs
+++ b/bourse/src/core/drains.rs
@@ -10,7 +10,7 @@
 use millpost_pitches::State;
 use tinyjson::JsonValue;
 
-use super::Floor;
+use super::Core;
 use crate::drains::{Drains, Order, Seen};
 use crate::errors::Kind;
 use crate::leadership::Heard;
@@ -37,7 +37,7 @@
     }
 }
 
-impl Floor {
+impl Core {
     /// Time passes: who does not own functions, who is told, and instances that go.
     pub(super) fn take_out(&mut self, now: Nanos) {
         let fence = self.leadership.steward().map(|steward| steward.fence);
--- a/bourse/src/floor/follow.rs
+++ b/bourse/src/core/follow.rs
@@ -6,7 +6,7 @@
 use millpost_barrow::mail::Call;
 use millpost_crier::{Letter, Note};
 
-use super::{Effect, Floor, api};
+use super::{Core, Effect, api};
 use crate::errors::Kind;
 use crate::{MS, Nanos};
 
@@ -35,7 +35,7 @@
     }
 }
 
-impl Floor {
+impl Core {
     /// A porter wants to be fed.
     pub(super) fn follow(&mut self, now: Nanos, call: u64, request: &Call) -> Result<(), Kind> {
         let letter = api::letter(request)?;
--- a/bourse/src/lib.rs
+++ b/bourse/src/lib.rs
@@ -1,7 +1,7 @@
 //! Control, on each core machine. What decides has no I/O and no clock: it takes inputs with a time in nanoseconds and returns what
 //! to do, so that an emulator can drive it like the daemon does.
 //!
-//! - [`floor`]: the sum of the rooms; inputs in, effects out.
+//! - [`core`]: the sum of the rooms; inputs in, effects out.
 //! - [`rounds`]: rounds of the register. [`leadership`]: the lease and the steward's duties. [`gossip`]: news between control machines.
 //!   [`voters`]: who should vote. [`pages`]: the platform's list. [`feed`]: what porters are told.
 //! - `contact`: whether a majority of the voters is reached. `orders`: what an operator's order is answered.
@@ -10,12 +10,12 @@
 
 pub mod calls;
 pub mod contact;
+pub mod core;
 mod disk;
 mod drains;
 mod duty;
 pub mod errors;
 pub mod feed;
-pub mod floor;
 mod functions;
 pub mod gossip;
 pub mod leadership;
--- a/bourse/src/orders.rs
+++ b/bourse/src/orders.rs
@@ -9,8 +9,8 @@
 use millpost_tally::{Kind as RoundKind, Value};
 use tinyjson::JsonValue;
 
+use crate::core::LONGEST_BODY;
 use crate::errors::Kind;
-use crate::floor::LONGEST_BODY;
 use crate::gossip::digest;
 
 /// The orders whose rounds are under way, by call. Each entry is removed when its round ends, so there are no more than rounds.
--- a/bourse/src/runtime.rs
+++ b/bourse/src/runtime.rs
@@ -1,5 +1,5 @@
-//! The loop of a control machine: it owns the sockets, the way to the voter's thread and the platform's client, hands the floor what
-//! comes, and carries out what the floor decides.
+//! The loop of a control machine: it owns the sockets, the way to the voter's thread and the platform's client, hands the core what
+//! comes, and carries out what the core decides.
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -25,9 +25,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::contact::Answered;
+use crate::core::{Back, Core, Effect, Input, LONGEST_BODY, Start, seeds};
 use crate::errors::{Error, Kind, ListenSnafu, NeededSnafu, SignalsSnafu};
 use crate::feed::Seat;
-use crate::floor::{self, Back, Effect, Floor, Input, LONGEST_BODY, Start};
 use crate::leadership::Errand;
 use crate::platform::Platform;
 use crate::voter_thread::{self, Said, VoterThread};
@@ -63,7 +63,7 @@
     /// The platform, as it is called under the fence.
     platform: Option<(u64, Arc<Platform>)>,
     reload_at: Nanos,
-    floor: Floor,
+    core: Core,
 }
 
 /// Serves until SIGTERM. What scalers are given is told as `lines`.
@@ -134,12 +134,12 @@
         seats: BTreeMap::new(),
         platform: None,
         reload_at: 0,
-        floor: Floor::new(start),
+        core: Core::new(start),
         settings,
     };
     log::info!("control on {address}");
     loop {
-        let wake = runtime.floor.wake(runtime.now());
+        let wake = runtime.core.wake(runtime.now());
         tokio::select! {
             event = coming.recv() => match event {
                 Some(event) => runtime.event(event),
@@ -154,7 +154,7 @@
             runtime.event(event);
         }
         runtime.tick();
-        if runtime.floor.is_over(runtime.now()) {
+        if runtime.core.is_over(runtime.now()) {
             server.abort();
             return Ok(());
         }
@@ -171,7 +171,7 @@
             Ok(settings) if settings.seed_nodes != self.settings.seed_nodes => {
                 log::info!("seeds are now {:?}", settings.seed_nodes);
                 self.settings.seed_nodes = settings.seed_nodes;
-                self.input(Input::Seeds(floor::seeds(&self.settings)));
+                self.input(Input::Seeds(seeds(&self.settings)));
             }
             Ok(_) => {}
             Err(e) => log::warn!("settings stay as they are: {e}"),
@@ -191,7 +191,7 @@
 
     fn input(&mut self, input: Input) {
         let now = self.now();
-        self.floor.input(now, input);
+        self.core.input(now, input);
         self.carry_out();
     }
 
@@ -199,9 +199,9 @@
         let now = self.now();
         let gone: Vec<_> = self.seats.iter().filter(|(_, s)| s.is_closed()).map(|(seat, _)| *seat).collect();
         gone.into_iter().for_each(|seat| self.left(seat));
-        self.floor.tick(now);
+        self.core.tick(now);
         self.carry_out();
-        if !self.floor.is_steward() {
+        if !self.core.is_steward() {
             self.platform = None;
         }
         if now >= self.reload_at {
@@ -213,11 +213,11 @@
     fn left(&mut self, seat: Seat) {
         self.seats.remove(&seat);
         let now = self.now();
-        self.floor.input(now, Input::Left(seat));
+        self.core.input(now, Input::Left(seat));
     }
 
     fn carry_out(&mut self) {
-        for effect in self.floor.take() {
+        for effect in self.core.take() {
             match effect {
                 Effect::Vote(to, message, back) => self.vote(to, message, back),
                 Effect::Ask(call, from, message) => self.ask(call, from, message),
--- a/bourse/tests/floor.rs
+++ b/bourse/tests/control.rs
@@ -3,7 +3,7 @@
 mod town;
 
 use hyper::Method;
-use millpost_bourse::floor::Input;
+use millpost_bourse::core::Input;
 use millpost_bourse::leadership::Call;
 use millpost_bourse::rounds;
 use tinyjson::JsonValue;
@@ -143,7 +143,7 @@
             "{status} {body}"
         );
     }
-    assert!(!town.floor(steward).is_steward());
+    assert!(!town.core(steward).is_steward());
     town.cut(steward, 0);
     town.hears_across(steward, false);
     let healed = town.now;
@@ -236,11 +236,11 @@
     town.cut(0, 1);
     let ids: Vec<_> = (0..2 * rounds::MOST).map(|_| town.read(0)).collect();
     town.run(town.now + MS);
-    assert!(town.floor(0).under_way() <= rounds::MOST);
+    assert!(town.core(0).under_way() <= rounds::MOST);
     town.run(town.now + 900 * MS);
     let busy = ids.iter().filter(|id| town.answers[id].2.contains("busy")).count();
     assert!((rounds::MOST..2 * rounds::MOST).contains(&busy), "{busy}");
-    assert!(town.floor(0).under_way() <= 2);
+    assert!(town.core(0).under_way() <= 2);
 }
 
 #[test]
@@ -265,7 +265,7 @@
     let id = town.call(steward, Method::POST, "/mail", note);
     town.run(town.now);
     assert_eq!(town.answer_to(id).map(|a| a.0), Some(409));
-    assert!(!town.floor(steward).is_steward());
+    assert!(!town.core(steward).is_steward());
 }
 
 #[test]
@@ -383,8 +383,8 @@
     town.run(left + 299 * MS);
     assert_eq!(town.answer_to(put).map(|a| a.0), Some(200));
     assert!(town.answer_to(new).is_some_and(|(status, body)| status == 503 && body.contains("busy")));
-    assert!(!town.floor(steward).is_steward() && !town.floor(steward).is_over(left + 299 * MS));
-    assert!(town.floor(steward).is_over(left + 300 * MS));
+    assert!(!town.core(steward).is_steward() && !town.core(steward).is_over(left + 299 * MS));
+    assert!(town.core(steward).is_over(left + 300 * MS));
     assert!(town.until(700 * MS, |town| town.steward().is_some()), "the lease was given back");
 }
 
--- a/bourse/tests/market/mod.rs
+++ b/bourse/tests/market/mod.rs
@@ -6,7 +6,7 @@
 use hyper::Method;
 use millpost_barrow::mail;
 use millpost_barrow::pack::unpack;
-use millpost_bourse::floor::Input;
+use millpost_bourse::core::Input;
 use millpost_broker::{Ask, Desk, No, Out, Outcome, Peer, SECOND, Spec, Terms};
 use millpost_crier::{Note, object, text};
 use millpost_tariff::{At, Config, change};
--- a/bourse/tests/town/mod.rs
+++ b/bourse/tests/town/mod.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, StatusCode};
 use millpost_barrow::mail::{Call, Content, Reply, json};
 use millpost_bourse::contact::Answered;
-use millpost_bourse::floor::{Back, Bounds, Effect, Floor, Input, Start};
+use millpost_bourse::core::{Back, Bounds, Core, Effect, Input, Start};
 use millpost_bourse::leadership::{self, Errand, Heard};
 use millpost_pitches::{Entry, Worker};
 use millpost_tally::{Address, Key, Members, Message, Voter, Write};
@@ -26,7 +26,7 @@
 }
 
 struct Machine {
-    floor: Floor,
+    core: Core,
     voter: Voter,
     /// What its voter has written.
     disk: BTreeMap<String, String>,
@@ -110,19 +110,19 @@
                 let first = Members::first("u", seeds.iter().cloned());
                 voter.bootstrap(first).carry_out(|batch| write(&mut disk, batch)).expect("written");
             }
-            let floor = Floor::new(start(n, 1, &seeds));
+            let core = Core::new(start(n, 1, &seeds));
             let (wake, up, frozen, side, hears, told) = (0, true, 0, 0, false, None);
-            town.machines.push(Machine { floor, voter, disk, wake, up, frozen, side, hears, told });
+            town.machines.push(Machine { core, voter, disk, wake, up, frozen, side, hears, told });
         }
         town
     }
 
-    pub fn floor(&self, n: usize) -> &Floor {
-        &self.machines[n].floor
+    pub fn core(&self, n: usize) -> &Core {
+        &self.machines[n].core
     }
 
     pub fn steward(&self) -> Option<usize> {
-        let mut stewards = (0..self.machines.len()).filter(|n| self.machines[*n].floor.is_steward());
+        let mut stewards = (0..self.machines.len()).filter(|n| self.machines[*n].core.is_steward());
         stewards.next().filter(|n| self.machines[*n].up && stewards.next().is_none())
     }
 
@@ -193,7 +193,7 @@
         let (life, seeds) = (self.now / MS + 2, self.seeds.clone());
         let voter = Voter::open(address(n), records, seeds.clone(), life, self.now).expect("its records");
         self.machines[n].voter = voter;
-        self.machines[n].floor = Floor::new(start(n, life, &seeds));
+        self.machines[n].core = Core::new(start(n, life, &seeds));
         (self.machines[n].wake, self.machines[n].told) = (self.now, None);
     }
 
@@ -286,9 +286,9 @@
     fn event(&mut self, n: usize, event: Event) {
         match event {
             Event::Input(input) => {
-                self.machines[n].floor.input(self.now, input);
+                self.machines[n].core.input(self.now, input);
                 self.effects(n);
-                self.machines[n].wake = self.machines[n].floor.wake(self.now);
+                self.machines[n].wake = self.machines[n].core.wake(self.now);
             }
             Event::Vote(from, message, back) => {
                 let Machine { voter, disk, .. } = &mut self.machines[n];
@@ -373,15 +373,15 @@
             (machine.voter.state() == millpost_tally::State::Voting, machine.voter.members().cloned());
         if machine.told.as_ref() != Some(&standing) {
             machine.told = Some(standing.clone());
-            machine.floor.input(self.now, Input::Standing(standing.0, standing.1));
+            machine.core.input(self.now, Input::Standing(standing.0, standing.1));
         }
-        machine.floor.tick(self.now);
-        machine.wake = machine.floor.wake(self.now);
+        machine.core.tick(self.now);
+        machine.wake = machine.core.wake(self.now);
         self.effects(n);
     }
 
     fn effects(&mut self, n: usize) {
-        for effect in self.machines[n].floor.take() {
+        for effect in self.machines[n].core.take() {
             match effect {
                 Effect::Vote(to, message, back) => {
                     let to = (0..self.machines.len()).find(|n| address(*n) == to).expect("a machine");
