--- a/beadle/src/config.rs
+++ b/beadle/src/config.rs
@@ -84,6 +84,16 @@
     pub acted: Option<(usize, f64)>,
 }
 
+/// What stands under the number that was put.
+const WON: &str = "with another content: two were put under one number, and the other one won";
+
+/// The revision that stands with another content, where control says that one does.
+fn conflict(answer: &JsonValue) -> Option<u64> {
+    let is_conflict = get_str(answer, "error") == Some("conflict");
+    let JsonValue::Number(revision) = get(get(answer, "why")?, "revision")? else { return None };
+    values::whole(*revision).filter(|_| is_conflict)
+}
+
 /// Puts a configuration, finds out what stands then, and waits until all that follow act on it.
 pub async fn put(controls: &Controls, file: &Read, wait: Option<Duration>) -> Result<Put, Error> {
     let began = Instant::now();
@@ -93,6 +103,9 @@
     let given = controls.call(Method::POST, "/Config.Replace", body, what).await?;
     if given.status >= 300 {
         let json = millpost_barrow::mail::json(&given.body);
+        if let Some(stands) = json.as_ref().and_then(conflict) {
+            return OvertakenSnafu { ours, stands, how: WON }.fail();
+        }
         let why = json.as_ref().and_then(|json| get_str(json, "why")).map(str::to_owned);
         let why = why.unwrap_or_else(|| said(given.status, &given.body));
         return RefusedSnafu { by: given.by, status: given.status, why }.fail();
@@ -108,7 +121,7 @@
     let revision = stands.config.revision;
     if !stands.same(file) {
         let how = match revision == ours {
-            true => "with another content: two were put under one number, and the other one won",
+            true => WON,
             false => "which is newer",
         };
         return OvertakenSnafu { ours, stands: revision, how }.fail();
--- a/beadle/tests/command.rs
+++ b/beadle/tests/command.rs
@@ -116,6 +116,7 @@
 }
 
 const REFUSED: (u16, &str) = (400, r#"{"error":"invalid","why":"routes[0].deadline_ms: is 0; at least 1"}"#);
+const CONFLICT: (u16, &str) = (409, r#"{"error":"conflict","why":{"revision":7,"stands":"9be2"}}"#);
 const NEWER: (u16, &str) = (200, r#"{"revision":9,"routes":[],"services":[]}"#);
 const OTHER: (u16, &str) = (200, r#"{"revision":7,"routes":[],"services":[]}"#);
 
@@ -123,6 +124,7 @@
     taken = { TAKEN, STANDS, 0, "revision 7 stands, and has this content" },
     refused_with_the_key = { REFUSED, STANDS, 3, "routes[0].deadline_ms: is 0; at least 1" },
     conflict = { (409, ""), STANDS, 3, "refused" },
+    lost_to_what_stands = { CONFLICT, OTHER, 5, "revision 7 stands, with another content" },
     too_large = { (413, ""), STANDS, 3, "413" },
     not_found_for_the_third_time = { (404, ""), STANDS, 3, "404" },
     no_clear_answer = { NO_MAJORITY, STANDS, 4, "may be in force" },
