--- a/tariff/src/digest.rs
+++ b/tariff/src/digest.rs
@@ -1,4 +1,7 @@
-//! The digest of a configuration: FNV-1a of each part, summed, so that the order of parts does not count.
+//! The digest of a configuration: FNV-1a of each part, mixed and summed, so that the order of parts does not count.
+//!
+//! Invariant: a part's hash is mixed before it is summed. FNV-1a alone is near to linear: one and the same change made to either of two
+//! routes changed their hashes by the same amount, and two different configurations had one digest.
 
 use crate::{Config, Limits, Route, Service, Traffic};
 
@@ -22,6 +25,13 @@
     fn text(self, text: &str) -> Self {
         self.number(text.len() as u64).bytes(text.as_bytes())
     }
+
+    /// The hash, with each of its bits hanging on all that it was fed (the finalizer of SplitMix64).
+    fn mixed(self) -> u64 {
+        let hash = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        hash ^ (hash >> 31)
+    }
 }
 
 /// The digest of all that a configuration says.
@@ -48,7 +58,7 @@
     let fnv = Fnv::of(1).text(name).text(host).text(path_prefix);
     let fnv = fnv.number(u64::from(*traffic == Traffic::Mutating)).number(*deadline_ms);
     let fnv = fnv.number(*target_latency_ms).number(u64::from(*priority)).number(u64::from(*max_tries));
-    shares.iter().fold(fnv, |fnv, (service, weight)| fnv.text(service).number(u64::from(*weight))).0
+    shares.iter().fold(fnv, |fnv, (service, weight)| fnv.text(service).number(u64::from(*weight))).mixed()
 }
 
 fn service(service: &Service) -> u64 {
@@ -56,11 +66,11 @@
     let fnv = Fnv::of(2).text(name).number(u64::from(health_path.is_some()));
     let fnv = fnv.text(health_path.as_deref().unwrap_or_default()).number(u64::from(*max_conns));
     let fnv = fnv.text(protocol).number(u64::from(*tls)).number(*memory_mb).number(*boot_ms);
-    fnv.number(u64::from(*concurrency)).0
+    fnv.number(u64::from(*concurrency)).mixed()
 }
 
 fn rest(revision: u64, limits: &Limits) -> u64 {
     let Limits { max_header_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms } = *limits;
     let fnv = Fnv::of(3).number(revision).number(max_header_bytes).number(max_body_bytes);
-    fnv.number(header_timeout_ms).number(idle_timeout_ms).0
+    fnv.number(header_timeout_ms).number(idle_timeout_ms).mixed()
 }
