--- a/bourse/src/contact.rs
+++ b/bourse/src/contact.rs
@@ -20,7 +20,7 @@
 const MOST: usize = 64;
 
 /// What another control machine answered, and when it was asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answered {
     /// When the message that it answers was sent, by this machine's clock.
     pub sent: Nanos,
@@ -28,13 +28,20 @@
     pub epoch: u64,
     /// Whether it has a state to vote with.
     pub voting: bool,
+    /// Those members, where they are newer than what this machine said it goes by.
+    pub members: Option<Members>,
 }
 
 impl Answered {
-    /// The body of an answer to news.
-    pub fn body(epoch: u64, voting: bool) -> String {
-        let parts =
-            object([("epoch", JsonValue::Number(epoch as f64)), ("voting", JsonValue::Boolean(voting))]);
+    /// The body of an answer to news of a machine that goes by members of the epoch `known`, if by any.
+    pub fn body(members: Option<&Members>, known: Option<u64>, voting: bool) -> String {
+        let epoch = members.map_or(0, |members| members.epoch);
+        let newer = members.filter(|members| known.is_none_or(|known| known < members.epoch));
+        let parts = object([
+            ("epoch", JsonValue::Number(epoch as f64)),
+            ("voting", JsonValue::Boolean(voting)),
+            ("members", newer.map_or(JsonValue::Null, Members::to_json)),
+        ]);
         parts.stringify().unwrap_or_default()
     }
 
@@ -42,7 +49,8 @@
     pub fn read(sent: Nanos, body: &[u8]) -> Option<Answered> {
         let JsonValue::Object(parts) = millpost_barrow::mail::json(body)? else { return None };
         let voting = parts.get("voting") == Some(&JsonValue::Boolean(true));
-        Some(Answered { sent, epoch: whole(&parts, "epoch").ok()?, voting })
+        let members = parts.get("members").and_then(|members| Members::read(members).ok());
+        Some(Answered { sent, epoch: whole(&parts, "epoch").ok()?, voting, members })
     }
 }
 
@@ -185,7 +193,7 @@
     }
 
     fn answered(sent_ms: u64, epoch: u64, voting: bool) -> Answered {
-        Answered { sent: sent_ms * MS, epoch, voting }
+        Answered { sent: sent_ms * MS, epoch, voting, members: None }
     }
 
     /// One that holds since 10 ms.
@@ -272,10 +280,13 @@
 
     #[test]
     fn an_answer_is_read_as_it_is_sent_and_nothing_else_is() {
-        assert_eq!(
-            Answered::read(3, Answered::body(7, true).as_bytes()),
-            Some(Answered { sent: 3, epoch: 7, voting: true })
-        );
+        for (known, told) in [(None, true), (Some(6), true), (Some(7), false)] {
+            let newer = members(7);
+            let body = Answered::body(Some(&newer), known, true);
+            let members = told.then_some(newer);
+            let answered = Answered { sent: 3, epoch: 7, voting: true, members };
+            assert_eq!(Answered::read(3, body.as_bytes()), Some(answered), "{known:?}");
+        }
         for other in ["", "[]", "{}", r#"{"epoch":-1}"#] {
             assert_eq!(Answered::read(3, other.as_bytes()), None, "{other}");
         }
--- a/bourse/src/core.rs
+++ b/bourse/src/core.rs
@@ -307,7 +307,10 @@
                 let heard = self.with_outs(now, heard);
                 self.leadership.on_heard(now, fence, asked, heard);
             }
-            Input::Reached(peer, answered) => {
+            Input::Reached(peer, mut answered) => {
+                if let Some(members) = answered.members.take() {
+                    self.adopt(&members);
+                }
                 self.contact.reached(peer, answered);
                 self.look_at_contact(now);
             }
--- a/bourse/src/core/api.rs
+++ b/bourse/src/core/api.rs
@@ -174,7 +174,7 @@
     fn heard(&mut self, now: Nanos, call: &Call) -> Result<Reply, Kind> {
         let json = call.json().ok_or_else(|| Kind::Invalid("no JSON".to_owned()))?;
         let news = News::read(&json)?;
-        let (fence, steward) = (news.fence, news.steward.clone());
+        let (fence, steward, known) = (news.fence, news.steward.clone(), news.epoch);
         let next = self.gossip.heard(now, news)?;
         self.heard_outs(now, &json);
         if fence > 0 {
@@ -184,8 +184,8 @@
         if !self.contact.reaches() {
             self.gossip.hasten(now);
         }
-        let epoch = self.rounds.members().map_or(0, |members| members.epoch);
-        Ok(Reply::json(StatusCode::OK, Answered::body(epoch, self.voting)))
+        let body = Answered::body(self.rounds.members(), known, self.voting);
+        Ok(Reply::json(StatusCode::OK, body))
     }
 
     fn mail(&mut self, now: Nanos, call: &Call) -> Result<Reply, Kind> {
--- a/bourse/src/gossip.rs
+++ b/bourse/src/gossip.rs
@@ -61,6 +61,8 @@
     pub voting: bool,
     /// Its process was told to end.
     pub leaving: bool,
+    /// The epoch of the members that it goes by, if it knows any.
+    pub epoch: Option<u64>,
     /// How that configuration differs from the one before; with the first word of it only.
     pub change: Option<Step>,
 }
@@ -89,6 +91,7 @@
             fence: count("fence")?,
             voting: parts.get("voting") == Some(&JsonValue::Boolean(true)),
             leaving: parts.get("leaving") == Some(&JsonValue::Boolean(true)),
+            epoch: parts.contains_key("epoch").then(|| count("epoch")).transpose()?,
             change: match (parts.get("change"), parts.get("base")) {
                 (Some(JsonValue::String(packed)), Some(JsonValue::String(from))) => {
                     Some(Step { from: from.as_str().into(), packed: packed.clone() })
@@ -112,6 +115,7 @@
             ("fence", JsonValue::Number(self.fence as f64)),
             ("voting", JsonValue::Boolean(self.voting)),
             ("leaving", if self.leaving { JsonValue::Boolean(true) } else { JsonValue::Null }),
+            ("epoch", self.epoch.map_or(JsonValue::Null, |epoch| JsonValue::Number(epoch as f64))),
             ("base", self.change.as_ref().map_or(JsonValue::Null, |c| text(&c.from))),
             ("change", self.change.as_ref().map_or(JsonValue::Null, |c| text(&c.packed))),
         ])
@@ -262,6 +266,7 @@
             fence: self.known.0,
             voting: standing.voting,
             leaving: standing.leaving,
+            epoch: members.map(|members| members.epoch),
             change: self.step.take(),
         };
         (to, news)
@@ -323,6 +328,7 @@
             fence: 0,
             voting: true,
             leaving: false,
+            epoch: Some(1),
             change: None,
         }
     }
--- a/bourse/tests/control.rs
+++ b/bourse/tests/control.rs
@@ -158,6 +158,17 @@
     assert!(first.contains(&packed(&configuration)), "{first}");
 }
 
+/// A spare asks the seeds who votes half a second after its start; until then it held up whoever wanted to follow it.
+#[test]
+fn a_spare_hears_who_votes_with_the_first_answer_to_its_news() {
+    let (mut town, _) = settled(1);
+    town.restart(3);
+    let letter = r#"{"from":"edge-1","life":1,"notes":[]}"#;
+    let follow = town.call(3, Method::POST, "/follow", letter);
+    town.run(town.now + 30 * MS);
+    assert!(town.seats.contains_key(&follow));
+}
+
 /// A stall that has started hears which configuration stands from a machine in contact only.
 #[test]
 fn which_configuration_stands_is_told_in_contact_only() {
