--- a/till/src/images.rs
+++ b/till/src/images.rs
@@ -91,14 +91,24 @@
     assert_eq!(tried, 132);
 }
 
+/// The bytes of a file at which it is cut or spoilt: so many, spread over it. `TILL_PLACES` in the environment asks for more, `all` for
+/// each byte.
+fn places(length: usize, count: usize) -> impl Iterator<Item = usize> {
+    let step = match std::env::var("TILL_PLACES") {
+        Ok(word) if word == "all" => 1,
+        Ok(word) => length / word.parse::<usize>().expect("a number, or all").max(1),
+        Err(_) => length / count,
+    };
+    (0..length).step_by(step.max(1))
+}
+
 /// A file that was cut or spoilt is an error or an older state; it never ends the process, and nothing is made up.
 #[test]
 fn cut_and_spoilt_files_are_errors_and_no_panic() {
     let last = images(9).pop().expect("an image");
     let ever: Vec<_> = (0..9).map(write).map(|w| (w.key, w.text)).collect();
     for (name, bytes) in &last {
-        let step = (bytes.len() / 24).max(1);
-        for at in (0..bytes.len()).step_by(step) {
+        for at in places(bytes.len(), 24) {
             let mut cut = last.clone();
             cut.insert(name.clone(), bytes[..at].to_vec());
             let mut spoilt = last.clone();
@@ -146,7 +156,7 @@
     let ever: Vec<_> = (0..6).map(write).map(|w| (w.key, w.text)).collect();
     let mut tried = 0;
     for (name, bytes) in &last {
-        for at in (0..bytes.len()).step_by((bytes.len() / 40).max(1)) {
+        for at in places(bytes.len(), 40) {
             let (mut cut, mut spoilt) = (last.clone(), last.clone());
             cut.insert(name.clone(), bytes[..at].to_vec());
             spoilt.entry(name.clone()).and_modify(|bytes| bytes[at] ^= 0x5a);
