--- a/bourse/src/steward.rs
+++ b/bourse/src/steward.rs
@@ -21,7 +21,7 @@
 const NOBODY_NEW: Nanos = 120 * MS;
 const HEARD_ALL: Nanos = 600 * MS;
 /// ... nor than this where control has just started and no stall goes by a naming: then nobody owns anything, and nothing is served.
-const NONE_OWNS: Nanos = 100 * MS;
+const NONE_OWNS: Nanos = 200 * MS;
 /// Between two namings: what changes together is named together, since each goes to all.
 const NAME_GAP: Nanos = 250 * MS;
 /// A steward that has just taken office names whom it hears of at once, since they have nobody else.
--- a/bourse/tests/control.rs
+++ b/bourse/tests/control.rs
@@ -147,7 +147,10 @@
     town.cut(steward, 0);
     town.hears_across(steward, false);
     let healed = town.now;
-    town.run(healed + 700 * MS);
+    while town.status(steward, "contact") != JsonValue::String("holds".to_owned()) {
+        town.run(town.now + MS);
+        assert!(town.now <= healed + 420 * MS, "one round of news, and a read");
+    }
     let follow = town.call(steward, Method::POST, "/follow", letter);
     town.run(town.now + 100 * MS);
     let (_, seat) = town.seats[&follow];
--- a/bourse/tests/steward.rs
+++ b/bourse/tests/steward.rs
@@ -250,7 +250,7 @@
 
 /// After a loss of all power stalls come one by one for half a second, and nothing is served before they are named.
 #[yare::parameterized(
-    all_is_new = { true, None, 100 },
+    all_is_new = { true, None, 200 },
     control_has_run_for_long = { false, None, 600 },
     one_goes_by_a_naming = { true, Some((1, 4)), 600 },
 )]
--- a/porter/src/follow.rs
+++ b/porter/src/follow.rs
@@ -15,6 +15,8 @@
 /// The pause after a failure; it doubles with each.
 const FIRST_PAUSE: Nanos = 100 * MS;
 const LONGEST_PAUSE: Nanos = SECOND;
+/// ... but not for so long after the process has started, while nobody was heard: control may be starting as well, and all wait for it.
+const EAGER: Nanos = 3 * SECOND;
 /// A feed that held for longer was a good one.
 const LONG: Nanos = 5 * SECOND;
 /// A feed of changes alone is given this long before what it lacks counts as missed: another brings the whole.
@@ -73,6 +75,9 @@
     behind: Option<SocketAddr>,
     renewed: Option<Nanos>,
     last: u64,
+    /// When the process started to look, until a feed was heard.
+    eager: Option<Nanos>,
+    begun: bool,
     steps: Vec<Step>,
 }
 
@@ -91,6 +96,8 @@
             behind: None,
             renewed: None,
             last: 0,
+            eager: None,
+            begun: false,
             steps: Vec::new(),
         }
     }
@@ -134,6 +141,9 @@
 
     /// Follows as many as it should, the steward among them.
     pub fn look_after(&mut self, now: Nanos) {
+        if !std::mem::replace(&mut self.begun, true) {
+            self.eager = Some(now + EAGER);
+        }
         // While it is not known how the next try goes, the last one counts.
         let tried = |address: &SocketAddr| self.followed.get(address).is_some_and(|f| !f.heard);
         self.failed.retain(|address, (until, pause)| *until + *pause * 4 > now || tried(address));
@@ -207,6 +217,7 @@
     pub fn heard(&mut self, feed: u64) -> Option<SocketAddr> {
         let (address, feed) = self.followed.iter_mut().find(|(_, f)| f.number == feed)?;
         feed.heard = true;
+        self.eager = None;
         Some(*address)
     }
 
@@ -228,9 +239,10 @@
     fn fail(&mut self, now: Nanos, feed: u64) -> bool {
         let Some(address) = self.address(feed) else { return false };
         let Some(feed) = self.followed.remove(&address) else { return false };
+        let eager = self.eager.is_some_and(|until| now < until);
         let long = feed.heard && now.saturating_sub(feed.since) > LONG;
         let pause = match self.failed.get(&address) {
-            Some((_, pause)) if !long => (*pause * 2).min(LONGEST_PAUSE),
+            Some((_, pause)) if !long && !eager => (*pause * 2).min(LONGEST_PAUSE),
             _ => FIRST_PAUSE,
         };
         self.failed.insert(address, (now.saturating_add(pause), pause));
--- a/porter/tests/round.rs
+++ b/porter/tests/round.rs
@@ -370,6 +370,8 @@
 #[test]
 fn pauses_grow_with_failures_and_a_long_feed_ends_them() {
     let mut play = Play::new(&[1]);
+    // Past the first moments of the process.
+    play.pass(4 * SECOND);
     let mut pauses = Vec::new();
     for _ in 0..6 {
         play.ended(1);
@@ -388,6 +390,24 @@
     assert_eq!(play.followed().0, [at(1)]);
 }
 
+/// After a loss of all power control and agents start in one moment: an agent whose first tries had failed came to the new leader 400 ms
+/// after the others, and its proxy was named that much later.
+#[test]
+fn an_agent_that_starts_tries_on_without_longer_pauses_until_somebody_is_heard() {
+    let mut play = Play::new(&[1]);
+    let pause = |play: &mut Play| {
+        play.ended(1);
+        let before = play.now;
+        while play.open.is_empty() {
+            play.pass(100 * MS);
+        }
+        (play.now - before) / MS
+    };
+    assert_eq!([(); 8].map(|()| pause(&mut play)), [100; 8]);
+    play.line(1, &[]);
+    assert_eq!([(); 3].map(|()| pause(&mut play)), [200, 400, 800]);
+}
+
 #[test]
 fn seeds_change_and_the_end_comes_in_time() {
     let mut play = Play::new(&[1]);
@@ -441,6 +461,7 @@
 #[test]
 fn a_pause_is_not_forgotten_while_the_next_try_hangs() {
     let mut play = Play::new(&[1]);
+    play.pass(4 * SECOND);
     let mut pauses = Vec::new();
     for _ in 0..6 {
         // It accepts and says nothing.
