Contact reads the register again once for each epoch of members, not without end

Newer members come with the answer and are taken in first; what was confirmed is confirmed under an epoch, and read again once under the next.

--- a/bourse/src/core.rs
+++ b/bourse/src/core.rs
@@ -433,7 +433,8 @@
                     if let Some(value) = value(outcome) {
                         self.install(now, &value);
                     }
-                    self.contact.confirmed(now, read);
+                    let epoch = self.rounds.members().map_or(0, |members| members.epoch);
+                    self.contact.confirmed(now, read, epoch);
                     self.look_at_contact(now);
                 }
             }
