--- a/bourse/tests/control.rs
+++ b/bourse/tests/control.rs
@@ -734,3 +734,16 @@
     assert!(!stops.is_empty());
     assert_eq!((on(&town, "w-1"), on(&town, "w-2")), (0, 2), "it was stopped, and nothing was started there");
 }
+
+/// News are answered with members only where they are newer than what their sender goes by: every 400 ms they would be most of the bytes.
+#[test]
+fn at_rest_no_answer_to_news_brings_members() {
+    let (mut town, _) = settled(2);
+    town.run(town.now + 2_000 * MS);
+    let before: std::collections::BTreeSet<_> = town.answers.keys().copied().collect();
+    town.run(town.now + 4_000 * MS);
+    let bodies: Vec<_> = town.answers.iter().filter(|(id, _)| !before.contains(id)).collect();
+    let news = bodies.iter().filter(|(_, (_, _, body))| body.contains("epoch")).count();
+    assert!((4 * 5 * 9..4 * 5 * 12).contains(&news), "{news}");
+    assert!(bodies.iter().all(|(_, (_, _, body))| !body.contains("members")), "{bodies:?}");
+}
