--- a/bourse/src/calls.rs
+++ b/bourse/src/calls.rs
@@ -4,6 +4,9 @@
 
 use crate::errors::Kind;
 
+/// The longest body of a call, and so the longest configuration, in bytes.
+pub const LONGEST_BODY: usize = 4 << 20;
+
 /// The calls that control takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum What {
--- a/bourse/src/core.rs
+++ b/bourse/src/core.rs
@@ -6,8 +6,6 @@
 mod drains;
 mod follow;
 
-pub use api::LONGEST_BODY;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -21,6 +19,7 @@
 use millpost_tariff::{Config, Settings, change};
 use tinyjson::JsonValue;
 
+use crate::calls::LONGEST_BODY;
 use crate::contact::{Answered, Contact};
 use crate::core::carts::Carts;
 use crate::core::drains::Outs;
--- a/bourse/src/core/api.rs
+++ b/bourse/src/core/api.rs
@@ -14,15 +14,13 @@
 use tinyjson::JsonValue;
 
 use super::{Core, Effect, carts};
-use crate::calls::{What, what};
+use crate::calls::{LONGEST_BODY, What, what};
 use crate::contact::Answered;
 use crate::errors::Kind;
 use crate::gossip::News;
 use crate::rounds::For;
 use crate::{MS, Nanos};
 
-/// The longest configuration.
-pub const LONGEST_BODY: usize = 4 << 20;
 /// Longer configurations are packed once, as they come, and stay so in the register, on its disks and in the feed.
 const PACK_FROM: usize = 4 * 1024;
 /// A steward has longer ones read by another.
--- a/bourse/src/orders.rs
+++ b/bourse/src/orders.rs
@@ -9,7 +9,7 @@
 use millpost_tally::{Kind as RoundKind, Value};
 use tinyjson::JsonValue;
 
-use crate::core::LONGEST_BODY;
+use crate::calls::LONGEST_BODY;
 use crate::errors::Kind;
 use crate::gossip::digest;
 
--- a/bourse/src/runtime.rs
+++ b/bourse/src/runtime.rs
@@ -24,8 +24,9 @@
 use tokio::time::{Instant, sleep_until};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::calls::LONGEST_BODY;
 use crate::contact::Answered;
-use crate::core::{Back, Core, Effect, Input, LONGEST_BODY, Start, seeds};
+use crate::core::{Back, Core, Effect, Input, Start, seeds};
 use crate::errors::{Error, Kind, ListenSnafu, NeededSnafu, SignalsSnafu};
 use crate::feed::Seat;
 use crate::leadership::Errand;
