Contact is confirmed by a small key, and by the revisions that the others know

The read that confirms contact asked for the configuration, 140 KB from each of five voters, again every 300 ms while it failed, which kept machines of 0.13 cores from ever confirming it. Now the leader's fence is read, once a second at most; answers to news say which revision the other machine knows as chosen, and what is older than that is not handed out; the configuration is learnt once in a life, as before.

--- a/bourse/src/contact.rs
+++ b/bourse/src/contact.rs
@@ -15,7 +15,7 @@
 use crate::{MS, Nanos};
 
 /// A read of the register that did not end well is begun again after this.
-const READ_AGAIN: Nanos = 300 * MS;
+const READ_AGAIN: Nanos = 1_000 * MS;
 /// Peers whose answers are kept: more than can vote.
 const MOST: usize = 64;
 
@@ -28,18 +28,21 @@
     pub epoch: u64,
     /// Whether it has a state to vote with.
     pub voting: bool,
+    /// The revision of the configuration that it knows to be chosen.
+    pub revision: u64,
     /// Those members, where they are newer than what this machine said it goes by.
     pub members: Option<Members>,
 }
 
 impl Answered {
     /// The body of an answer to news of a machine that goes by members of the epoch `known`, if by any.
-    pub fn body(members: Option<&Members>, known: Option<u64>, voting: bool) -> String {
+    pub fn body(members: Option<&Members>, known: Option<u64>, voting: bool, revision: u64) -> String {
         let epoch = members.map_or(0, |members| members.epoch);
         let newer = members.filter(|members| known.is_none_or(|known| known < members.epoch));
         let parts = object([
             ("epoch", JsonValue::Number(epoch as f64)),
             ("voting", JsonValue::Boolean(voting)),
+            ("rev", JsonValue::Number(revision as f64)),
             ("members", newer.map_or(JsonValue::Null, Members::to_json)),
         ]);
         parts.stringify().unwrap_or_default()
@@ -50,7 +53,8 @@
         let JsonValue::Object(parts) = millpost_barrow::mail::json(body)? else { return None };
         let voting = parts.get("voting") == Some(&JsonValue::Boolean(true));
         let members = parts.get("members").and_then(|members| Members::read(members).ok());
-        Some(Answered { sent, epoch: whole(&parts, "epoch").ok()?, voting, members })
+        let (epoch, revision) = (whole(&parts, "epoch").ok()?, whole(&parts, "rev").ok()?);
+        Some(Answered { sent, epoch, voting, revision, members })
     }
 }
 
@@ -150,6 +154,12 @@
         matches!(self.state, State::Holds(..))
     }
 
+    /// The newest revision that the others were lately heard to know as chosen.
+    pub fn newest(&self, now: Nanos) -> u64 {
+        let fresh = self.answered.values().filter(|answered| answered.sent + self.span > now);
+        fresh.map(|answered| answered.revision).max().unwrap_or(0)
+    }
+
     /// Whether a majority is reached, though the register may not have been read yet.
     pub fn reaches(&self) -> bool {
         self.state != State::Lost
@@ -192,7 +202,7 @@
     }
 
     fn answered(sent_ms: u64, epoch: u64, voting: bool) -> Answered {
-        Answered { sent: sent_ms * MS, epoch, voting, members: None }
+        Answered { sent: sent_ms * MS, epoch, voting, revision: 0, members: None }
     }
 
     /// One that holds since 10 ms.
@@ -244,12 +254,12 @@
         contact.reached("c".into(), answered(3_000, 0, true));
         let first = contact.look(3_001 * MS, Some(&members(0)), true).expect("a read");
         assert!(!contact.holds() && !contact.is_lost(3_001 * MS));
-        let second = contact.look(3_301 * MS, Some(&members(0)), true).expect("another");
+        let second = contact.look(4_001 * MS, Some(&members(0)), true).expect("another");
         // The first one may have been answered before.
-        contact.confirmed(3_302 * MS, first, 0);
+        contact.confirmed(4_002 * MS, first, 0);
         assert!(!contact.holds());
-        contact.confirmed(3_303 * MS, second, 0);
-        assert_eq!(contact.held_for(3_305 * MS), Some(2 * MS));
+        contact.confirmed(4_003 * MS, second, 0);
+        assert_eq!(contact.held_for(4_005 * MS), Some(2 * MS));
     }
 
     /// A machine that heard of newer members from one whose voters did not know them yet read the register without end.
@@ -286,9 +296,9 @@
     fn an_answer_is_read_as_it_is_sent_and_nothing_else_is() {
         for (known, told) in [(None, true), (Some(6), true), (Some(7), false)] {
             let newer = members(7);
-            let body = Answered::body(Some(&newer), known, true);
+            let body = Answered::body(Some(&newer), known, true, 5);
             let members = told.then_some(newer);
-            let answered = Answered { sent: 3, epoch: 7, voting: true, members };
+            let answered = Answered { sent: 3, epoch: 7, voting: true, revision: 5, members };
             assert_eq!(Answered::read(3, body.as_bytes()), Some(answered), "{known:?}");
         }
         for other in ["", "[]", "{}", r#"{"epoch":-1}"#] {
--- a/bourse/src/core.rs
+++ b/bourse/src/core.rs
@@ -177,6 +177,8 @@
     platform: Option<Bounds>,
     sink: Option<Box<dyn Fn() -> Sink>>,
     voting: bool,
+    /// A read of the configuration has ended well in this life, whatever it found.
+    learned: bool,
     contact: Contact,
     rounds: Rounds,
     leadership: Leadership,
@@ -214,6 +216,7 @@
             platform,
             sink,
             voting: false,
+            learned: false,
             contact: Contact::new(me.clone(), apply / 2),
             rounds: Rounds::new(&me, life, seed),
             leadership: Leadership::new(me.clone(), life, seed),
@@ -343,10 +346,7 @@
             let lines = self.feed.late(now);
             self.lines(lines);
         }
-        if self.gossip.chosen().is_none() && self.rounds.members().is_some() && now >= self.learn_at {
-            self.learn_at = now + LEARN;
-            self.round(now, RoundKind::Read, Key::Config, For::Learn);
-        }
+        self.learn(now);
         if let Some((version, due, looks)) = self.overheard.filter(|(_, due, _)| now >= *due) {
             self.overheard = None;
             if version > self.gossip.revision() && looks < LOOKS {
@@ -423,15 +423,13 @@
                 }
             }
             For::Learn => {
+                self.learned |= outcome.is_ok();
                 if let Some(value) = outcome.ok().and_then(value) {
                     self.install(now, &value);
                 }
             }
             For::Confirm(read) => {
-                if let Ok(outcome) = outcome {
-                    if let Some(value) = value(outcome) {
-                        self.install(now, &value);
-                    }
+                if outcome.is_ok() {
                     let epoch = self.rounds.members().map_or(0, |members| members.epoch);
                     self.contact.confirmed(now, read, epoch);
                     self.look_at_contact(now);
@@ -479,11 +477,28 @@
         }
     }
 
+    /// Whether what is known here may be handed out as what stands: contact holds, the configuration was learnt in this life, and none of
+    /// the others knows a newer one.
+    fn in_contact(&self, now: Nanos) -> bool {
+        let learned = self.learned || self.gossip.chosen().is_some();
+        self.contact.holds() && learned && self.gossip.revision() >= self.contact.newest(now)
+    }
+
+    /// Looks for the configuration while none is known.
+    fn learn(&mut self, now: Nanos) {
+        if self.gossip.chosen().is_none() && self.rounds.members().is_some() && now >= self.learn_at {
+            self.learn_at = now + LEARN;
+            self.round(now, RoundKind::Read, Key::Config, For::Learn);
+        }
+    }
+
     /// Whether a majority is reached, and who may follow by that.
     fn look_at_contact(&mut self, now: Nanos) {
         if let Some(read) = self.contact.look(now, self.rounds.members(), self.voting) {
-            self.round(now, RoundKind::Read, Key::Config, For::Confirm(read));
+            // A small value: the configuration may be long, and each voter would send the whole of it.
+            self.round(now, RoundKind::Read, Key::Steward, For::Confirm(read));
         }
+        self.learn(now);
         self.admit(now);
     }
 
--- a/bourse/src/core/api.rs
+++ b/bourse/src/core/api.rs
@@ -89,7 +89,7 @@
             Ok(What::Replace | What::Read | What::Order) if self.contact.is_lost(now) => {
                 Err(Kind::NoMajority)
             }
-            Ok(What::Chosen) if !self.contact.holds() => Err(Kind::NoMajority),
+            Ok(What::Chosen) if !self.in_contact(now) => Err(Kind::NoMajority),
             Ok(What::Replace) if call.body.len() > LONG_BODY && self.other_voter(now).is_some() => {
                 Ok(self.other_voter(now).map_or_else(|| Kind::Busy.answer(), elsewhere))
             }
@@ -182,7 +182,7 @@
         if !self.contact.reaches() {
             self.gossip.hasten(now);
         }
-        let body = Answered::body(self.rounds.members(), known, self.voting);
+        let body = Answered::body(self.rounds.members(), known, self.voting, self.gossip.revision());
         Ok(Reply::json(StatusCode::OK, body))
     }
 
@@ -206,7 +206,7 @@
             return Err(Kind::NotSteward);
         }
         // Who is not in contact can't say what stands.
-        Ok(if asks && self.contact.holds() { self.stands() } else { Reply::empty(StatusCode::OK) })
+        Ok(if asks && self.in_contact(now) { self.stands() } else { Reply::empty(StatusCode::OK) })
     }
 
     /// Which configuration stands, for a stall that has started.
--- a/bourse/src/core/follow.rs
+++ b/bourse/src/core/follow.rs
@@ -41,7 +41,7 @@
         let letter = api::letter(request)?;
         let whole = request.query.as_deref() != Some("whole=0");
         let follow = Follow { call, letter, whole, until: now + WAIT };
-        if self.contact.holds() {
+        if self.in_contact(now) {
             return self.seat(now, follow);
         }
         if self.contact.is_lost(now) || self.waiting.0.len() >= MOST {
@@ -53,7 +53,7 @@
 
     /// Seats those that wait, once contact holds; who has waited for too long is sent on.
     pub(super) fn admit(&mut self, now: Nanos) {
-        let holds = self.contact.holds();
+        let holds = self.in_contact(now);
         let due = |follow: &Follow| holds || follow.until <= now;
         while self.waiting.0.front().is_some_and(due) {
             let Some(follow) = self.waiting.0.pop_front() else { return };
