A process whose clock stepped back before it started is heard again

Cause: a life is numbered by the time of day at its start, and stalls drop mail of a life below the highest one known of that name.

Change: who drops such mail answers with the life that it knows (note outlived); a process that lives takes the next higher number towards that stall. Mail's sender holds its number in a shared cell instead of a prebuilt envelope. The simulator numbers lives by its machines' clocks and learns clock_step.

Both new tests are red without the answer.

--- a/arcade/src/glue/mod.rs
+++ b/arcade/src/glue/mod.rs
@@ -169,7 +169,7 @@
     pub address: CompactString,
     /// The control addresses that its settings name.
     pub seeds: Vec<CompactString>,
-    /// The process's life; grows.
+    /// The process's life: the time of day at its start, by its machine's clock. It may be lower than that of an earlier life.
     pub life: u64,
     /// The time from SIGTERM to the last moment.
     pub grace: Time,
--- a/arcade/src/glue/stall.rs
+++ b/arcade/src/glue/stall.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
+use millpost_barrow::mail::Life;
 use millpost_broker::{
     Margins, No, Out as Decided, Outcome, Passage, Patience, Peer, Refusal, Spec, Step, Taped as Desk, Terms,
     Trail, Wish,
@@ -88,6 +89,11 @@
     next: Option<Time>,
 }
 
+/// What the stall at this address is told of which life this is.
+fn life_for(lives: &mut HashMap<CompactString, Life>, own: u64, address: &CompactString) -> Life {
+    lives.entry(address.clone()).or_insert_with(|| Life::new(own)).clone()
+}
+
 /// One stall.
 pub struct Stall {
     place: Place,
@@ -118,6 +124,8 @@
     /// Until when operators have taken it out.
     rests: Time,
     replying: Option<(CompactString, Vec<Note>)>,
+    /// What other stalls are told of its life, by their addresses.
+    lives: HashMap<CompactString, Life>,
     /// Where a function was found first: kept only where a guard is out.
     stale: HashMap<CompactString, SocketAddr>,
     outs: Vec<Out>,
@@ -155,6 +163,7 @@
             leaving: None,
             rests: 0,
             replying: None,
+            lives: HashMap::new(),
             stale: HashMap::new(),
             outs: Vec::new(),
         }
@@ -296,9 +305,10 @@
         for to in self.ready.clone() {
             let Some(post) = self.posts.get_mut(&to) else { continue };
             while let Some(notes) = post.take(now, self.next + 1) {
+                let life = life_for(&mut self.lives, self.place.life, &to).get();
                 self.next += 1;
                 self.flights.insert(self.next, to.clone());
-                let said = Said::Mail { from: self.place.name.clone(), life: self.place.life, notes };
+                let said = Said::Mail { from: self.place.name.clone(), life, notes };
                 self.outs.push(Out::Call { id: self.next, to: to.clone(), said, within: MAIL });
             }
             if post.is_empty() {
@@ -320,7 +330,7 @@
             Landed::Up | Landed::Well => {}
         }
         if let Some(Said::Mail { from, life, notes }) = said {
-            self.desk.mail(now, &from, life, notes);
+            self.told(now, &from, life, notes);
         }
     }
 
@@ -366,17 +376,29 @@
             return Said::Taken;
         }
         let address = self.desk.owners().find(from).map(|p| p.address.clone());
-        self.desk.mail(now, from, life, between);
+        self.told(now, from, life, between);
         self.replying = address.map(|address| (address, Vec::new()));
         self.carry_out(now);
         match self.replying.take() {
-            Some((_, notes)) if !notes.is_empty() => {
-                Said::Mail { from: self.place.name.clone(), life: self.place.life, notes }
+            Some((address, notes)) if !notes.is_empty() => {
+                let life = life_for(&mut self.lives, self.place.life, &address).get();
+                Said::Mail { from: self.place.name.clone(), life, notes }
             }
             _ => Said::Taken,
         }
     }
 
+    /// Mail from another stall.
+    fn told(&mut self, now: Time, from: &str, life: u64, mut notes: Vec<Note>) {
+        for note in notes.extract_if(.., |note| matches!(note, Note::Outlived { .. })) {
+            let address = self.desk.owners().find(from).map(|p| p.address.clone());
+            if let (Note::Outlived { life }, Some(address)) = (note, address) {
+                life_for(&mut self.lives, self.place.life, &address).outlived(life);
+            }
+        }
+        self.desk.mail(now, from, life, notes);
+    }
+
     fn put_in_force(&mut self, now: Time, known: Rc<Known>) {
         // The last stall of a site never hears of a change: a test of the auditor.
         if self.place.plant == Some(Plant::Stale) && self.place.name.ends_with("-0") && self.force.is_some() {
--- a/arcade/src/plan.rs
+++ b/arcade/src/plan.rs
@@ -96,6 +96,8 @@
     CoreSplit { lasts: Time },
     /// An edge machine is cut off from the core.
     NodeCut { lasts: Time },
+    /// The time of day of some machines is off by so many milliseconds, and right again afterwards.
+    ClockStep { share: f64, by_ms: i64, lasts: Time },
 }
 
 impl What {
@@ -134,6 +136,7 @@
             What::AfterAckKill { .. } => "after_ack_kill",
             What::CoreSplit { .. } => "core_cut split",
             What::NodeCut { .. } => "node_cut",
+            What::ClockStep { .. } => "clock_step",
         }
     }
 }
--- a/arcade/src/world/mod.rs
+++ b/arcade/src/world/mod.rs
@@ -36,6 +36,8 @@
 
 /// Machines that may take a place in the core.
 const SPARES: usize = 2;
+/// The time of day as the day begins, in milliseconds.
+const MORNING_MS: u64 = 1_700_000_000_000;
 
 /// A process of a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -158,6 +160,8 @@
     half: (usize, Time),
     /// Until then what is sent to it takes so much longer.
     lag: (Time, Time),
+    /// Its time of day is off by so many milliseconds, until then.
+    clock: (i64, Time),
     stall: Option<Stall>,
     porter: Option<Porter>,
     hall: Option<Hall>,
@@ -179,6 +183,13 @@
 }
 
 impl Machine {
+    /// The time of day by its clock, in milliseconds.
+    fn time_of_day(&self, now: Time) -> u64 {
+        let (off, until) = self.clock;
+        let off = if now < until { off } else { 0 };
+        (MORNING_MS + now / MS).saturating_add_signed(off)
+    }
+
     fn reachable(&self, now: Time) -> bool {
         self.powered && self.cut <= now
     }
@@ -283,6 +294,7 @@
             cut_out: 0,
             half: (0, 0),
             lag: (0, 0),
+            clock: (0, 0),
             stall: None,
             porter: None,
             hall: None,
@@ -502,7 +514,7 @@
             zone: format_compact!("z{}", machine.zone),
             address: CompactString::default(),
             seeds,
-            life,
+            life: machine.time_of_day(self.now),
             grace: site.bounds.grace,
             restarted,
             plant: self.plan.plant,
--- a/arcade/src/world/trouble.rs
+++ b/arcade/src/world/trouble.rs
@@ -93,6 +93,14 @@
                 self.machines[machine].cut_core = now + lasts;
                 self.hit(machine, now + lasts);
             }
+            What::ClockStep { share, by_ms, lasts } => {
+                for at in 0..self.machines.len() {
+                    if dice.one(share) {
+                        self.machines[at].clock = (by_ms, now + lasts);
+                        self.hit(at, now + lasts);
+                    }
+                }
+            }
             What::ConfigChange => self.config_change(false),
             What::BadConfig => self.bad_config(),
             What::AnswerLost { share, lasts } => {
--- a/barrow/src/mail/post.rs
+++ b/barrow/src/mail/post.rs
@@ -12,7 +12,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep_until};
 
-use super::OPTIONS;
+use super::{Life, OPTIONS};
 use crate::link::Client;
 
 /// The pause before the next connection after a failure; it doubles with each.
@@ -35,7 +35,7 @@
     /// Name of the sender, as the envelope has it.
     pub from: JsonValue,
     /// Which of its lives this is, as the envelope has it.
-    pub life: JsonValue,
+    pub life: Life,
 }
 
 /// How much goes out at once.
@@ -163,21 +163,21 @@
     to: To,
     within: Duration,
     client: Client,
-    /// The body up to the notes.
-    opening: String,
+    /// Name of the sender, as text.
+    from: String,
 }
 
 impl Carrier {
     fn new(mut to: To, within: Duration) -> Self {
-        let text = |value: &JsonValue| value.stringify().unwrap_or_else(|_| "null".to_owned());
-        let opening = format!(r#"{{"from":{},"life":{},"notes":["#, text(&to.from), text(&to.life));
+        let from = to.from.stringify().unwrap_or_else(|_| "null".to_owned());
         to.headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        Carrier { client: Client::new(to.address, OPTIONS), to, within, opening }
+        Carrier { client: Client::new(to.address, OPTIONS), to, within, from }
     }
 
     /// What the peer answered, if it took the notes.
     async fn send(&self, text: &str) -> Option<Bytes> {
-        let body = Bytes::from([&self.opening, text, "]}"].concat());
+        let life = self.to.life.get();
+        let body = Bytes::from(format!(r#"{{"from":{},"life":{life},"notes":[{text}]}}"#, self.from));
         let headers = self.to.headers.clone();
         let answer =
             self.client.call(Method::POST, &self.to.path, headers, body, self.within, LONGEST_ANSWER);
--- a/barrow/src/mail/tests.rs
+++ b/barrow/src/mail/tests.rs
@@ -44,7 +44,7 @@
 
 fn post(address: SocketAddr) -> (Post, mpsc::Receiver<Event>) {
     let (told, events) = mpsc::channel(8);
-    let (from, life) = (JsonValue::from("edge".to_owned()), JsonValue::from(7.0));
+    let (from, life) = (JsonValue::from("edge".to_owned()), Life::new(7));
     let to = To {
         peer: Arc::from("core"),
         address,
--- a/broker/src/desk.rs
+++ b/broker/src/desk.rs
@@ -376,8 +376,8 @@
     pub fn mail(&mut self, now: Nanos, from: &str, life: u64, notes: Vec<Note>) {
         match self.lives.get(from) {
             Some(known) if *known == life => {}
-            // Late mail of a life that has ended.
-            Some(known) if *known > life => return,
+            // Late mail of a life that has ended, or the clock of its machine has stepped back: only one that lives can say.
+            Some(known) if *known > life => return self.outlived(from, *known),
             _ if self.lives.len() > 10_000 => return,
             known => {
                 let anew = known.is_some();
@@ -397,6 +397,13 @@
         self.carry_out(now);
     }
 
+    /// A stall is told by which later life it is known here.
+    fn outlived(&mut self, name: &str, life: u64) {
+        if let Some(to) = self.owners.find(name).map(|p| p.address.clone()) {
+            self.outs.push_back(Out::Send { to, note: Note::Outlived { life } });
+        }
+    }
+
     fn note(&mut self, now: Nanos, from: &str, note: Note) {
         let at = |left: f64| now.saturating_add_signed((left.clamp(-1e7, 1e7) * MS as f64) as i64);
         let span = |ms: f64| (ms.clamp(0.0, 1e7) * MS as f64) as Nanos;
--- a/broker/tests/handover.rs
+++ b/broker/tests/handover.rs
@@ -44,6 +44,33 @@
     Note::Instances { version: (1, version), all: true, set: (0..4).map(instance).collect(), gone: vec![] }
 }
 
+/// What a life is numbered by goes back with its machine's clock. Only who lives can say that it does.
+#[test]
+fn mail_of_a_lower_life_counts_for_nothing_and_is_answered_with_the_life_that_is_known() {
+    let mut town = Town::new(&[1, 2]);
+    let to_me = |life, note| move |desk: &mut Desk| desk.mail(T, "edge-2", life, vec![note]);
+    let ask = || Note::Ask {
+        id: 7,
+        service: "f".into(),
+        left: 4_000.0,
+        aim: 300.0,
+        target: 300.0,
+        sent: 0,
+        first: true,
+        returned: true,
+        avoid: vec![],
+        zone: "a".into(),
+    };
+    town.with(T, "edge-1", to_me(9, Note::Drop { id: 1 }));
+    town.mail.clear();
+    town.with(T, "edge-1", to_me(8, ask()));
+    assert_eq!(town.mail, [("edge-1".into(), "edge-2".into(), Note::Outlived { life: 9 })]);
+    town.mail.clear();
+    town.with(T, "edge-1", to_me(10, ask()));
+    assert!(town.mail.iter().all(|(.., note)| !matches!(note, Note::Outlived { .. })));
+    assert_eq!(town.mail.len(), 1, "the ask is answered: {:?}", town.mail);
+}
+
 impl Town {
     /// So many stalls that all have heard of the first naming, and all instances.
     fn new(stalls_of: &[usize]) -> Self {
--- a/crier/src/note.rs
+++ b/crier/src/note.rs
@@ -249,6 +249,12 @@
         /// The instances.
         set: Vec<Instance>,
     },
+    /// Between stalls: mail came that counts for a life of its sender which has ended, since a later one was heard of. A sender that
+    /// lives, and whose clock had stepped back between two starts, takes a higher number for this peer.
+    Outlived {
+        /// The life that is known.
+        life: u64,
+    },
     /// Up: an instance may be stopped.
     Retire {
         /// The instance's life.
@@ -519,6 +525,7 @@
                 ("t", text("mine")),
                 ("set", JsonValue::Array(set.iter().map(Instance::to_json).collect())),
             ]),
+            Note::Outlived { life } => object([("t", text("outlived")), ("life", n(life))]),
             Note::Retire { instance } => object([("t", text("retire")), ("i", text(instance))]),
             Note::Lost { instance } => object([("t", text("lost")), ("i", text(instance))]),
             Note::Up { instance } => object([("t", text("up")), ("i", text(instance))]),
@@ -630,6 +637,7 @@
             "mine" => {
                 Note::Mine { set: list(from, "set")?.iter().map(Instance::read).collect::<Result<_, _>>()? }
             }
+            "outlived" => Note::Outlived { life: whole(from, "life")? },
             "retire" => Note::Retire { instance: string(from, "i")? },
             "lost" => Note::Lost { instance: string(from, "i")? },
             "up" => Note::Up { instance: string(from, "i")? },
@@ -731,6 +739,7 @@
             },
             Note::Rest { name: "edge-1".into(), left: 250.5 },
             Note::Floor { service: "f".into(), count: 2, fence: 3, left: 10_000.0 },
+            Note::Outlived { life: 1_700_000_000_000 },
             Note::Retire { instance: "i-1".into() },
             Note::Lost { instance: "i-1".into() },
             Note::Up { instance: "i-1".into() },
--- a/porter/src/run.rs
+++ b/porter/src/run.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
-use millpost_barrow::mail::{self, Bounds, Call, Event, Held, Limits, Post, Reply, To};
+use millpost_barrow::mail::{self, Bounds, Call, Event, Held, Life, Limits, Post, Reply, To};
 use millpost_crier::frame::Head;
 use millpost_crier::line::Sink;
 use millpost_crier::{Note, object, text};
@@ -68,7 +68,7 @@
 struct Porter {
     path: PathBuf,
     name: JsonValue,
-    life: JsonValue,
+    life: Life,
     began: Instant,
     came: mpsc::Sender<Came>,
     round: Taped,
@@ -93,7 +93,7 @@
     if let Some(sink) = &mut sink {
         sink(&Head::new(&settings.node_name, "porter", life, life).line());
     }
-    let (name, number) = (text(&settings.node_name), JsonValue::Number(life as f64));
+    let (name, number) = (text(&settings.node_name), Life::new(life));
     let to = to(STALL, SocketAddr::new(loopback, ports + 1), &name, &number);
     let stall = Post::new(to, bounds(Duration::from_millis(800)), came.clone());
     let grace = Duration::from_secs_f64(settings.bounds.grace_s);
@@ -152,7 +152,7 @@
     u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
 }
 
-fn to(peer: &str, address: SocketAddr, name: &JsonValue, life: &JsonValue) -> To {
+fn to(peer: &str, address: SocketAddr, name: &JsonValue, life: &Life) -> To {
     To {
         peer: Arc::from(peer),
         address,
@@ -242,7 +242,7 @@
     fn feed(&self, feed: u64, address: SocketAddr, path: &'static str, notes: &[Note]) -> Open {
         let body = object([
             ("from", self.name.clone()),
-            ("life", self.life.clone()),
+            ("life", JsonValue::Number(self.life.get() as f64)),
             ("notes", JsonValue::Array(notes.iter().map(Note::to_json).collect())),
         ]);
         let body = Bytes::from(body.stringify().unwrap_or_default());
--- a/stall/src/shop.rs
+++ b/stall/src/shop.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
-use millpost_barrow::mail::{self, Bounds, Call, Event, Post, Reply, To};
+use millpost_barrow::mail::{self, Bounds, Call, Event, Life, Post, Reply, To};
 use millpost_broker::{
     Ask, MS, Margins, Nanos, No, Out, Outcome, Patience, Peer, Sink, Spec, Taped as Desk, Terms, Trail,
     asks_per_s,
@@ -52,6 +52,8 @@
 }
 
 /// What the porter is called where mail fails; other stalls go by their addresses.
+/// Stalls that are told a number of their own for this life.
+const MOST_LIVES: usize = 10_000;
 const PORTER: &str = "porter";
 
 /// A word for a request that waits for its permit.
@@ -86,6 +88,8 @@
     /// The porter did not take the last word: it is said again then.
     hurry: Cell<Option<Instant>>,
     life: u64,
+    /// What other stalls are told of it, by their addresses.
+    lives: RefCell<HashMap<CompactString, Life>>,
     began: Instant,
 }
 
@@ -123,14 +127,14 @@
     }
 }
 
-fn to(address: SocketAddr, settings: &Settings, life: u64) -> To {
+fn to(address: SocketAddr, settings: &Settings, life: Life) -> To {
     To {
         peer: address.to_string().into(),
         address,
         path: "/mail".to_owned(),
         headers: HeaderMap::new(),
         from: text(&settings.node_name),
-        life: JsonValue::Number(life as f64),
+        life,
     }
 }
 
@@ -170,7 +174,7 @@
         let (inputs, others) = mpsc::channel(4_000);
         let (urgent, first) = mpsc::channel(100);
         let porter = SocketAddr::new(loopback(settings.ip), settings.internal_ports.0 + 2);
-        let porter = To { peer: PORTER.into(), ..to(porter, &settings, life) };
+        let porter = To { peer: PORTER.into(), ..to(porter, &settings, Life::new(life)) };
         let porter = Post::new(porter, BOUNDS, inputs.clone());
         Ok(Rc::new(Shop {
             pool: Pool::default(),
@@ -190,6 +194,7 @@
             rest: Rest::default(),
             hurry: Cell::new(None),
             life,
+            lives: RefCell::default(),
             began: Instant::now(),
             settings,
         }))
@@ -310,7 +315,7 @@
             }
             Input::Mail(Event::Answered { body, .. }) => {
                 if let Some(letter) = mail::json(&body).as_ref().and_then(|json| Letter::read(json).ok()) {
-                    self.desk.borrow_mut().mail(self.now(), &letter.from, letter.life, letter.notes);
+                    self.mail(&letter.from, letter.life, letter.notes);
                 }
             }
             Input::Mail(_) => {}
@@ -385,14 +390,15 @@
         }
         // What is to be said in return goes with the answer, and needs no mail of its own.
         let address = self.desk.borrow().owners().find(&letter.from).map(|p| p.address.clone());
-        self.desk.borrow_mut().mail(now, &letter.from, letter.life, between);
+        self.mail(&letter.from, letter.life, between);
         *self.replying.borrow_mut() = address.map(|address| (address, Vec::new()));
         self.carry_out();
         match self.replying.borrow_mut().take() {
-            Some((_, notes)) if !notes.is_empty() => {
+            Some((address, notes)) if !notes.is_empty() => {
+                let life = self.life_for(&address).get();
                 let body = object([
                     ("from", text(&self.settings.node_name)),
-                    ("life", JsonValue::Number(self.life as f64)),
+                    ("life", JsonValue::Number(life as f64)),
                     ("notes", JsonValue::Array(notes)),
                 ]);
                 Reply::json(StatusCode::OK, body.stringify().unwrap_or_default())
@@ -401,6 +407,34 @@
         }
     }
 
+    /// Mail from another stall.
+    fn mail(&self, from: &str, life: u64, mut notes: Vec<Note>) {
+        for note in notes.extract_if(.., |note| matches!(note, Note::Outlived { .. })) {
+            if let Note::Outlived { life } = note {
+                self.outlived(from, life);
+            }
+        }
+        self.desk.borrow_mut().mail(self.now(), from, life, notes);
+    }
+
+    /// Another stall knows this one by a later life.
+    fn outlived(&self, by: &str, known: u64) {
+        let Some(address) = self.desk.borrow().owners().find(by).map(|p| p.address.clone()) else { return };
+        if self.life_for(&address).outlived(known) {
+            log::warn!("{by} knows this stall by a later life: the time of day has stepped back");
+        }
+    }
+
+    /// What the stall at this address is told of which life this is.
+    fn life_for(&self, address: &str) -> Life {
+        let mut lives = self.lives.borrow_mut();
+        // Stalls that are no more; one that is hears a number that is too low, and says so again.
+        if lives.len() > MOST_LIVES {
+            lives.clear();
+        }
+        lives.entry(address.into()).or_insert_with(|| Life::new(self.life)).clone()
+    }
+
     /// Whether this configuration, or a newer one, is in force.
     fn has(&self, revision: u64) -> bool {
         self.force.borrow().as_ref().is_some_and(|force| force.config.revision >= revision)
@@ -569,7 +603,8 @@
             if posts.len() > 1_000 {
                 posts.clear();
             }
-            let post = Post::new(self::to(address, &self.settings, self.life), BOUNDS, self.inputs.clone());
+            let life = self.life_for(&to);
+            let post = Post::new(self::to(address, &self.settings, life), BOUNDS, self.inputs.clone());
             posts.insert(to.clone(), post);
         }
         if let Some(post) = posts.get(&to)
