A voter that is told to end waits inside its grace until its successor votes

Cause: SIGTERM ended a control process after 0.3 s, whatever it alone held and whether or not a spare could vote in its place; a second loss before the change of voters was done left no majority.

Change: a voter that leaves goes on voting and says so; the leader replaces it at once where a spare is there, and it ends when it votes no more. Without a spare it reads each key by rounds that count its own vote towards no majority, so that the others write what they lack. It ends at half of grace_s in any case. No change of voters is begun unless those that are there are a majority before and after it.

a_voter_that_leaves_gives_way_sooner_unless_it_is_back asserted the old design (replaced 1.2 s after its end, not at all if it was back in a second). In its place: it is replaced before its end, also as the leader, and a further loss right after costs nothing; what it holds without a spare stands without it; silent successors delay it to half of its grace. Each was seen red with its guard out (not waiting, not handing over, counting its own vote, not counting holders).

--- a/arcade/src/glue/hall.rs
+++ b/arcade/src/glue/hall.rs
@@ -105,6 +105,7 @@
             losses: rates.losses,
             contact: 4_000 * MS,
             apply: 3_000 * MS,
+            grace: place.grace,
             platform: Some(Bounds {
                 duty_per_s: rates.duty_per_s,
                 max_lag_ms: rates.max_lag_ms,
--- a/arcade/src/plan.rs
+++ b/arcade/src/plan.rs
@@ -96,6 +96,14 @@
     CoreSplit { lasts: Time },
     /// An edge machine is cut off from the core.
     NodeCut { lasts: Time },
+    /// The processes of all core machines get SIGTERM, one after the other.
+    RollTerm { every: Time },
+    /// One core machine misses changes; then another loses its disk, the rest are without power for as long, and the cut is over.
+    CoreBehind { lasts: Time },
+    /// The second part of that, by the place in the core of the one that missed the changes.
+    BehindStrikes { missed: usize, lasts: Time },
+    /// The processes of a part of the machines are told to read their settings again.
+    HangUp { share: f64 },
     /// The time of day of some machines is off by so many milliseconds, and right again afterwards.
     ClockStep { share: f64, by_ms: i64, lasts: Time },
 }
@@ -137,6 +145,9 @@
             What::CoreSplit { .. } => "core_cut split",
             What::NodeCut { .. } => "node_cut",
             What::ClockStep { .. } => "clock_step",
+            What::RollTerm { .. } => "roll_term",
+            What::CoreBehind { .. } | What::BehindStrikes { .. } => "core_cut behind",
+            What::HangUp { .. } => "hup",
         }
     }
 }
@@ -310,7 +321,7 @@
 /// Troubles of the control side, as they meet there on its worst days.
 fn drawn_control(chance: &mut Chance, lasts: Time, longest: Time) -> What {
     let flag = chance.one(0.5);
-    match chance.below(12) {
+    match chance.below(16) {
         0 | 1 => What::AckLost { share: 0.7, lasts },
         2 | 3 => What::ConfigRaceOf { count: 2 + chance.below(7) },
         4 => What::SentAgain,
@@ -319,6 +330,13 @@
         8 => What::CoreSplit { lasts },
         9 => What::NodeCut { lasts },
         10 => What::CoreCut { count: 1, from: From::All, lasts: longest.min(20 * SECOND) },
+        11 => What::RollTerm { every: 200 * MS + lasts / 4 },
+        12 => What::CoreBehind { lasts: lasts / 2 },
+        13 => What::HangUp { share: 0.3 },
+        14 => {
+            let by_ms = if flag { 2_000 } else { -2_000 } * (1 + chance.below(10) as i64);
+            What::ClockStep { share: 0.3, by_ms, lasts }
+        }
         _ => What::NodeTerm { core: true },
     }
 }
--- a/arcade/src/world/mod.rs
+++ b/arcade/src/world/mod.rs
@@ -118,6 +118,10 @@
     Reopen,
     /// A machine is gone for good.
     Retire(usize),
+    /// The processes of a machine are told to end, and start again.
+    Term(usize),
+    /// The processes of a machine that goes for good are told to end.
+    Leave(usize),
     /// The grace of this life is over.
     Killed(usize, u64),
 }
@@ -162,6 +166,8 @@
     lag: (Time, Time),
     /// Its time of day is off by so many milliseconds, until then.
     clock: (i64, Time),
+    /// It goes for good once its processes have left.
+    retires: bool,
     stall: Option<Stall>,
     porter: Option<Porter>,
     hall: Option<Hall>,
@@ -295,6 +301,7 @@
             half: (0, 0),
             lag: (0, 0),
             clock: (0, 0),
+            retires: false,
             stall: None,
             porter: None,
             hall: None,
@@ -490,6 +497,8 @@
             Event::Closing => self.closing(),
             Event::Reopen => self.reopen(),
             Event::Retire(machine) => self.retire(machine),
+            Event::Term(machine) => self.term(machine),
+            Event::Leave(machine) => self.leave_for_good(machine),
             Event::Killed(machine, life) => {
                 if self.machines[machine].life == life {
                     self.left(machine);
--- a/arcade/tests/rules.rs
+++ b/arcade/tests/rules.rs
@@ -1,7 +1,7 @@
 //! Each rule breaks where its guard is taken out, none breaks as the program is, and a day is the same day twice.
 
 use millpost_arcade::day::play;
-use millpost_arcade::plan::{Closing, Plan, What};
+use millpost_arcade::plan::{Closing, Plan, What, Whom};
 use millpost_arcade::plant::Plant;
 use millpost_arcade::site::Size;
 use millpost_arcade::{MS, SECOND};
@@ -70,6 +70,38 @@
     }
 }
 
+/// One misses two changes, another loses its disk, and the rest are dark: the two that are there may not decide by what they hold.
+#[test]
+fn who_missed_changes_and_who_lost_its_disk_make_no_majority() {
+    let behind = |seed, plant| {
+        let plan = Plan::quiet(seed, Size::Small).with(9 * SECOND, What::CoreBehind { lasts: 6 * SECOND });
+        Plan { plant, ..plan }
+    };
+    let mut seeds = 1..40;
+    let broken =
+        seeds.find(|seed| !play(&behind(*seed, Some(Plant::Forgetful)), false, false).breaches.is_empty());
+    assert!(broken.is_some(), "an empty machine that votes at once is not found");
+    for seed in 1..=6 {
+        assert_eq!(play(&behind(seed, None), false, false).breaches, [], "seed {seed}");
+    }
+}
+
+/// All control machines are told to end one after the other, while orders come and one of them is replaced.
+#[test]
+fn a_core_that_is_rolled_keeps_what_was_acknowledged() {
+    for seed in 1..=6 {
+        let plan = Plan::quiet(seed, Size::Small)
+            .with(8 * SECOND, What::ReplaceCore { whom: Whom::Planned, after: SECOND })
+            .with(9 * SECOND, What::RollTerm { every: 700 * MS })
+            .with(10 * SECOND, What::ConfigStorm { count: 12, every: 250 * MS })
+            .with(16 * SECOND, What::RollTerm { every: 0 });
+        let day = play(&plan, false, false);
+        assert_eq!(day.breaches, [], "seed {seed}");
+        assert!(day.converged.iter().all(|(_, last)| last.is_some()), "{}", day.to_text());
+        assert!(day.share() > 0.99, "{}", day.to_text());
+    }
+}
+
 /// Confirmations that nobody hears, races of many, cuts of 20 s, halves, who acknowledged is gone.
 #[test]
 fn the_worst_days_of_control_break_none() {
--- a/bourse/src/core.rs
+++ b/bourse/src/core.rs
@@ -5,6 +5,7 @@
 mod carts;
 mod drains;
 mod follow;
+mod leave;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use crate::core::carts::Carts;
 use crate::core::drains::Outs;
 use crate::core::follow::Waiting;
+use crate::core::leave::Leave;
 use crate::feed::{BEAT, Feed, Seat};
 use crate::gossip::{self, Gossip};
 use crate::leadership::{Done, Errand, Heard, Leadership, Next, Want};
@@ -31,7 +33,7 @@
 use crate::orders::Orders;
 use crate::rounds::{self, For, Rounds};
 use crate::steward::{Steward, Told};
-use crate::voters::{Todo, Voters};
+use crate::voters::{Todo, View, Voters};
 use crate::{MS, Nanos};
 
 /// The longest that the core waits for time to pass.
@@ -44,8 +46,6 @@
 const LOOKS: u32 = 3;
 /// A process is new for so long.
 const NEW: Nanos = 5_000 * MS;
-/// What is under way when the process is told to end gets its answer within this.
-const LEAVE: Nanos = 300 * MS;
 
 /// What the core starts from.
 pub struct Start {
@@ -61,6 +61,8 @@
     pub contact: Nanos,
     /// A configuration is in force everywhere so long after its acknowledgement.
     pub apply: Nanos,
+    /// From the word to end to the last moment of the process.
+    pub grace: Nanos,
     /// The platform's `duty_per_s`, `max_lag_ms` and `rate_per_s`, where there is one.
     pub platform: Option<Bounds>,
     /// Where each scaler's lines go, if they are wanted.
@@ -91,6 +93,7 @@
             losses: settings.tolerance.machine_losses,
             contact: settings.bounds.contact_ms * MS,
             apply: settings.bounds.config_apply_ms * MS,
+            grace: (settings.bounds.grace_s * 1e9) as Nanos,
             platform,
             sink: None,
         }
@@ -198,8 +201,9 @@
     overheard: Option<(u64, Nanos, u32)>,
     beat_at: Nanos,
     learn_at: Nanos,
-    /// When it is over, once it was told to end.
-    over: Option<Nanos>,
+    grace: Nanos,
+    /// Once it was told to end.
+    leave: Option<Leave>,
     /// Configurations that operators put here lately, as they were read; the newest last.
     read: Vec<(Arc<str>, Config)>,
     effects: Vec<Effect>,
@@ -208,7 +212,7 @@
 impl Core {
     /// Of a machine that starts.
     pub fn new(start: Start) -> Self {
-        let Start { me, life, seeds, losses, contact, apply, platform, sink } = start;
+        let Start { me, life, seeds, losses, contact, apply, grace, platform, sink } = start;
         let seed = life ^ xxhash_rust::xxh3::xxh3_64(me.as_bytes());
         Core {
             seeds,
@@ -231,7 +235,8 @@
             overheard: None,
             beat_at: 0,
             learn_at: 0,
-            over: None,
+            grace,
+            leave: None,
             read: Vec::new(),
             effects: Vec::new(),
             me,
@@ -246,12 +251,8 @@
     /// When to call [`Core::tick`] next, at the latest.
     pub fn wake(&self, now: Nanos) -> Nanos {
         let due = self.rounds.next_wake().min(self.leadership.next_wake()).min(now + LONGEST_WAIT);
-        due.min(self.gossip.due()).min(self.waiting.due()).min(self.over.unwrap_or(Nanos::MAX)).max(now + MS)
-    }
-
-    /// Whether the process may end.
-    pub fn is_over(&self, now: Nanos) -> bool {
-        self.over.is_some_and(|at| now >= at)
+        let leave = self.leave.map_or(Nanos::MAX, |leave| leave.due(now));
+        due.min(self.gossip.due()).min(self.waiting.due()).min(leave).max(now + MS)
     }
 
     /// Whether this machine is the steward.
@@ -318,13 +319,7 @@
             }
             Input::Left(seat) => self.feed.left(seat),
             Input::Seeds(seeds) => self.seeds = seeds,
-            Input::Leave => {
-                log::info!("leaving");
-                self.over.get_or_insert(now + LEAVE);
-                let out = self.leadership.leave(now);
-                self.vote(out, Back::Lease);
-                self.news(now);
-            }
+            Input::Leave => self.leave(now),
         }
     }
 
@@ -337,6 +332,7 @@
         self.take_out(now);
         self.duties(now);
         self.moves(now);
+        self.hand_over(now);
         if now >= self.gossip.due() {
             self.news(now);
         }
@@ -449,6 +445,7 @@
                 self.enter(now, next);
             }
             For::Voters => {}
+            For::HandOver(key) => self.handed_over(now, key, outcome.is_ok()),
             For::Moves(ask) => self.recorded(now, ask, outcome),
             For::Load(number) => self.loaded(now, number, outcome.ok().and_then(value)),
         }
@@ -575,7 +572,7 @@
 
     /// Tells the other control machines what is known here.
     fn news(&mut self, now: Nanos) {
-        let standing = gossip::Standing { voting: self.voting, leaving: self.over.is_some() };
+        let standing = gossip::Standing { voting: self.voting, leaving: self.leave.is_some() };
         let (to, news) = self.gossip.tell(now, &self.seeds, self.rounds.members(), standing);
         let mut news = news.to_json();
         let outs = self.outs.drains().news(now);
@@ -627,7 +624,8 @@
             return;
         }
         let Some(members) = self.rounds.members() else { return };
-        let todo = self.voters.look(now, &self.me, members, self.gossip.others(), self.losses);
+        let (me, others, losses) = (self.me.as_str(), self.gossip.others(), self.losses);
+        let todo = self.voters.look(now, View { me, members, others, losses });
         let out = match todo {
             Some(Todo::End) => self.rounds.change(now, None),
             Some(Todo::Make(change)) => self.rounds.change(now, Some(change)),
--- a/bourse/src/core/api.rs
+++ b/bourse/src/core/api.rs
@@ -81,7 +81,7 @@
             Err(kind) => Err(kind),
             // Who asks from now on goes elsewhere.
             Ok(What::Replace | What::Read | What::Follow | What::Order | What::Drain)
-                if self.over.is_some() =>
+                if self.leave.is_some() =>
             {
                 Err(Kind::Busy)
             }
--- a/bourse/src/rounds.rs
+++ b/bourse/src/rounds.rs
@@ -42,6 +42,8 @@
     Moves(u64),
     /// A move's configuration of this number is put.
     Load(u64),
+    /// This machine is about to end: what it holds under this key is to stand without it.
+    HandOver(Key),
 }
 
 /// A round that is over. One that changed voters is not told of: see [`Rounds::members`].
@@ -141,6 +143,21 @@
         })
     }
 
+    /// Begins a round whose majorities are made up without this voter.
+    pub fn round_without(
+        &mut self,
+        now: Nanos,
+        kind: RoundKind,
+        key: Key,
+        to: For,
+        without: &Address,
+    ) -> Out {
+        self.start(now, to, |members, ballots, seed| {
+            let round = Round::new(kind, key, members, ballots, seed, now + ROUND);
+            Machine::Round(Box::new(round.without(without.clone())))
+        })
+    }
+
     /// Begins a change of the voters, or ends one that somebody began.
     pub fn change(&mut self, now: Nanos, change: Option<Change>) -> Out {
         self.start(now, For::Voters, |members, ballots, seed| {
--- a/bourse/tests/town/mod.rs
+++ b/bourse/tests/town/mod.rs
@@ -93,6 +93,7 @@
         losses: seeds.len() as u32 / 2,
         contact: 4_000 * MS,
         apply: 3_000 * MS,
+        grace: 6_000 * MS,
         platform: Some(Bounds { duty_per_s: 20.0, max_lag_ms: 100, rate_per_s: 20.0 }),
         sink: None,
     }
--- a/tally/src/round.rs
+++ b/tally/src/round.rs
@@ -129,6 +129,8 @@
     settled: bool,
     /// Has to be part of each phase, besides a majority.
     must: Vec<Address>,
+    /// Does not count towards a majority.
+    without: Option<Address>,
     above: u64,
     now: Now,
 }
@@ -153,8 +155,8 @@
         let looked = kind != Kind::Read;
         let (ballots, chance) = (ballots.clone(), Chance::new(seed));
         let (tries, settled, above, now) = (0, false, 0, Now::Pause(0));
-        let must = Vec::new();
-        Self { kind, key, members, ballots, chance, limit, tries, looked, settled, must, above, now }
+        let (must, without) = (Vec::new(), None);
+        Self { kind, key, members, ballots, chance, limit, tries, looked, settled, must, without, above, now }
     }
 
     /// Only with these, besides a majority.
@@ -162,6 +164,12 @@
         Self { must, ..self }
     }
 
+    /// Counts this voter towards no majority: what the round answers stands without it.
+    #[must_use]
+    pub fn without(self, voter: Address) -> Self {
+        Self { without: Some(voter), ..self }
+    }
+
     /// The members it counts by; newer than the first where it was told of newer ones that are chosen.
     pub fn members(&self) -> &Members {
         &self.members
@@ -235,7 +243,7 @@
         }
         let late = now.saturating_sub(phase.sent) > PREPARE_WITHIN;
         let heard = |voter: &Address| phase.heard.contains_key(voter);
-        if late || !self.members.quorum(heard) || !self.must.iter().all(heard) {
+        if late || !self.members.quorum(counted(&self.without, heard)) || !self.must.iter().all(heard) {
             return;
         }
         match phase.ask.clone() {
@@ -253,7 +261,8 @@
                 (None, None) => true,
                 _ => false,
             };
-            if self.members.quorum(|voter| phase.heard.get(voter).is_some_and(vote)) {
+            let voted = |voter: &Address| phase.heard.get(voter).is_some_and(vote);
+            if self.members.quorum(counted(&self.without, voted)) {
                 let value = seen.as_ref().map(|accepted| accepted.value.clone());
                 return self.end(Outcome::Found(value), out);
             }
@@ -396,3 +405,8 @@
         Some(wake.min(self.limit))
     }
 }
+
+/// Whether a voter is `in_it` and counts towards a majority.
+fn counted(without: &Option<Address>, in_it: impl Fn(&Address) -> bool) -> impl Fn(&Address) -> bool {
+    move |voter| without.as_ref() != Some(voter) && in_it(voter)
+}
