Agents hear when control has lost contact, and follow another beside it

A porter whose leader and other machine are cut off together, which a tolerance of two allows, heard of no change for as long as the cut lasted.

Change: control tells its followers when contact is lost and when it is back (note contact). A porter counts such a feed no more after 400 ms, follows another that brings the whole, keeps up to four, and goes back to two.

--- a/arcade/src/world/net.rs
+++ b/arcade/src/world/net.rs
@@ -99,6 +99,7 @@
         }
         Note::Behind { .. } | Note::Outlived { .. } => 28,
         Note::AskRevision => 14,
+        Note::Contact { .. } => 26,
         Note::Stands { .. } => 24,
         Note::Rest { name, .. } => 36 + name.len(),
         Note::Steward { address, .. } => 34 + address.len(),
--- a/bourse/src/core.rs
+++ b/bourse/src/core.rs
@@ -183,6 +183,8 @@
     /// A read of the configuration has ended well in this life, whatever it found.
     learned: bool,
     contact: Contact,
+    /// Whether followers were told last that contact holds.
+    told_contact: bool,
     rounds: Rounds,
     leadership: Leadership,
     gossip: Gossip,
@@ -222,6 +224,7 @@
             voting: false,
             learned: false,
             contact: Contact::new(me.clone(), apply / 2),
+            told_contact: false,
             rounds: Rounds::new(&me, life, seed),
             leadership: Leadership::new(me.clone(), life, seed),
             gossip: Gossip::new(me.clone()),
@@ -496,9 +499,21 @@
             self.round(now, RoundKind::Read, Key::Steward, For::Confirm(read));
         }
         self.learn(now);
+        self.tell_contact();
         self.admit(now);
     }
 
+    /// Followers hear whether a majority is reached, where that has changed: who feeds nothing new is not to be waited for.
+    fn tell_contact(&mut self) {
+        let holds = self.contact.holds();
+        let certain = holds || !self.contact.reaches();
+        if certain && holds != self.told_contact {
+            self.told_contact = holds;
+            let lines = self.feed.tell(&[Note::Contact { holds }]);
+            self.lines(lines);
+        }
+    }
+
     /// Who is the steward, if that is news.
     fn know(&mut self, fence: u64, address: &str) {
         if self.gossip.know(fence, address) {
--- a/bourse/tests/control.rs
+++ b/bourse/tests/control.rs
@@ -212,6 +212,26 @@
     assert!(town.seats.contains_key(&second));
 }
 
+/// Who follows it already hears at once that it feeds nothing new, and that it does again.
+#[test]
+fn followers_are_told_when_contact_is_lost_and_when_it_is_back() {
+    let (mut town, steward) = settled(0);
+    town.run(town.now + 1_000 * MS);
+    let porter = town.call(steward, Method::POST, "/follow", r#"{"from":"edge-1","life":1,"notes":[]}"#);
+    town.run(town.now + 10 * MS);
+    let (_, seat) = town.seats[&porter];
+    let told = |town: &Town, what: &str| {
+        let of = |line: &&(usize, u64, bytes::Bytes)| (line.0, line.1) == (steward, seat);
+        town.lines.iter().filter(of).filter(|line| String::from_utf8_lossy(&line.2).contains(what)).count()
+    };
+    town.cut(steward, 1);
+    town.run(town.now + 2_000 * MS);
+    assert_eq!((told(&town, r#""t":"contact""#), told(&town, r#""o":1"#)), (1, 0));
+    town.cut(steward, 0);
+    town.run(town.now + 1_000 * MS);
+    assert_eq!((told(&town, r#""t":"contact""#), told(&town, r#""o":1"#)), (2, 1));
+}
+
 #[test]
 fn a_put_is_acknowledged_once_a_majority_has_it_on_disk() {
     let (mut town, _) = settled(1);
--- a/crier/src/note.rs
+++ b/crier/src/note.rs
@@ -249,6 +249,12 @@
         /// The instances.
         set: Vec<Instance>,
     },
+    /// Down, no further than the porter: whether the control machine that feeds it reaches a majority of the voters. It did when the feed
+    /// began.
+    Contact {
+        /// It does.
+        holds: bool,
+    },
     /// Between stalls: mail came that counts for a life of its sender which has ended, since a later one was heard of. A sender that
     /// lives, and whose clock had stepped back between two starts, takes a higher number for this peer.
     Outlived {
@@ -525,6 +531,7 @@
                 ("t", text("mine")),
                 ("set", JsonValue::Array(set.iter().map(Instance::to_json).collect())),
             ]),
+            Note::Contact { holds } => object([("t", text("contact")), ("o", mark(*holds))]),
             Note::Outlived { life } => object([("t", text("outlived")), ("life", n(life))]),
             Note::Retire { instance } => object([("t", text("retire")), ("i", text(instance))]),
             Note::Lost { instance } => object([("t", text("lost")), ("i", text(instance))]),
@@ -637,6 +644,7 @@
             "mine" => {
                 Note::Mine { set: list(from, "set")?.iter().map(Instance::read).collect::<Result<_, _>>()? }
             }
+            "contact" => Note::Contact { holds: flag(from, "o") },
             "outlived" => Note::Outlived { life: whole(from, "life")? },
             "retire" => Note::Retire { instance: string(from, "i")? },
             "lost" => Note::Lost { instance: string(from, "i")? },
@@ -739,6 +747,8 @@
             },
             Note::Rest { name: "edge-1".into(), left: 250.5 },
             Note::Floor { service: "f".into(), count: 2, fence: 3, left: 10_000.0 },
+            Note::Contact { holds: true },
+            Note::Contact { holds: false },
             Note::Outlived { life: 1_700_000_000_000 },
             Note::Retire { instance: "i-1".into() },
             Note::Lost { instance: "i-1".into() },
--- a/porter/src/follow.rs
+++ b/porter/src/follow.rs
@@ -1,4 +1,5 @@
-//! Whom to follow: two control machines, the steward among them, and one that feeds whole configurations.
+//! Whom to follow: two control machines that are in contact with a majority of the voters, the steward among them, and one that feeds
+//! whole configurations.
 //!
 //! Invariant: no address is followed twice, and each feed has a number of its own, so that what is left over of one that was closed
 //! is told from what another brings.
@@ -8,8 +9,12 @@
 
 use crate::{MS, Nanos, SECOND};
 
-/// Control machines that are followed at once.
+/// Control machines in contact that are followed at once.
 const FOLLOWED: usize = 2;
+/// ... and all that are: who has lost contact is fed by nobody, but may have it again in a moment.
+const FOLLOWED_IN_ALL: usize = 4;
+/// Another is followed beside one that has said for so long that it has no contact.
+const WITHOUT_CONTACT: Nanos = 400 * MS;
 /// Control machines that are kept in mind beside the seeds.
 const OTHERS: usize = 32;
 /// The pause after a failure; it doubles with each.
@@ -54,6 +59,15 @@
     heard: bool,
     /// Whole configurations come from there.
     whole: bool,
+    /// Since when it has no contact with a majority, by its own word.
+    lost: Option<Nanos>,
+}
+
+impl Feed {
+    /// What stands is heard from there.
+    fn is_current(&self, now: Nanos) -> bool {
+        self.lost.is_none_or(|since| now.saturating_sub(since) < WITHOUT_CONTACT)
+    }
 }
 
 /// Who is followed, and who might be.
@@ -153,16 +167,20 @@
         {
             // One that is not the steward gives way.
             while self.followed.len() >= FOLLOWED {
-                let Some(other) = self.followed.keys().copied().find(|a| *a != steward) else { break };
+                let others = self.followed.iter().filter(|(a, _)| **a != steward);
+                let Some(other) = others.max_by_key(|(_, f)| f.lost.is_some()).map(|(a, _)| *a) else {
+                    break;
+                };
                 self.close(other);
             }
             self.open(steward, now);
         }
+        self.give_up_spare(now);
         self.dress(now);
         self.catch_up(now);
         let known: Vec<_> = self.seeds.iter().chain(&self.others).copied().collect();
         for _ in 0..known.len() {
-            if self.followed.len() >= FOLLOWED {
+            if self.current(now) >= FOLLOWED || self.followed.len() >= FOLLOWED_IN_ALL {
                 break;
             }
             self.turn = self.turn.wrapping_add(1);
@@ -173,16 +191,45 @@
         }
     }
 
+    fn current(&self, now: Nanos) -> usize {
+        self.followed.values().filter(|f| f.is_current(now)).count()
+    }
+
+    /// More than are needed have contact again: the one that was followed last goes, unless it is the steward or alone brings the whole.
+    fn give_up_spare(&mut self, now: Nanos) {
+        while self.current(now) > FOLLOWED {
+            let steward = self.steward.map(|(_, steward)| steward);
+            let wholes = self.followed.values().filter(|f| f.whole && f.lost.is_none()).count();
+            let may = |(a, f): &(&SocketAddr, &Feed)| {
+                Some(**a) != steward && f.is_current(now) && (!f.whole || wholes > 1)
+            };
+            let Some(last) = self.followed.iter().filter(may).max_by_key(|(_, f)| f.number).map(|(a, _)| *a)
+            else {
+                return;
+            };
+            self.close(last);
+        }
+    }
+
+    /// A control machine that is followed says whether it has contact with a majority.
+    pub fn contact(&mut self, now: Nanos, address: SocketAddr, holds: bool) {
+        if let Some(feed) = self.followed.get_mut(&address) {
+            feed.lost = if holds { None } else { feed.lost.or(Some(now)) };
+        }
+        self.look_after(now);
+    }
+
     /// Where only changes come for too long, what they change may have been missed.
     fn dress(&mut self, now: Nanos) {
-        if self.followed.values().any(|f| f.whole && f.heard) {
+        if self.followed.values().any(|f| f.whole && f.heard && f.lost.is_none()) {
             self.bare = None;
             return;
         }
         if now.saturating_sub(*self.bare.get_or_insert(now)) < BARE {
             return;
         }
-        let light = self.followed.iter().find(|(_, f)| f.heard && !f.whole).map(|(a, _)| *a);
+        let light =
+            self.followed.iter().find(|(_, f)| f.heard && !f.whole && f.lost.is_none()).map(|(a, _)| *a);
         if let Some(light) = light {
             self.bare = None;
             self.close(light);
@@ -196,14 +243,14 @@
 
     fn open(&mut self, address: SocketAddr, now: Nanos) {
         // A whole configuration is long: one of those that are followed sends it, the others send changes only.
-        let whole = !self.followed.values().any(|f| f.whole);
+        let whole = !self.followed.values().any(|f| f.whole && f.lost.is_none());
         self.open_for(address, whole, now);
     }
 
     fn open_for(&mut self, address: SocketAddr, whole: bool, now: Nanos) {
         self.last += 1;
         let number = self.last;
-        self.followed.insert(address, Feed { number, since: now, heard: false, whole });
+        self.followed.insert(address, Feed { number, since: now, heard: false, whole, lost: None });
         self.steps.push(Step::Open { feed: number, address, whole });
     }
 
--- a/porter/src/round.rs
+++ b/porter/src/round.rs
@@ -328,6 +328,10 @@
             }
             return;
         }
+        if let Note::Contact { holds } = &note {
+            self.follow.contact(now, from, *holds);
+            return self.steps(now);
+        }
         if let Note::Rest { name, left } = &note {
             let lasts = (left.clamp(0.0, 1e9) * 1e6) as Nanos;
             self.rest = (lasts > 0).then(|| (name.clone(), now.saturating_add(lasts)));
--- a/stall/src/front.rs
+++ b/stall/src/front.rs
@@ -31,6 +31,9 @@
 use crate::signals::Phase;
 use crate::trail::Follow;
 
+/// A body that has not come after this does not come.
+const SLOWEST_BODY: Duration = Duration::from_secs(10);
+
 /// What concerns one connection only.
 const OWN: [&str; 8] = [
     "connection",
@@ -204,13 +207,12 @@
     if body.size_hint().lower() > most {
         return Err(Kind::TooLarge);
     }
-    let within = Duration::from_secs_f64(given.min(10_000.0) / 1e3);
-    let body = timeout_at(came + within, Limited::new(body, most as usize).collect()).await;
+    let mine = time_for(given, &route);
+    let body = timeout_at(came + mine.min(SLOWEST_BODY), Limited::new(body, most as usize).collect()).await;
     let body = body.map_err(|_| Kind::Slow)?;
     let body = body.map_err(|e| if e.is::<LengthLimitError>() { Kind::TooLarge } else { Kind::Malformed })?;
     strip(&mut head.headers);
     let returned = shop.patience.borrow_mut().returned(&route.name, given);
-    let mine = Duration::from_secs_f64(given.min(route.deadline_ms as f64) / 1e3);
     let drawn = came.elapsed().as_nanos() as u64 ^ shop.now();
     let service = route.pick(drawn).cloned().ok_or(Kind::NoRoute)?;
     // An absolute target is passed on as its path.
@@ -221,6 +223,11 @@
     Ok(Asked { request, route, service, force, deadline: came + mine, returned })
 }
 
+/// How long a request is held, its body's way here counted in: as long as its client waits, and no longer than its route allows.
+fn time_for(given_ms: f64, route: &Route) -> Duration {
+    Duration::from_secs_f64(given_ms.min(route.deadline_ms as f64) / 1e3)
+}
+
 /// Gives back what an ask holds, also when the client leaves in the middle of it.
 struct Permit<'a> {
     shop: &'a Rc<Shop>,
