A new steward takes the place of the same feed as before

Change: one without contact first, else the first, as before. The tool that watches a porter's play allows as many feeds more than two as have said that they lost contact.

--- a/almanac/src/feeds.rs
+++ b/almanac/src/feeds.rs
@@ -40,7 +40,7 @@
 pub enum Must {
     /// The stall is told nothing older than before.
     Newer,
-    /// Two feeds at most are open, of two addresses.
+    /// Two feeds at most are open, of two addresses, beside those of machines that have lost contact.
     Two,
     /// Notes go beside feeds that are open.
     Open,
@@ -110,7 +110,8 @@
         match out {
             Effect::Open { feed, address, .. } => {
                 self.row.feeds[0] += 1;
-                if self.open.len() >= MOST || self.open.values().any(|a| a == address) {
+                let most = MOST + pass.round.follow().without_contact();
+                if self.open.len() >= most || self.open.values().any(|a| a == address) {
                     self.breach(Must::Two, pass, format!("{address} beside {:?}", self.open));
                 }
                 self.open.insert(*feed, *address);
--- a/porter/src/follow.rs
+++ b/porter/src/follow.rs
@@ -143,6 +143,11 @@
         self.followed.iter().map(|(address, feed)| (feed.number, *address, feed.whole))
     }
 
+    /// Feeds of machines that have lost contact, by their own word.
+    pub fn without_contact(&self) -> usize {
+        self.followed.values().filter(|f| f.lost.is_some()).count()
+    }
+
     /// How many addresses are kept in mind, for whatever reason.
     pub fn kept(&self) -> usize {
         self.seeds.len() + self.others.len() + self.failed.len() + self.followed.len()
@@ -165,10 +170,10 @@
             && !self.followed.contains_key(&steward)
             && self.may(steward, now)
         {
-            // One that is not the steward gives way.
+            // One that is not the steward gives way: the first without contact, else the first.
             while self.followed.len() >= FOLLOWED {
                 let others = self.followed.iter().filter(|(a, _)| **a != steward);
-                let Some(other) = others.max_by_key(|(_, f)| f.lost.is_some()).map(|(a, _)| *a) else {
+                let Some(other) = others.min_by_key(|(_, f)| f.lost.is_none()).map(|(a, _)| *a) else {
                     break;
                 };
                 self.close(other);
