--- a/arcade/src/glue/stall.rs
+++ b/arcade/src/glue/stall.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use millpost_barrow::mail::Life;
+use millpost_barrow::mail::Incarnation;
 use millpost_broker::{
     Margins, No, Out as Decided, Outcome, Passage, Patience, Peer, Refusal, Spec, Step, Taped as Desk, Terms,
     Trail, Wish,
@@ -90,8 +90,12 @@
 }
 
 /// What the stall at this address is told of which life this is.
-fn life_for(lives: &mut HashMap<CompactString, Life>, own: u64, address: &CompactString) -> Life {
-    lives.entry(address.clone()).or_insert_with(|| Life::new(own)).clone()
+fn incarnation_for(
+    incarnations: &mut HashMap<CompactString, Incarnation>,
+    own: u64,
+    address: &CompactString,
+) -> Incarnation {
+    incarnations.entry(address.clone()).or_insert_with(|| Incarnation::new(own)).clone()
 }
 
 /// One stall.
@@ -125,7 +129,7 @@
     rests: Time,
     replying: Option<(CompactString, Vec<Note>)>,
     /// What other stalls are told of its life, by their addresses.
-    lives: HashMap<CompactString, Life>,
+    incarnations: HashMap<CompactString, Incarnation>,
     /// Where a function was found first: kept only where a guard is out.
     stale: HashMap<CompactString, SocketAddr>,
     outs: Vec<Out>,
@@ -163,7 +167,7 @@
             leaving: None,
             rests: 0,
             replying: None,
-            lives: HashMap::new(),
+            incarnations: HashMap::new(),
             stale: HashMap::new(),
             outs: Vec::new(),
         }
@@ -305,7 +309,7 @@
         for to in self.ready.clone() {
             let Some(post) = self.posts.get_mut(&to) else { continue };
             while let Some(notes) = post.take(now, self.next + 1) {
-                let life = life_for(&mut self.lives, self.place.life, &to).get();
+                let life = incarnation_for(&mut self.incarnations, self.place.life, &to).get();
                 self.next += 1;
                 self.flights.insert(self.next, to.clone());
                 let said = Said::Mail { from: self.place.name.clone(), life, notes };
@@ -381,7 +385,7 @@
         self.carry_out(now);
         match self.replying.take() {
             Some((address, notes)) if !notes.is_empty() => {
-                let life = life_for(&mut self.lives, self.place.life, &address).get();
+                let life = incarnation_for(&mut self.incarnations, self.place.life, &address).get();
                 Said::Mail { from: self.place.name.clone(), life, notes }
             }
             _ => Said::Taken,
@@ -390,10 +394,10 @@
 
     /// Mail from another stall.
     fn told(&mut self, now: Time, from: &str, life: u64, mut notes: Vec<Note>) {
-        for note in notes.extract_if(.., |note| matches!(note, Note::Outlived { .. })) {
+        for note in notes.extract_if(.., |note| matches!(note, Note::StaleIncarnation { .. })) {
             let address = self.desk.owners().find(from).map(|p| p.address.clone());
-            if let (Note::Outlived { life }, Some(address)) = (note, address) {
-                life_for(&mut self.lives, self.place.life, &address).outlived(life);
+            if let (Note::StaleIncarnation { known }, Some(address)) = (note, address) {
+                incarnation_for(&mut self.incarnations, self.place.life, &address).raise_above(known);
             }
         }
         self.desk.mail(now, from, life, notes);
--- a/arcade/src/world/net.rs
+++ b/arcade/src/world/net.rs
@@ -97,7 +97,7 @@
             let names = shift.left.iter().chain(&shift.split).chain(&shift.joined).map(|name| name.len() + 3);
             44 + came.chain(names).sum::<usize>()
         }
-        Note::Behind { .. } | Note::Outlived { .. } => 28,
+        Note::Behind { .. } | Note::StaleIncarnation { .. } => 28,
         Note::AskRevision => 14,
         Note::Contact { .. } => 26,
         Note::Stands { .. } => 24,
--- a/barrow/src/mail.rs
+++ b/barrow/src/mail.rs
@@ -5,7 +5,7 @@
 //! other side of all three.
 
 mod held;
-mod life;
+mod incarnation;
 mod post;
 mod serve;
 
@@ -21,7 +21,7 @@
 use crate::link::{Answer, Client, Error, Options};
 
 pub use held::{Ended, Error as HeldError, Held, Terms};
-pub use life::Life;
+pub use incarnation::Incarnation;
 pub use post::{Bounds, Event, Post, Refused, To};
 pub use serve::{Call, Content, Limits, Reply, serve};
 
--- a/barrow/src/mail/life.rs
+++ b/barrow/src/mail/incarnation.rs
@@ -9,12 +9,12 @@
 /// The number of a life, as one peer is told it: the time of day at the process's start, in milliseconds, and more where that peer knows
 /// an earlier life of the same name under a higher one. Clones share it.
 #[derive(Clone, Debug)]
-pub struct Life(Arc<AtomicU64>);
+pub struct Incarnation(Arc<AtomicU64>);
 
-impl Life {
+impl Incarnation {
     /// Of a process that started at this time of day, in milliseconds.
     pub fn new(started_ms: u64) -> Self {
-        Life(Arc::new(AtomicU64::new(started_ms)))
+        Incarnation(Arc::new(AtomicU64::new(started_ms)))
     }
 
     /// The number of now.
@@ -25,7 +25,7 @@
     /// The peer knows this life of the sender's name, and passes over what bears a lower number. Only a process that lives hears this: it
     /// goes on under a higher one. Whether the number has changed; it does not where the peer speaks of this very life, since late mail of
     /// an earlier one came there.
-    pub fn outlived(&self, known: u64) -> bool {
+    pub fn raise_above(&self, known: u64) -> bool {
         let higher = known > self.get() && known < HIGHEST;
         if higher {
             self.0.store(known + 1, Ordering::Relaxed);
@@ -45,9 +45,9 @@
         of_what_cannot_be_told = { HIGHEST, 700 },
     )]
     fn a_process_that_lives_outbids_what_a_peer_knows_of_its_name(known: u64, then: u64) {
-        let life = Life::new(700);
-        let shared = life.clone();
-        assert_eq!(life.outlived(known), then != 700);
-        assert_eq!((life.get(), shared.get()), (then, then));
+        let incarnation = Incarnation::new(700);
+        let shared = incarnation.clone();
+        assert_eq!(incarnation.raise_above(known), then != 700);
+        assert_eq!((incarnation.get(), shared.get()), (then, then));
     }
 }
--- a/barrow/src/mail/post.rs
+++ b/barrow/src/mail/post.rs
@@ -12,7 +12,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep_until};
 
-use super::{Life, OPTIONS};
+use super::{Incarnation, OPTIONS};
 use crate::link::Client;
 
 /// The pause before the next connection after a failure; it doubles with each.
@@ -35,7 +35,7 @@
     /// Name of the sender, as the envelope has it.
     pub from: JsonValue,
     /// Which of its lives this is, as the envelope has it.
-    pub life: Life,
+    pub incarnation: Incarnation,
 }
 
 /// How much goes out at once.
@@ -176,7 +176,7 @@
 
     /// What the peer answered, if it took the notes.
     async fn send(&self, text: &str) -> Option<Bytes> {
-        let life = self.to.life.get();
+        let life = self.to.incarnation.get();
         let body = Bytes::from(format!(r#"{{"from":{},"life":{life},"notes":[{text}]}}"#, self.from));
         let headers = self.to.headers.clone();
         let answer =
--- a/barrow/src/mail/tests.rs
+++ b/barrow/src/mail/tests.rs
@@ -44,14 +44,14 @@
 
 fn post(address: SocketAddr) -> (Post, mpsc::Receiver<Event>) {
     let (told, events) = mpsc::channel(8);
-    let (from, life) = (JsonValue::from("edge".to_owned()), Life::new(7));
+    let (from, incarnation) = (JsonValue::from("edge".to_owned()), Incarnation::new(7));
     let to = To {
         peer: Arc::from("core"),
         address,
         path: "/notes".to_owned(),
         headers: HeaderMap::new(),
         from,
-        life,
+        incarnation,
     };
     (Post::new(to, Bounds { notes: 3, bytes: 1_000, at_once: 2, within: LONG }, told), events)
 }
--- a/broker/src/desk.rs
+++ b/broker/src/desk.rs
@@ -377,7 +377,7 @@
         match self.lives.get(from) {
             Some(known) if *known == life => {}
             // Late mail of a life that has ended, or the clock of its machine has stepped back: only one that lives can say.
-            Some(known) if *known > life => return self.outlived(from, *known),
+            Some(known) if *known > life => return self.refute(from, *known),
             _ if self.lives.len() > 10_000 => return,
             known => {
                 let anew = known.is_some();
@@ -397,10 +397,10 @@
         self.carry_out(now);
     }
 
-    /// A stall is told by which later life it is known here.
-    fn outlived(&mut self, name: &str, life: u64) {
+    /// A stall is told by which later incarnation it is known here.
+    fn refute(&mut self, name: &str, known: u64) {
         if let Some(to) = self.owners.find(name).map(|p| p.address.clone()) {
-            self.outs.push_back(Out::Send { to, note: Note::Outlived { life } });
+            self.outs.push_back(Out::Send { to, note: Note::StaleIncarnation { known } });
         }
     }
 
--- a/broker/tests/handover.rs
+++ b/broker/tests/handover.rs
@@ -64,10 +64,10 @@
     town.with(T, "edge-1", to_me(9, Note::Drop { id: 1 }));
     town.mail.clear();
     town.with(T, "edge-1", to_me(8, ask()));
-    assert_eq!(town.mail, [("edge-1".into(), "edge-2".into(), Note::Outlived { life: 9 })]);
+    assert_eq!(town.mail, [("edge-1".into(), "edge-2".into(), Note::StaleIncarnation { known: 9 })]);
     town.mail.clear();
     town.with(T, "edge-1", to_me(10, ask()));
-    assert!(town.mail.iter().all(|(.., note)| !matches!(note, Note::Outlived { .. })));
+    assert!(town.mail.iter().all(|(.., note)| !matches!(note, Note::StaleIncarnation { .. })));
     assert_eq!(town.mail.len(), 1, "the ask is answered: {:?}", town.mail);
 }
 
--- a/crier/src/note.rs
+++ b/crier/src/note.rs
@@ -257,9 +257,9 @@
     },
     /// Between stalls: mail came that counts for a life of its sender which has ended, since a later one was heard of. A sender that
     /// lives, and whose clock had stepped back between two starts, takes a higher number for this peer.
-    Outlived {
-        /// The life that is known.
-        life: u64,
+    StaleIncarnation {
+        /// The incarnation that is known, by its number.
+        known: u64,
     },
     /// Up: an instance may be stopped.
     Retire {
@@ -532,7 +532,7 @@
                 ("set", JsonValue::Array(set.iter().map(Instance::to_json).collect())),
             ]),
             Note::Contact { holds } => object([("t", text("contact")), ("o", mark(*holds))]),
-            Note::Outlived { life } => object([("t", text("outlived")), ("life", n(life))]),
+            Note::StaleIncarnation { known } => object([("t", text("staleinc")), ("known", n(known))]),
             Note::Retire { instance } => object([("t", text("retire")), ("i", text(instance))]),
             Note::Lost { instance } => object([("t", text("lost")), ("i", text(instance))]),
             Note::Up { instance } => object([("t", text("up")), ("i", text(instance))]),
@@ -645,7 +645,7 @@
                 Note::Mine { set: list(from, "set")?.iter().map(Instance::read).collect::<Result<_, _>>()? }
             }
             "contact" => Note::Contact { holds: flag(from, "o") },
-            "outlived" => Note::Outlived { life: whole(from, "life")? },
+            "staleinc" => Note::StaleIncarnation { known: whole(from, "known")? },
             "retire" => Note::Retire { instance: string(from, "i")? },
             "lost" => Note::Lost { instance: string(from, "i")? },
             "up" => Note::Up { instance: string(from, "i")? },
@@ -749,7 +749,7 @@
             Note::Floor { service: "f".into(), count: 2, fence: 3, left: 10_000.0 },
             Note::Contact { holds: true },
             Note::Contact { holds: false },
-            Note::Outlived { life: 1_700_000_000_000 },
+            Note::StaleIncarnation { known: 1_700_000_000_000 },
             Note::Retire { instance: "i-1".into() },
             Note::Lost { instance: "i-1".into() },
             Note::Up { instance: "i-1".into() },
--- a/porter/src/run.rs
+++ b/porter/src/run.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
-use millpost_barrow::mail::{self, Bounds, Call, Event, Held, Life, Limits, Post, Reply, To};
+use millpost_barrow::mail::{self, Bounds, Call, Event, Held, Incarnation, Limits, Post, Reply, To};
 use millpost_crier::frame::Head;
 use millpost_crier::line::Sink;
 use millpost_crier::{Note, object, text};
@@ -68,7 +68,7 @@
 struct Porter {
     path: PathBuf,
     name: JsonValue,
-    life: Life,
+    life: Incarnation,
     began: Instant,
     came: mpsc::Sender<Came>,
     round: Taped,
@@ -93,7 +93,7 @@
     if let Some(sink) = &mut sink {
         sink(&Head::new(&settings.node_name, "porter", life, life).line());
     }
-    let (name, number) = (text(&settings.node_name), Life::new(life));
+    let (name, number) = (text(&settings.node_name), Incarnation::new(life));
     let to = to(STALL, SocketAddr::new(loopback, ports + 1), &name, &number);
     let stall = Post::new(to, bounds(Duration::from_millis(800)), came.clone());
     let grace = Duration::from_secs_f64(settings.bounds.grace_s);
@@ -152,14 +152,14 @@
     u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
 }
 
-fn to(peer: &str, address: SocketAddr, name: &JsonValue, life: &Life) -> To {
+fn to(peer: &str, address: SocketAddr, name: &JsonValue, life: &Incarnation) -> To {
     To {
         peer: Arc::from(peer),
         address,
         path: "/mail".to_owned(),
         headers: HeaderMap::new(),
         from: name.clone(),
-        life: life.clone(),
+        incarnation: life.clone(),
     }
 }
 
--- a/stall/src/shop.rs
+++ b/stall/src/shop.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
-use millpost_barrow::mail::{self, Bounds, Call, Event, Life, Post, Reply, To};
+use millpost_barrow::mail::{self, Bounds, Call, Event, Incarnation, Post, Reply, To};
 use millpost_broker::{
     Ask, MS, Margins, Nanos, No, Out, Outcome, Patience, Peer, Sink, Spec, Taped as Desk, Terms, Trail,
     asks_per_s,
@@ -51,9 +51,9 @@
     pub idle: Rc<HashMap<CompactString, usize>>,
 }
 
+/// Other stalls for each of which the number of this incarnation is kept.
+const MOST_INCARNATIONS: usize = 10_000;
 /// What the porter is called where mail fails; other stalls go by their addresses.
-/// Stalls that are told a number of their own for this life.
-const MOST_LIVES: usize = 10_000;
 const PORTER: &str = "porter";
 
 /// A word for a request that waits for its permit.
@@ -89,7 +89,7 @@
     hurry: Cell<Option<Instant>>,
     life: u64,
     /// What other stalls are told of it, by their addresses.
-    lives: RefCell<HashMap<CompactString, Life>>,
+    incarnations: RefCell<HashMap<CompactString, Incarnation>>,
     began: Instant,
 }
 
@@ -127,14 +127,14 @@
     }
 }
 
-fn to(address: SocketAddr, settings: &Settings, life: Life) -> To {
+fn to(address: SocketAddr, settings: &Settings, incarnation: Incarnation) -> To {
     To {
         peer: address.to_string().into(),
         address,
         path: "/mail".to_owned(),
         headers: HeaderMap::new(),
         from: text(&settings.node_name),
-        life,
+        incarnation,
     }
 }
 
@@ -174,7 +174,7 @@
         let (inputs, others) = mpsc::channel(4_000);
         let (urgent, first) = mpsc::channel(100);
         let porter = SocketAddr::new(loopback(settings.ip), settings.internal_ports.0 + 2);
-        let porter = To { peer: PORTER.into(), ..to(porter, &settings, Life::new(life)) };
+        let porter = To { peer: PORTER.into(), ..to(porter, &settings, Incarnation::new(life)) };
         let porter = Post::new(porter, BOUNDS, inputs.clone());
         Ok(Rc::new(Shop {
             pool: Pool::default(),
@@ -194,7 +194,7 @@
             rest: Rest::default(),
             hurry: Cell::new(None),
             life,
-            lives: RefCell::default(),
+            incarnations: RefCell::default(),
             began: Instant::now(),
             settings,
         }))
@@ -395,7 +395,7 @@
         self.carry_out();
         match self.replying.borrow_mut().take() {
             Some((address, notes)) if !notes.is_empty() => {
-                let life = self.life_for(&address).get();
+                let life = self.incarnation_for(&address).get();
                 let body = object([
                     ("from", text(&self.settings.node_name)),
                     ("life", JsonValue::Number(life as f64)),
@@ -409,30 +409,30 @@
 
     /// Mail from another stall.
     fn mail(&self, from: &str, life: u64, mut notes: Vec<Note>) {
-        for note in notes.extract_if(.., |note| matches!(note, Note::Outlived { .. })) {
-            if let Note::Outlived { life } = note {
-                self.outlived(from, life);
+        for note in notes.extract_if(.., |note| matches!(note, Note::StaleIncarnation { .. })) {
+            if let Note::StaleIncarnation { known } = note {
+                self.raise_incarnation(from, known);
             }
         }
         self.desk.borrow_mut().mail(self.now(), from, life, notes);
     }
 
     /// Another stall knows this one by a later life.
-    fn outlived(&self, by: &str, known: u64) {
+    fn raise_incarnation(&self, by: &str, known: u64) {
         let Some(address) = self.desk.borrow().owners().find(by).map(|p| p.address.clone()) else { return };
-        if self.life_for(&address).outlived(known) {
+        if self.incarnation_for(&address).raise_above(known) {
             log::warn!("{by} knows this stall by a later life: the time of day has stepped back");
         }
     }
 
     /// What the stall at this address is told of which life this is.
-    fn life_for(&self, address: &str) -> Life {
-        let mut lives = self.lives.borrow_mut();
+    fn incarnation_for(&self, address: &str) -> Incarnation {
+        let mut incarnations = self.incarnations.borrow_mut();
         // Stalls that are no more; one that is hears a number that is too low, and says so again.
-        if lives.len() > MOST_LIVES {
-            lives.clear();
+        if incarnations.len() > MOST_INCARNATIONS {
+            incarnations.clear();
         }
-        lives.entry(address.into()).or_insert_with(|| Life::new(self.life)).clone()
+        incarnations.entry(address.into()).or_insert_with(|| Incarnation::new(self.life)).clone()
     }
 
     /// Whether this configuration, or a newer one, is in force.
@@ -603,7 +603,7 @@
             if posts.len() > 1_000 {
                 posts.clear();
             }
-            let life = self.life_for(&to);
+            let life = self.incarnation_for(&to);
             let post = Post::new(self::to(address, &self.settings, life), BOUNDS, self.inputs.clone());
             posts.insert(to.clone(), post);
         }
