--- a/arcade/src/glue/hall.rs
+++ b/arcade/src/glue/hall.rs
@@ -133,7 +133,7 @@
 
     /// It acts as the steward.
     pub fn is_steward(&self) -> bool {
-        self.core.is_steward()
+        self.core.is_leader()
     }
 
     /// Its process ends.
--- a/bourse/src/calls.rs
+++ b/bourse/src/calls.rs
@@ -16,9 +16,9 @@
     Read,
     /// An operator asks how things stand.
     Status,
-    /// An operator asks the steward how functions stand.
+    /// An operator asks the leader how functions stand.
     Functions,
-    /// An operator asks how the steward's duty stands.
+    /// An operator asks how the leader's duty stands.
     Duty,
     /// An operator asks what is taken out for a while.
     Drains,
--- a/bourse/src/core.rs
+++ b/bourse/src/core.rs
@@ -28,11 +28,11 @@
 use crate::core::leave::Leave;
 use crate::feed::{BEAT, Feed, Seat};
 use crate::gossip::{self, Gossip};
+use crate::leader::{Leader, Told};
 use crate::leadership::{Done, Errand, Heard, Leadership, Next, Want};
 use crate::ledger::Ledger;
 use crate::orders::Orders;
 use crate::rounds::{self, For, Rounds};
-use crate::steward::{Steward, Told};
 use crate::voters::{Todo, View, Voters};
 use crate::{MS, Nanos};
 
@@ -195,7 +195,7 @@
     carts: Carts,
     /// What operators have taken out.
     outs: Outs,
-    /// What the platform has told this steward.
+    /// What the platform has told this leader.
     ledger: Ledger,
     /// Orders of operators whose rounds are under way.
     orders: Orders,
@@ -258,9 +258,9 @@
         due.min(self.gossip.due()).min(self.waiting.due()).min(leave).max(now + MS)
     }
 
-    /// Whether this machine is the steward.
-    pub fn is_steward(&self) -> bool {
-        self.leadership.steward().is_some()
+    /// Whether this machine is the leader.
+    pub fn is_leader(&self) -> bool {
+        self.leadership.leader().is_some()
     }
 
     /// Rounds of the register that are under way.
@@ -467,9 +467,9 @@
                 let Some(bounds) = self.platform else { return };
                 let terms = Terms::new(fence, bounds.duty_per_s, bounds.max_lag_ms);
                 let sink = self.sink.as_ref().map(|sink| sink());
-                let mut steward = Steward::new(now, terms, bounds.rate_per_s, self.feed.config(), sink);
-                steward.control_is_new = self.contact.age(now) < NEW;
-                self.leadership.seat(steward);
+                let mut leader = Leader::new(now, terms, bounds.rate_per_s, self.feed.config(), sink);
+                leader.control_is_new = self.contact.age(now) < NEW;
+                self.leadership.seat(leader);
                 self.ledger = Ledger::default();
                 self.know(fence, &self.me.clone());
                 self.news(now);
@@ -514,7 +514,7 @@
         }
     }
 
-    /// Who is the steward, if that is news.
+    /// Who is the leader, if that is news.
     fn know(&mut self, fence: u64, address: &str) {
         if self.gossip.know(fence, address) {
             let lines = self.feed.tell(&[Note::Steward { address: address.into(), fence }]);
@@ -574,8 +574,8 @@
         }
         let packed = (!content.starts_with('{')).then(|| content.to_string());
         self.read.retain(|(_, read)| read.revision > revision);
-        if let Some(steward) = self.leadership.steward_mut() {
-            steward.configure(now, &config);
+        if let Some(leader) = self.leadership.leader_mut() {
+            leader.configure(now, &config);
         }
         let lines = self.feed.configure(now, config, packed);
         self.lines(lines);
@@ -599,7 +599,7 @@
     }
 
     fn lease(&mut self, now: Nanos) {
-        // Without a platform there is nothing to start or to poll, and nobody is the steward.
+        // Without a platform there is nothing to start or to poll, and nobody is the leader.
         let stands = self.voting && self.platform.is_some();
         let (out, want) = self.leadership.tick(now, self.rounds.members(), stands);
         self.vote(out, Back::Lease);
@@ -612,7 +612,7 @@
         }
     }
 
-    /// What the steward does.
+    /// What the leader does.
     fn duties(&mut self, now: Nanos) {
         let feed = &self.feed;
         let Some(Done { named, told, errands }) = self.leadership.duties(now, |name| feed.has(name)) else {
--- a/bourse/src/core/api.rs
+++ b/bourse/src/core/api.rs
@@ -23,7 +23,7 @@
 
 /// Longer configurations are packed once, as they come, and stay so in the register, on its disks and in the feed.
 const PACK_FROM: usize = 4 * 1024;
-/// A steward has longer ones read by another.
+/// A leader has longer ones read by another.
 const LONG_BODY: usize = 64 * 1024;
 /// Another control machine that has answered so lately is there.
 const FRESH: Nanos = 1_000 * MS;
@@ -115,9 +115,9 @@
             },
             Ok(What::Status) => Ok(self.status(now)),
             Ok(What::Functions) => {
-                crate::functions::reply(self.leadership.steward(), now, call.query.as_deref())
+                crate::functions::reply(self.leadership.leader(), now, call.query.as_deref())
             }
-            Ok(What::Duty) => crate::duty::reply(self.leadership.steward(), &self.ledger, now),
+            Ok(What::Duty) => crate::duty::reply(self.leadership.leader(), &self.ledger, now),
             Ok(What::Drains) => self.told_outs(now),
             Ok(What::Drain) => self.order_out(now, call),
             Ok(What::Moves) => self.told_moves(now, call.query.as_deref()),
@@ -134,9 +134,9 @@
         self.answer(id, answer);
     }
 
-    /// A steward has much to do: another voter, which has answered just now, reads what is long.
+    /// A leader has much to do: another voter, which has answered just now, reads what is long.
     fn other_voter(&self, now: Nanos) -> Option<&Address> {
-        self.leadership.steward()?;
+        self.leadership.leader()?;
         let members = self.rounds.members()?;
         let hears = |a: &Address| self.contact.asked(a).is_some_and(|sent| sent + FRESH > now);
         let votes = |a: &Address| self.gossip.others().get(a).is_some_and(|s| s.voting);
@@ -172,11 +172,11 @@
     fn heard(&mut self, now: Nanos, call: &Call) -> Result<Reply, Kind> {
         let json = call.json().ok_or_else(|| Kind::Invalid("no JSON".to_owned()))?;
         let news = News::read(&json)?;
-        let (fence, steward, known) = (news.fence, news.steward.clone(), news.epoch);
+        let (fence, leader, known) = (news.fence, news.leader.clone(), news.epoch);
         let next = self.gossip.heard(now, news)?;
         self.heard_outs(now, &json);
         if fence > 0 {
-            self.know(fence, &steward);
+            self.know(fence, &leader);
         }
         self.bring(now, next);
         if !self.contact.reaches() {
@@ -190,20 +190,20 @@
         let letter = letter(call)?;
         let (mut missed, mut asks) = (false, false);
         for note in &letter.notes {
-            match (note, self.leadership.steward_mut()) {
+            match (note, self.leadership.leader_mut()) {
                 (Note::Acts { revision, .. }, _) => {
                     let again = self.feed.acts(now, &letter.from, *revision);
                     self.lines(again);
                 }
                 (Note::AskRevision, _) => asks = true,
                 (Note::Rest { name, left }, _) => self.rests(now, name, *left),
-                (note, Some(steward)) => steward.note(now, note),
+                (note, Some(leader)) => leader.note(now, note),
                 (Note::Alive { .. }, None) => {}
                 (_, None) => missed = true,
             }
         }
         if missed {
-            return Err(Kind::NotSteward);
+            return Err(Kind::NotLeader);
         }
         // Who is not in contact can't say what stands.
         Ok(if asks && self.in_contact(now) { self.stands() } else { Reply::empty(StatusCode::OK) })
@@ -220,7 +220,7 @@
         Reply::json(StatusCode::OK, body.stringify().unwrap_or_default())
     }
 
-    /// How far this machine is from the steward's lease.
+    /// How far this machine is from the leader's lease.
     fn lease_word(&self, now: Nanos) -> &'static str {
         match () {
             () if self.platform.is_none() => "no_platform",
@@ -239,7 +239,7 @@
         let next = members.and_then(|m| m.next.as_deref()).map_or(JsonValue::Null, strings);
         let ago = |heard: Nanos| number(now.saturating_sub(heard) / MS);
         let others = self.gossip.others().iter().map(|(a, s)| (a.to_string(), ago(s.heard))).collect();
-        let steward = self.leadership.steward();
+        let leader = self.leadership.leader();
         let (fence, address) = self.gossip.known();
         let body = object([
             ("address", text(&self.me)),
@@ -249,14 +249,14 @@
             ("next_voters", next),
             ("steward", text(address)),
             ("fence", number(*fence)),
-            ("is_steward", JsonValue::Boolean(steward.is_some())),
+            ("is_steward", JsonValue::Boolean(leader.is_some())),
             ("lease", text(self.lease_word(now))),
             ("contact", text(self.contact.word())),
             ("contact_ms", self.contact.held_for(now).map_or(JsonValue::Null, |held| number(held / MS))),
             ("revision", number(self.feed.revision())),
             ("followers_act_on", JsonValue::Object(followers)),
             ("others_heard_ms_ago", JsonValue::Object(others)),
-            ("instances", number(steward.map_or(0, |s| s.scaler.snapshot().len() as u64))),
+            ("instances", number(leader.map_or(0, |s| s.scaler.snapshot().len() as u64))),
         ]);
         Reply::json(StatusCode::OK, body.stringify().unwrap_or_default())
     }
--- a/bourse/src/core/carts.rs
+++ b/bourse/src/core/carts.rs
@@ -49,7 +49,7 @@
 
 fn refused(turned: Turned) -> Kind {
     match turned {
-        Turned::NotHolder => Kind::NotSteward,
+        Turned::NotHolder => Kind::NotLeader,
         Turned::Busy => Kind::Busy,
         Turned::Unclear => Kind::Unclear,
         Turned::Unreadable => Kind::Unreadable,
@@ -64,9 +64,9 @@
         self.cart(now, lease);
         let out = |standing: &Standing| standing.record().moves.iter().any(|of| of.state.out());
         if self.carts.carter.standing().is_some_and(|standing| !out(standing))
-            && let Some(steward) = self.leadership.steward_mut()
+            && let Some(leader) = self.leadership.leader_mut()
         {
-            steward.cool();
+            leader.cool();
         }
         if !self.carts.carter.is_busy() || now < self.carts.seen_at + SEEN {
             return;
@@ -74,19 +74,19 @@
         self.carts.seen_at = now;
         let acts = self.feed.followers().map(|(name, acts)| (name.clone(), acts)).collect();
         self.cart(now, Input::Acts(acts));
-        let Some(steward) = self.leadership.steward() else { return };
-        let room = steward.scaler.room();
+        let Some(leader) = self.leadership.leader() else { return };
+        let room = leader.scaler.room();
         let names = self.carts.carter.looks_at();
         let config = self.feed.config();
         let does = names.into_iter().filter_map(|name| {
-            let standing = steward.scaler.function(now, &name)?;
+            let standing = leader.scaler.function(now, &name)?;
             let slots = config.and_then(|c| c.service(&name)).map_or(1, |s| s.concurrency.max(1));
             let wanted = standing.wanted.map_or(0, |(count, _)| count);
             let busy = f64::from(wanted) * f64::from(slots) * USED;
             let of = |n: usize| n.min(u32::MAX as usize) as u32;
             let live = of(standing.ready + standing.booting + standing.starting);
             // Who keeps it warm tells how it does. Without that word for a while the next load waits, and does not go as if all were well.
-            let (delay, refused) = match steward.doing(now, &name) {
+            let (delay, refused) = match leader.doing(now, &name) {
                 None => (0.0, 0.0),
                 Some(doing) => doing.map(|doing| (doing.delay, doing.refused))?,
             };
@@ -121,8 +121,8 @@
                         }
                     }
                     Said::Warm { service, count } => {
-                        if let Some(steward) = self.leadership.steward_mut() {
-                            steward.warm(now, service, *count);
+                        if let Some(leader) = self.leadership.leader_mut() {
+                            leader.warm(now, service, *count);
                         }
                     }
                     Said::Answer(answer) => {
@@ -177,8 +177,8 @@
             }
             _ => return Err(Kind::Invalid("the query: name, or nothing".to_owned())),
         };
-        if self.leadership.steward().is_none() {
-            return Err(Kind::NotSteward);
+        if self.leadership.leader().is_none() {
+            return Err(Kind::NotLeader);
         }
         let told = self.carts.carter.tell(self.carts.at(now), name.as_deref()).ok_or(Kind::Unclear)?;
         Ok(Reply::json(StatusCode::OK, millpost_tariff::values::write(&told)))
--- a/bourse/src/core/drains.rs
+++ b/bourse/src/core/drains.rs
@@ -1,4 +1,4 @@
-//! Drains on a control machine: what operators have taken out is carried to the steward, its scaler, stalls and other control machines.
+//! Drains on a control machine: what operators have taken out is carried to the leader, its scaler, stalls and other control machines.
 //! What is out is decided in [`crate::drains`]. Invariant: while nothing is out nobody is told anything, and nothing is sent.
 
 use std::collections::BTreeMap;
@@ -40,14 +40,14 @@
 impl Core {
     /// Time passes: who does not own functions, who is told, and instances that go.
     pub(super) fn take_out(&mut self, now: Nanos) {
-        let fence = self.leadership.steward().map(|steward| steward.fence);
+        let fence = self.leadership.leader().map(|leader| leader.fence);
         self.outs.drains.tick(now, fence);
-        let rests = self.leadership.steward().is_some_and(|steward| !steward.rests.is_empty());
-        let Some(steward) = self.leadership.steward_mut().filter(|_| rests || !self.outs.drains.is_empty())
+        let rests = self.leadership.leader().is_some_and(|leader| !leader.rests.is_empty());
+        let Some(leader) = self.leadership.leader_mut().filter(|_| rests || !self.outs.drains.is_empty())
         else {
             return self.outs.empties.clear();
         };
-        steward.rests = self.outs.drains.unnamed(now);
+        leader.rests = self.outs.drains.unnamed(now);
         for (name, note) in self.outs.drains.due(now) {
             let line = self.feed.tell_one(&name, &[note]);
             self.lines(line);
@@ -64,15 +64,15 @@
         self.outs.looked = now;
         let longest = self.feed.config().and_then(|c| c.routes.iter().map(|r| r.deadline_ms).max());
         let longest = longest.map_or(REQUESTS, |ms| (ms * MS).min(REQUESTS));
-        let Some(steward) = self.leadership.steward_mut() else { return };
+        let Some(leader) = self.leadership.leader_mut() else { return };
         let drains = &self.outs.drains;
-        let goes = steward.scaler.shown().filter(|i| i.state == State::Draining);
+        let goes = leader.scaler.shown().filter(|i| i.state == State::Draining);
         let goes: Vec<_> = goes.filter(|i| drains.has_worker(now, &i.worker)).map(|i| i.id.clone()).collect();
         let before = std::mem::take(&mut self.outs.empties);
         for id in goes {
             let since = before.get(&id).copied().unwrap_or(now);
             if since + longest <= now {
-                steward.scaler.retire(now, &id);
+                leader.scaler.retire(now, &id);
             }
             self.outs.empties.insert(id, since);
         }
@@ -95,8 +95,8 @@
         let json = call.json().ok_or_else(|| Kind::Invalid("no JSON".to_owned()))?;
         let order = Order::read(&json)?;
         self.take_out(now);
-        let steward = self.leadership.steward().ok_or(Kind::NotSteward)?;
-        let up = steward.standing(now).filter(|stall| !matches!(stall.out, Some("silent" | "leaves")));
+        let leader = self.leadership.leader().ok_or(Kind::NotLeader)?;
+        let up = leader.standing(now).filter(|stall| !matches!(stall.out, Some("silent" | "leaves")));
         let stalls = up.map(|stall| (stall.name, stall.zone)).collect();
         let workers = self.ledger.workers().iter().filter(|worker| !worker.draining);
         let workers = workers.map(|worker| (worker.name.as_str(), worker.zone.as_str())).collect();
@@ -110,14 +110,14 @@
 
     /// What is out, for operators.
     pub(super) fn told_outs(&self, now: Nanos) -> Result<Reply, Kind> {
-        let steward = self.leadership.steward().ok_or(Kind::NotSteward)?;
+        let leader = self.leadership.leader().ok_or(Kind::NotLeader)?;
         let mut on: BTreeMap<&str, usize> = BTreeMap::new();
-        for instance in steward.scaler.shown() {
+        for instance in leader.scaler.shown() {
             *on.entry(&instance.worker).or_default() += 1;
         }
-        let named = |name: &str| steward.standing(now).any(|stall| stall.name == name && stall.named);
+        let named = |name: &str| leader.standing(now).any(|stall| stall.name == name && stall.named);
         let body = object([
-            ("fence", JsonValue::Number(steward.fence as f64)),
+            ("fence", JsonValue::Number(leader.fence as f64)),
             ("drains", self.outs.drains.to_json(now, named, |name| on.get(name).copied().unwrap_or(0))),
         ]);
         Ok(Reply::json(StatusCode::OK, body.stringify().unwrap_or_default()))
@@ -125,8 +125,8 @@
 
     /// A stall says that it rests.
     pub(super) fn rests(&mut self, now: Nanos, name: &str, left: f64) {
-        let Some(steward) = self.leadership.steward() else { return };
-        let zone = steward.standing(now).find(|stall| stall.name == name).map(|stall| stall.zone);
+        let Some(leader) = self.leadership.leader() else { return };
+        let zone = leader.standing(now).find(|stall| stall.name == name).map(|stall| stall.zone);
         self.outs.drains.said(now, name, zone, left);
     }
 
--- a/bourse/src/core/follow.rs
+++ b/bourse/src/core/follow.rs
@@ -71,15 +71,15 @@
             if let Note::Acts { revision, .. } = note {
                 acts = *revision;
             }
-            if let Some(steward) = self.leadership.steward_mut() {
-                steward.note(now, note);
+            if let Some(leader) = self.leadership.leader_mut() {
+                leader.note(now, note);
             }
         }
         let (fence, address) = self.known();
         let mut snapshot = vec![Note::Steward { address, fence }];
-        if let Some(steward) = self.leadership.steward_mut() {
+        if let Some(leader) = self.leadership.leader_mut() {
             snapshot.extend(self.outs.drains().snapshot(now, &letter.from));
-            snapshot.extend(steward.snapshot(&letter.from));
+            snapshot.extend(leader.snapshot(&letter.from));
         }
         let followed = self.feed.follow(now, letter.from, acts, whole, &snapshot).ok_or(Kind::Busy)?;
         self.effects.extend(followed.before.map(Effect::Unseat));
--- a/bourse/src/drains.rs
+++ b/bourse/src/drains.rs
@@ -1,4 +1,4 @@
-//! What operators have taken out for a while: stalls, and workers. Every control machine knows it, so that the next steward does; a
+//! What operators have taken out for a while: stalls, and workers. Every control machine knows it, so that the next leader does; a
 //! drain ends by itself, and one that was undone is kept until it would have ended, so that no late word brings it back. Invariants: an
 //! order changes all or nothing; at least half of a zone's stalls, and of its workers, stay; no more than [`MOST`] are kept.
 
@@ -17,7 +17,7 @@
 const LONGEST: Nanos = 24 * 3_600_000 * MS;
 /// A stall goes on owning functions for so long: the platform asks every second whether it is ready, and needs two misses.
 const LEAVES: Nanos = 2_500 * MS;
-/// A new steward has heard what the others know.
+/// A new leader has heard what the others know.
 const HEARD_ALL: Nanos = 1_000 * MS;
 /// A stall says with each beat, every 450 ms, that it rests; after so long without that it is told again, and no more often.
 const UNSAID: Nanos = 1_000 * MS;
@@ -89,7 +89,7 @@
     }
 }
 
-/// What there is, as the steward knows it: names with their zones.
+/// What there is, as the leader knows it: names with their zones.
 pub struct Seen<'a> {
     /// Stalls that are alive.
     pub stalls: Vec<(&'a str, &'a str)>,
@@ -139,7 +139,7 @@
     version: Version,
     all: All,
     talks: BTreeMap<CompactString, Talk>,
-    /// The fence of this machine, and since when it is the steward.
+    /// The fence of this machine, and since when it is the leader.
     term: Option<(u64, Nanos)>,
 }
 
@@ -148,7 +148,7 @@
 }
 
 impl Drains {
-    /// Time passes; the fence while this machine is the steward.
+    /// Time passes; the fence while this machine is the leader.
     pub fn tick(&mut self, now: Nanos, fence: Option<u64>) {
         if self.term.map(|(of, _)| of) != fence {
             self.term = fence.map(|fence| (fence, now));
@@ -194,7 +194,7 @@
 
     /// An operator's order, or all reasons against it.
     pub fn order(&mut self, now: Nanos, order: Order, seen: &Seen<'_>) -> Result<(), Kind> {
-        let Some((_, since)) = self.term else { return Err(Kind::NotSteward) };
+        let Some((_, since)) = self.term else { return Err(Kind::NotLeader) };
         if now < since + HEARD_ALL {
             return Err(Kind::Unclear);
         }
@@ -376,7 +376,7 @@
         Seen { stalls: all.to_vec(), workers: all.to_vec() }
     }
 
-    fn steward(fence: u64) -> Drains {
+    fn leader(fence: u64) -> Drains {
         let mut drains = Drains::default();
         drains.tick(0, Some(fence));
         drains
@@ -392,7 +392,7 @@
 
     #[test]
     fn half_of_a_zone_stays_and_what_is_not_known_is_refused() {
-        let mut drains = steward(4);
+        let mut drains = leader(4);
         assert_eq!(out(&mut drains, S / 2, "a"), Err(Kind::Unclear));
         assert_eq!(out(&mut drains, S, "a"), Ok(()));
         assert_eq!(out(&mut drains, S, "b"), Ok(()));
@@ -411,12 +411,12 @@
         assert_eq!(undo(&mut drains, "b"), Ok(()));
         assert_eq!(out(&mut drains, 3 * S, "c"), Ok(()));
         drains.tick(4 * S, None);
-        assert_eq!(out(&mut drains, 4 * S, "a"), Err(Kind::NotSteward));
+        assert_eq!(out(&mut drains, 4 * S, "a"), Err(Kind::NotLeader));
     }
 
     #[test]
     fn a_stall_is_told_until_it_says_so_and_owns_on_while_clients_leave() {
-        let mut drains = steward(4);
+        let mut drains = leader(4);
         let told = |drains: &mut Drains, at: Nanos| {
             drains.due(at).iter().map(|(name, note)| (name.to_string(), note.clone())).collect::<Vec<_>>()
         };
@@ -449,8 +449,8 @@
     }
 
     #[test]
-    fn a_new_steward_goes_on_with_what_it_has_heard() {
-        let (mut old, mut new) = (steward(4), Drains::default());
+    fn a_new_leader_goes_on_with_what_it_has_heard() {
+        let (mut old, mut new) = (leader(4), Drains::default());
         out(&mut old, S, "a").expect("it may");
         let first = old.news(2 * S);
         new.heard(2 * S, &first);
@@ -468,7 +468,7 @@
         old.heard(5 * S, &new.news(5 * S));
         assert_eq!(old.news(5 * S), new.news(5 * S));
         // With all of control gone a stall's own word is what is left.
-        let mut last = steward(6);
+        let mut last = leader(6);
         last.said(S, "b", Some("z"), 3_000.0);
         assert_eq!(last.unnamed(S), BTreeSet::from(["b".into()]));
         last.tick(4 * S, Some(6));
--- a/bourse/src/errors.rs
+++ b/bourse/src/errors.rs
@@ -53,8 +53,8 @@
     Empty,
     /// Too much is under way.
     Busy,
-    /// This one is not the steward.
-    NotSteward,
+    /// This one is not the leader.
+    NotLeader,
     /// What is asked for can't be; with all reasons.
     Refused(Vec<String>),
     /// It is not clear here; it may come to be all the same.
@@ -80,7 +80,7 @@
             Kind::NoMajority => (503, "no_majority"),
             Kind::Empty => (503, "empty"),
             Kind::Busy => (503, "busy"),
-            Kind::NotSteward => (409, "not_steward"),
+            Kind::NotLeader => (409, "not_steward"),
             Kind::Refused(_) => (422, "refused"),
             Kind::Unclear => (503, "unclear"),
             Kind::Unreadable => (503, "unreadable"),
--- a/bourse/src/functions.rs
+++ b/bourse/src/functions.rs
@@ -1,4 +1,4 @@
-//! How functions stand, as the steward tells its operators: `GET /core/functions`, in pages.
+//! How functions stand, as the leader tells its operators: `GET /core/functions`, in pages.
 
 use hyper::StatusCode;
 use millpost_barrow::mail::Reply;
@@ -9,7 +9,7 @@
 use tinyjson::JsonValue;
 
 use crate::errors::Kind;
-use crate::steward::Steward;
+use crate::leader::Leader;
 
 /// Functions in one answer, where the call names no number, and at most.
 const PAGE: usize = 200;
@@ -63,10 +63,10 @@
     ])
 }
 
-fn lot(of: &Lot, function: &str, steward: &Steward) -> JsonValue {
+fn lot(of: &Lot, function: &str, leader: &Leader) -> JsonValue {
     object([
         ("zone", text(&of.zone)),
-        ("owner", maybe(steward.owner(function, &of.zone), text)),
+        ("owner", maybe(leader.owner(function, &of.zone), text)),
         ("wanted", number(of.wanted.into())),
         ("live", number(of.live as u64)),
         ("hold", text(of.hold.word())),
@@ -87,10 +87,10 @@
 }
 
 /// A function; its instances only where it was asked for by name.
-fn function(of: &Standing, steward: &Steward, instances: Option<Vec<Seen>>) -> JsonValue {
+fn function(of: &Standing, leader: &Leader, instances: Option<Vec<Seen>>) -> JsonValue {
     // One owner, or one for each lot.
-    let owner = if of.lots.is_empty() { steward.owner(&of.name, "") } else { None };
-    let lots: Vec<_> = of.lots.iter().map(|part| lot(part, &of.name, steward)).collect();
+    let owner = if of.lots.is_empty() { leader.owner(&of.name, "") } else { None };
+    let lots: Vec<_> = of.lots.iter().map(|part| lot(part, &of.name, leader)).collect();
     let zones =
         of.zones.iter().map(|(zone, share)| JsonValue::Array(vec![text(zone), number((*share).into())]));
     object([
@@ -98,7 +98,7 @@
         ("owner", maybe(owner, text)),
         ("lots", if lots.is_empty() { JsonValue::Null } else { JsonValue::Array(lots) }),
         ("configured", JsonValue::Boolean(of.configured)),
-        ("memory_mb", maybe(steward.memory_mb(&of.name), |mb| number(mb.into()))),
+        ("memory_mb", maybe(leader.memory_mb(&of.name), |mb| number(mb.into()))),
         ("wanted", maybe(of.wanted, |(count, _)| number(count.into()))),
         ("said_ms_ago", maybe(of.wanted, |(_, ago)| number(ago))),
         ("zones", JsonValue::Array(zones.collect())),
@@ -114,16 +114,16 @@
     ])
 }
 
-/// The answer; who is not the steward knows nothing of functions.
-pub fn reply(steward: Option<&Steward>, now: Nanos, query: Option<&str>) -> Result<Reply, Kind> {
-    let body = body(steward, now, query)?;
+/// The answer; who is not the leader knows nothing of functions.
+pub fn reply(leader: Option<&Leader>, now: Nanos, query: Option<&str>) -> Result<Reply, Kind> {
+    let body = body(leader, now, query)?;
     Ok(Reply::json(StatusCode::OK, body.stringify().unwrap_or_default()))
 }
 
-fn body(steward: Option<&Steward>, now: Nanos, query: Option<&str>) -> Result<JsonValue, Kind> {
+fn body(leader: Option<&Leader>, now: Nanos, query: Option<&str>) -> Result<JsonValue, Kind> {
     let asked = Asked::read(query.unwrap_or_default())?;
-    let Some(steward) = steward else { return Err(Kind::NotSteward) };
-    let scaler = &steward.scaler;
+    let Some(leader) = leader else { return Err(Kind::NotLeader) };
+    let scaler = &leader.scaler;
     let one = match &asked.instance {
         // No function has this name where nothing is known of the instance.
         Some(id) => Some(scaler.function_of(id).unwrap_or_default()),
@@ -140,9 +140,9 @@
         }
     };
     let instances = |of: &Standing| one.is_some().then(|| scaler.instances(now, &of.name));
-    let each = found.iter().map(|of: &Standing| function(of, steward, instances(of)));
+    let each = found.iter().map(|of: &Standing| function(of, leader, instances(of)));
     Ok(object([
-        ("fence", number(steward.fence)),
+        ("fence", number(leader.fence)),
         ("functions", JsonValue::Array(each.collect())),
         ("next", maybe(next.as_deref(), text)),
     ]))
@@ -158,15 +158,15 @@
 
     const MS: Nanos = 1_000_000;
 
-    fn steward() -> Steward {
+    fn leader() -> Leader {
         let services: Vec<_> =
             ["f g", "a", "c"].iter().map(|name| format!(r#"{{"name":"{name}"}}"#)).collect();
         let config = format!(r#"{{"revision":1,"routes":[],"services":[{}]}}"#, services.join(","));
         let config = Config::parse(&config).expect("valid");
-        let mut steward = Steward::new(0, Terms::new(3, 78.0, 800), 26.0, Some(&config), None);
+        let mut leader = Leader::new(0, Terms::new(3, 78.0, 800), 26.0, Some(&config), None);
         let peer = Peer { name: "edge-1".into(), address: "10.0.0.1:1".into(), zone: "z".into() };
-        steward.note(0, &Note::Alive { peer, serving: true, split: None, digest: None });
-        assert!(steward.name(250 * MS).is_some());
+        leader.note(0, &Note::Alive { peer, serving: true, split: None, digest: None });
+        assert!(leader.name(250 * MS).is_some());
         let want = Note::Want {
             service: "f g".into(),
             count: 2,
@@ -176,7 +176,7 @@
             does: None,
             slow: Vec::new(),
         };
-        steward.note(200 * MS, &want);
+        leader.note(200 * MS, &want);
         let known = millpost_crier::Instance {
             id: "i-1".into(),
             service: "a".into(),
@@ -185,12 +185,12 @@
             worker: "w-1".into(),
             stage: 1,
         };
-        steward.note(200 * MS, &Note::Mine { set: vec![known] });
-        steward
+        leader.note(200 * MS, &Note::Mine { set: vec![known] });
+        leader
     }
 
-    fn answer(steward: Option<&Steward>, query: Option<&str>) -> Result<JsonValue, Kind> {
-        body(steward, 210 * MS, query)
+    fn answer(leader: Option<&Leader>, query: Option<&str>) -> Result<JsonValue, Kind> {
+        body(leader, 210 * MS, query)
     }
 
     #[yare::parameterized(
@@ -204,7 +204,7 @@
         of_no_instance = { Some("instance=i-2"), &[], None },
     )]
     fn functions_come_by_page_or_by_name(query: Option<&str>, names: &[&str], next: Option<&str>) {
-        let answer = answer(Some(&steward()), query).expect("an answer");
+        let answer = answer(Some(&leader()), query).expect("an answer");
         let all = answer["functions"].get::<Vec<JsonValue>>().expect("a list");
         let name = |f: &JsonValue| f["name"].get::<String>().expect("text").clone();
         assert_eq!(all.iter().map(name).collect::<Vec<_>>(), names);
@@ -213,7 +213,7 @@
 
     #[test]
     fn a_function_is_told_with_its_owner_and_what_holds_it() {
-        let answer = answer(Some(&steward()), Some("name=f%20g")).expect("an answer");
+        let answer = answer(Some(&leader()), Some("name=f%20g")).expect("an answer");
         let told = answer["functions"][0].stringify().expect("text");
         for part in [
             r#""instances":[]"#,
@@ -227,7 +227,7 @@
     }
 
     #[yare::parameterized(
-        not_the_steward = { None, Kind::NotSteward },
+        not_the_leader = { None, Kind::NotLeader },
         none = { Some("most=0"), Kind::Invalid("most: a number from 1 to 500".into()) },
         many = { Some("most=501"), Kind::Invalid("most: a number from 1 to 500".into()) },
         unknown = { Some("x=1"), Kind::Invalid("x: is not known; name, instance, after or most".into()) },
--- a/bourse/src/gossip.rs
+++ b/bourse/src/gossip.rs
@@ -1,4 +1,4 @@
-//! News between control machines: who was heard, who is the steward, and when a newer configuration is to be fetched. Invariants: no
+//! News between control machines: who was heard, who is the leader, and when a newer configuration is to be fetched. Invariants: no
 //! more than [`MOST`] others are kept; of one revision one copy at a time is on its way here.
 
 use std::collections::BTreeMap;
@@ -53,8 +53,8 @@
     pub revision: u64,
     /// The digest of that configuration.
     pub mark: CompactString,
-    /// The steward as last heard of.
-    pub steward: CompactString,
+    /// The leader as last heard of.
+    pub leader: CompactString,
     /// Its fence; 0: nobody was heard of.
     pub fence: u64,
     /// Whether it votes.
@@ -86,7 +86,7 @@
         let news = News {
             from: word("from")?,
             mark: word("mark")?,
-            steward: word("steward")?,
+            leader: word("steward")?,
             revision: count("rev")?,
             fence: count("fence")?,
             voting: parts.get("voting") == Some(&JsonValue::Boolean(true)),
@@ -111,7 +111,7 @@
             ("from", text(&self.from)),
             ("rev", JsonValue::Number(self.revision as f64)),
             ("mark", text(&self.mark)),
-            ("steward", text(&self.steward)),
+            ("steward", text(&self.leader)),
             ("fence", JsonValue::Number(self.fence as f64)),
             ("voting", JsonValue::Boolean(self.voting)),
             ("leaving", if self.leaving { JsonValue::Boolean(true) } else { JsonValue::Null }),
@@ -192,7 +192,7 @@
         &self.others
     }
 
-    /// The steward as last heard of, with its fence.
+    /// The leader as last heard of, with its fence.
     pub fn known(&self) -> &(u64, CompactString) {
         &self.known
     }
@@ -223,11 +223,11 @@
         }
     }
 
-    /// Whether it is news that this machine is the steward.
-    pub fn know(&mut self, fence: u64, steward: &str) -> bool {
+    /// Whether it is news that this machine is the leader.
+    pub fn know(&mut self, fence: u64, leader: &str) -> bool {
         let news = fence > self.known.0;
         if news {
-            self.known = (fence, steward.into());
+            self.known = (fence, leader.into());
         }
         news
     }
@@ -262,7 +262,7 @@
             from: self.me.clone(),
             revision: self.revision(),
             mark: self.chosen.as_ref().map_or_else(CompactString::default, |c| c.mark.clone()),
-            steward: self.known.1.clone(),
+            leader: self.known.1.clone(),
             fence: self.known.0,
             voting: standing.voting,
             leaving: standing.leaving,
@@ -324,7 +324,7 @@
             from,
             revision,
             mark,
-            steward: "".into(),
+            leader: "".into(),
             fence: 0,
             voting: true,
             leaving: false,
--- a/bourse/src/steward.rs
+++ b/bourse/src/leader.rs
@@ -1,4 +1,4 @@
-//! The steward's duties, without I/O: which stalls are alive, and the scaler. It exists only while the lease is held.
+//! The leader's duties, without I/O: which stalls are alive, and the scaler. It exists only while the lease is held.
 
 mod floors;
 mod view;
@@ -24,7 +24,7 @@
 const NONE_OWNS: Nanos = 200 * MS;
 /// Between two namings: what changes together is named together, since each goes to all.
 const NAME_GAP: Nanos = 250 * MS;
-/// A steward that has just taken office names whom it hears of at once, since they have nobody else.
+/// A leader that has just taken office names whom it hears of at once, since they have nobody else.
 const NEW_HERE: Nanos = 800 * MS;
 /// Where there are more stalls than this, those that come within a short span are named together also then, and who is alive is looked
 /// at no more often than needed.
@@ -81,7 +81,7 @@
 }
 
 /// The duties.
-pub struct Steward {
+pub struct Leader {
     /// Its fence.
     pub fence: u64,
     /// The scaler.
@@ -192,7 +192,7 @@
     }
 }
 
-impl Steward {
+impl Leader {
     /// Takes office under a fence. What its scaler is given goes to `sink` too.
     pub fn new(
         now: Nanos,
@@ -208,7 +208,7 @@
             scaler.configure(now, specs.iter().cloned());
         }
         let pace = Pace::new(rate_per_s, now);
-        Steward {
+        Leader {
             fence,
             scaler,
             pace,
@@ -400,7 +400,7 @@
         })
     }
 
-    /// Which stalls' porters are connected, and whoever is to be named by that: as [`Steward::name`].
+    /// Which stalls' porters are connected, and whoever is to be named by that: as [`Leader::name`].
     pub fn look(&mut self, now: Nanos, has: impl Fn(&str) -> bool) -> Option<(Note, Told)> {
         if self.stalls.len() > MANY && now < self.looked + LOOK {
             return None;
@@ -458,7 +458,7 @@
             return None;
         }
         let peers = stalls().cloned().collect();
-        // What the steward before has named may stand as it is; else all of it goes to those who know nothing yet, or something else.
+        // What the leader before has named may stand as it is; else all of it goes to those who know nothing yet, or something else.
         let known = self.stalls.values().filter(alive).filter_map(|s| s.knows).max();
         self.scaler.split(now, &split);
         self.named_at = now;
--- a/bourse/src/steward/floors.rs
+++ b/bourse/src/leader/floors.rs
@@ -8,11 +8,11 @@
 use millpost_broker::Ranks;
 use millpost_crier::{Does, Note, Version};
 
-use super::{MS, Nanos, Steward, Told};
+use super::{Leader, MS, Nanos, Told};
 
 /// A floor is said again this often: an owner may have started anew,
 const AGAIN: Nanos = 1_000 * MS;
-/// ... and holds for so long without: the next steward has taken it up by then.
+/// ... and holds for so long without: the next leader has taken it up by then.
 const HOLDS: Nanos = 10_000 * MS;
 /// What nobody wants warm for so long has no floor any more.
 const LAPSES: Nanos = 6_000 * MS;
@@ -84,7 +84,7 @@
     }
 }
 
-impl Steward {
+impl Leader {
     /// A function is to have at least so many instances, until nothing is said of it any more.
     pub fn warm(&mut self, now: Nanos, service: &str, count: u32) {
         let floors = &mut self.floors;
--- a/bourse/src/steward/view.rs
+++ b/bourse/src/leader/view.rs
@@ -1,9 +1,9 @@
-//! How stalls stand with the steward, for people: a view that changes nothing.
+//! How stalls stand with the leader, for people: a view that changes nothing.
 
 use millpost_crier::{object, text};
 use tinyjson::JsonValue;
 
-use super::{MS, Nanos, SILENT, Steward, UNFED};
+use super::{Leader, MS, Nanos, SILENT, UNFED};
 
 /// How a stall stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
     }
 }
 
-impl Steward {
+impl Leader {
     /// How the stalls stand that were heard of lately, in the order of their names.
     pub fn standing(&self, now: Nanos) -> impl Iterator<Item = Standing<'_>> {
         self.stalls.iter().map(move |(name, stall)| {
@@ -55,7 +55,7 @@
         })
     }
 
-    /// How long it is the steward, in milliseconds.
+    /// How long it is the leader, in milliseconds.
     pub fn age_ms(&self, now: Nanos) -> u64 {
         now.saturating_sub(self.began) / MS
     }
--- a/bourse/src/leadership.rs
+++ b/bourse/src/leadership.rs
@@ -1,4 +1,4 @@
-//! The leadership of one machine: the lease, taking over, standing back, and what is asked of the platform. Invariants: there is a steward
+//! The leadership of one machine: the lease, taking over, standing back, and what is asked of the platform. Invariants: there is a leader
 //! only while the lease is held; it took over under the lease that it asked for its fence with; every call to the platform names
 //! the time by which it must have begun, and whoever keeps it back says so.
 
@@ -11,8 +11,8 @@
 
 use crate::Nanos;
 use crate::errors::Kind;
+use crate::leader::{Leader, Told};
 use crate::pages::{Paged, Pages};
-use crate::steward::{Steward, Told};
 
 const DUTY: &str = "steward";
 
@@ -58,7 +58,7 @@
 /// A call to the platform, under a fence. It does not begin at `until` or later; then its answer is [`Call::unanswered`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Errand {
-    /// The steward's fence.
+    /// The leader's fence.
     pub fence: u64,
     /// When it was decided on.
     pub asked: Nanos,
@@ -78,7 +78,7 @@
 /// What the register has to be asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Want {
-    /// Who was the last steward.
+    /// Who was the last leader.
     Last,
     /// Which fence stands; answered by [`Leadership::on_fence`] in any case.
     Fence,
@@ -93,7 +93,7 @@
     StandBack(Vec<(Address, Message)>),
     /// This fence is to be written over the one below it; answered by [`Leadership::on_fence_written`] in any case.
     Offer(u64),
-    /// The steward of this fence is to be seated, at once.
+    /// The leader of this fence is to be seated, at once.
     Take(u64),
 }
 
@@ -105,7 +105,7 @@
     Lapsed,
 }
 
-/// What a steward has done with a moment.
+/// What a leader has done with a moment.
 pub struct Done {
     /// Who is named, for all, and what each is told with it; this goes first.
     pub named: Option<(Note, Told)>,
@@ -121,10 +121,10 @@
     life: u64,
     seed: u64,
     holder: Option<Holder>,
-    /// Whether the register named this machine as the steward when its process started; none until that is known.
+    /// Whether the register named this machine as the leader when its process started; none until that is known.
     last: Option<bool>,
     seeking: Seeking,
-    steward: Option<Steward>,
+    leader: Option<Leader>,
     pages: Pages,
     leaving: bool,
 }
@@ -132,30 +132,30 @@
 impl Leadership {
     /// Of this machine; `life` differs at each start.
     pub fn new(me: Address, life: u64, seed: u64) -> Self {
-        let (holder, last, seeking, steward) = (None, None, Seeking::No, None);
-        Leadership { me, life, seed, holder, last, seeking, steward, pages: Pages::default(), leaving: false }
+        let (holder, last, seeking, leader) = (None, None, Seeking::No, None);
+        Leadership { me, life, seed, holder, last, seeking, leader, pages: Pages::default(), leaving: false }
     }
 
-    /// The fence and the end of the lease, while this machine is the steward.
+    /// The fence and the end of the lease, while this machine is the leader.
     pub fn term(&self) -> Option<(u64, Nanos)> {
         let until = self.holder.as_ref()?.until();
-        self.steward.as_ref().map(|steward| (steward.fence, until))
+        self.leader.as_ref().map(|leader| (leader.fence, until))
     }
 
-    /// The steward, while this machine is that.
-    pub fn steward(&self) -> Option<&Steward> {
-        self.steward.as_ref()
+    /// The leader, while this machine is that.
+    pub fn leader(&self) -> Option<&Leader> {
+        self.leader.as_ref()
     }
 
     /// The same, to be told something.
-    pub fn steward_mut(&mut self) -> Option<&mut Steward> {
-        self.steward.as_mut()
+    pub fn leader_mut(&mut self) -> Option<&mut Leader> {
+        self.leader.as_mut()
     }
 
     /// How far it has come, for people.
     pub fn lease_word(&self, now: Nanos) -> &'static str {
         match () {
-            () if self.steward.is_some() => "steward",
+            () if self.leader.is_some() => "steward",
             () if self.leaving => "leaves",
             () if self.last.is_none() => "reads",
             () if self.may_act(now) => "takes",
@@ -166,7 +166,7 @@
     /// When to call [`Leadership::tick`] next.
     pub fn next_wake(&self) -> Nanos {
         let holder = self.holder.as_ref().map_or(Nanos::MAX, Holder::next_wake);
-        holder.min(self.steward.as_ref().map_or(Nanos::MAX, |s| s.pace.next()))
+        holder.min(self.leader.as_ref().map_or(Nanos::MAX, |s| s.pace.next()))
     }
 
     /// The members that the lease is counted by.
@@ -202,9 +202,9 @@
         self.lapse(now);
         // Also where it stands no more, and asks for nothing.
         if !self.may_act(now)
-            && let Some(mut steward) = self.steward.take()
+            && let Some(mut leader) = self.leader.take()
         {
-            steward.scaler.over(now);
+            leader.scaler.over(now);
             log::info!("steward no more");
         }
         let Some(members) = members.filter(|_| stands && !self.leaving) else { return (Vec::new(), None) };
@@ -216,7 +216,7 @@
             holder
         });
         let out = holder.on_tick(now);
-        let wanted = holder.may_act(now) && self.steward.is_none() && self.seeking == Seeking::No;
+        let wanted = holder.may_act(now) && self.leader.is_none() && self.seeking == Seeking::No;
         if wanted {
             self.seeking = Seeking::Yes;
         }
@@ -229,7 +229,7 @@
         self.holder.as_mut().map_or_else(Vec::new, |holder| holder.on_message(now, from, message))
     }
 
-    /// Who the register names as the last steward, as the process starts.
+    /// Who the register names as the last leader, as the process starts.
     pub fn on_last(&mut self, value: Option<&Value>) {
         self.last = Some(value.is_some_and(|v| *v.content == *self.me));
     }
@@ -267,41 +267,41 @@
         self.holder.as_ref().is_some_and(Holder::is_again)
     }
 
-    /// Gives back a lease that was asked for as the last steward, who it turned out not to be.
+    /// Gives back a lease that was asked for as the last leader, who it turned out not to be.
     fn stand_back(&mut self, now: Nanos) -> Next {
         let Some(holder) = &mut self.holder else { return Next::Rest };
         holder.set_again(false);
         Next::StandBack(holder.release(now))
     }
 
-    /// The steward that was asked for with [`Next::Take`].
-    pub fn seat(&mut self, steward: Steward) {
+    /// The leader that was asked for with [`Next::Take`].
+    pub fn seat(&mut self, leader: Leader) {
         if let Some(holder) = &mut self.holder {
             holder.set_again(false);
         }
-        log::info!("steward, fence {}", steward.fence);
+        log::info!("steward, fence {}", leader.fence);
         self.pages.clear();
-        self.steward = Some(steward);
+        self.leader = Some(leader);
     }
 
     /// The process is about to end: the lease is given back, and no other asked for.
     pub fn leave(&mut self, now: Nanos) -> Vec<(Address, Message)> {
         self.leaving = true;
-        if let Some(mut steward) = self.steward.take() {
-            steward.scaler.over(now);
+        if let Some(mut leader) = self.leader.take() {
+            leader.scaler.over(now);
         }
         self.holder.as_mut().map_or_else(Vec::new, |holder| holder.release(now))
     }
 
-    /// What the steward does. `has` says whose porter is connected.
+    /// What the leader does. `has` says whose porter is connected.
     pub fn duties(&mut self, now: Nanos, has: impl Fn(&str) -> bool) -> Option<Done> {
         let until = self.holder.as_ref().map_or(0, Holder::until);
-        let steward = self.steward.as_mut()?;
-        let named = steward.look(now, has);
-        steward.scaler.tick(now);
-        let (mut told, effects) = steward.take();
-        steward.floors(now, &mut told);
-        let ask = steward.pace.ask(now);
+        let leader = self.leader.as_mut()?;
+        let named = leader.look(now, has);
+        leader.scaler.tick(now);
+        let (mut told, effects) = leader.take();
+        leader.floors(now, &mut told);
+        let ask = leader.pace.ask(now);
         let start_or_stop = |effect| match effect {
             Effect::Start { service, worker, nonce } => Some(Call::Start { service, worker, nonce }),
             Effect::Stop { id } => Some(Call::Stop { id }),
@@ -317,44 +317,44 @@
             Some(Ask::Workers) => calls.push(Call::Workers),
             None => {}
         }
-        let fence = steward.fence;
+        let fence = leader.fence;
         let errands = calls.into_iter().map(|call| Errand { fence, asked: now, until, call }).collect();
         Some(Done { named, told, errands })
     }
 
     /// The platform's answer to a call that was decided on at `asked`.
     pub fn on_heard(&mut self, now: Nanos, fence: u64, asked: Nanos, heard: Heard) {
-        let Some(steward) = self.steward.as_mut().filter(|s| s.fence == fence) else { return };
+        let Some(leader) = self.leader.as_mut().filter(|s| s.fence == fence) else { return };
         match heard {
             Heard::Listed(None) => {
-                steward.pace.refused(now);
-                steward.pace.listed();
+                leader.pace.refused(now);
+                leader.pace.listed();
                 self.pages.clear();
             }
             Heard::Listed(Some((entries, next))) => match self.pages.page(asked, entries, next) {
                 Paged::More => {}
                 Paged::Whole(asked, entries) => {
-                    steward.pace.listed_whole(now, entries.len());
-                    steward.scaler.listed(now, asked, entries);
+                    leader.pace.listed_whole(now, entries.len());
+                    leader.scaler.listed(now, asked, entries);
                 }
                 Paged::Endless => {
                     log::error!("the list has no end");
-                    steward.pace.listed();
+                    leader.pace.listed();
                 }
             },
-            Heard::Workers(Some(all)) => steward.scaler.workers(now, asked, all),
-            Heard::Workers(None) => steward.pace.refused(now),
+            Heard::Workers(Some(all)) => leader.scaler.workers(now, asked, all),
+            Heard::Workers(None) => leader.pace.refused(now),
             Heard::Started { nonce, answer } => {
                 if let Err(fault) = &answer {
                     log::info!("start {nonce}: {fault:?}");
                 }
-                steward.scaler.started(now, &nonce, answer);
+                leader.scaler.started(now, &nonce, answer);
             }
             Heard::Stopped { id, answer } => {
                 if let Err(fault) = &answer {
                     log::info!("stop of {id}: {fault:?}");
                 }
-                steward.scaler.stopped(now, &id, answer);
+                leader.scaler.stopped(now, &id, answer);
             }
         }
     }
@@ -369,7 +369,7 @@
 
     const BOUNDS: f64 = 100.0;
 
-    /// An leadership under one voter, which grants what is asked at this time.
+    /// Leadership under one voter, which grants what is asked at this time.
     fn granted(leadership: &mut Leadership, now: Nanos) -> Option<Want> {
         let members = Members::first("u", ["a".into()]);
         let (out, want) = leadership.tick(now, Some(&members), true);
@@ -399,7 +399,7 @@
         let mut leadership = held(None);
         assert_eq!(leadership.on_fence(now, Ok(None)), Next::Offer(1));
         assert_eq!(leadership.on_fence_written(now, 1, Ok(Outcome::Written(stands("a")))), Next::Take(1));
-        leadership.seat(Steward::new(now, Terms::new(1, BOUNDS, 100), BOUNDS, None, None));
+        leadership.seat(Leader::new(now, Terms::new(1, BOUNDS, 100), BOUNDS, None, None));
         leadership
     }
 
@@ -432,7 +432,7 @@
         another_since = { Some("a"), Some("b"), true },
         never_was = { None, Some("b"), false },
     )]
-    fn who_asked_as_the_last_steward_and_is_not_stands_back(
+    fn who_asked_as_the_last_leader_and_is_not_stands_back(
         last: Option<&str>,
         now: Option<&str>,
         back: bool,
@@ -448,9 +448,9 @@
         let mut leadership = seated(102 * MS);
         let members = Members::first("u", ["a".into()]);
         assert_eq!(leadership.tick(1_400 * MS, Some(&members), false), (Vec::new(), None));
-        assert!(leadership.steward().is_some());
+        assert!(leadership.leader().is_some());
         assert_eq!(leadership.tick(1_501 * MS, Some(&members), false), (Vec::new(), None));
-        assert!(leadership.steward().is_none());
+        assert!(leadership.leader().is_none());
     }
 
     #[test]
--- a/bourse/src/ledger.rs
+++ b/bourse/src/ledger.rs
@@ -1,4 +1,4 @@
-//! What the platform has said to this steward, for people. Invariants: nothing is decided by it; one tally for each kind of answer, and
+//! What the platform has said to this leader, for people. Invariants: nothing is decided by it; one tally for each kind of answer, and
 //! no more than [`MOST`] faults are kept.
 
 use std::collections::{BTreeMap, VecDeque};
--- a/bourse/src/lib.rs
+++ b/bourse/src/lib.rs
@@ -2,10 +2,10 @@
 //! to do, so that an emulator can drive it like the daemon does.
 //!
 //! - [`core`]: the sum of the rooms; inputs in, effects out.
-//! - [`rounds`]: rounds of the register. [`leadership`]: the lease and the steward's duties. [`gossip`]: news between control machines.
+//! - [`rounds`]: rounds of the register. [`leadership`]: the lease and the leader's duties. [`gossip`]: news between control machines.
 //!   [`voters`]: who should vote. [`pages`]: the platform's list. [`feed`]: what porters are told.
 //! - `contact`: whether a majority of the voters is reached. `orders`: what an operator's order is answered.
-//! - `functions`, `duty`, `ledger`: what operators are told of the steward's duty.
+//! - `functions`, `duty`, `ledger`: what operators are told of the leader's duty.
 //! - [`runtime`]: sockets, the thread of the voter and the platform's client; it carries effects out.
 
 pub mod calls;
@@ -18,6 +18,7 @@
 pub mod feed;
 mod functions;
 pub mod gossip;
+pub mod leader;
 pub mod leadership;
 mod ledger;
 mod orders;
@@ -25,7 +26,6 @@
 mod platform;
 pub mod rounds;
 pub mod runtime;
-pub mod steward;
 mod voter_thread;
 pub mod voters;
 
--- a/bourse/src/rounds.rs
+++ b/bourse/src/rounds.rs
@@ -30,7 +30,7 @@
     Learn,
     /// To know that what is known is what a majority stands behind.
     Confirm(Confirm),
-    /// Who was the last steward.
+    /// Who was the last leader.
     Last,
     /// To become the leader: the fence that stands.
     Fence,
--- a/bourse/src/runtime.rs
+++ b/bourse/src/runtime.rs
@@ -202,7 +202,7 @@
         gone.into_iter().for_each(|seat| self.left(seat));
         self.core.tick(now);
         self.carry_out();
-        if !self.core.is_steward() {
+        if !self.core.is_leader() {
             self.platform = None;
         }
         if now >= self.reload_at {
--- a/bourse/tests/control.rs
+++ b/bourse/tests/control.rs
@@ -1,4 +1,4 @@
-//! Control machines against each other in memory: what operators are told, who is the steward, and what is bounded.
+//! Control machines against each other in memory: what operators are told, who is the leader, and what is bounded.
 
 mod town;
 
@@ -9,12 +9,12 @@
 use tinyjson::JsonValue;
 use town::{MS, Town, address, config};
 
-/// Three voters with a steward, and machines beside them.
+/// Three voters with a leader, and machines beside them.
 fn settled(spares: usize) -> (Town, usize) {
     let mut town = Town::new(3, spares);
-    assert!(town.until(4_000 * MS, |town| town.steward().is_some()), "no steward");
-    let steward = town.steward().expect("a steward");
-    (town, steward)
+    assert!(town.until(4_000 * MS, |town| town.leader().is_some()), "no steward");
+    let leader = town.leader().expect("a steward");
+    (town, leader)
 }
 
 #[yare::parameterized(
@@ -113,15 +113,15 @@
     hears_but_is_not_heard = { true },
 )]
 fn who_is_cut_off_confirms_and_feeds_nothing(one_way: bool) {
-    let (mut town, steward) = settled(0);
+    let (mut town, leader) = settled(0);
     let old = config(1, "old");
-    town.put(steward, &old);
+    town.put(leader, &old);
     town.run(town.now + 1_000 * MS);
-    town.cut(steward, 1);
-    town.hears_across(steward, one_way);
+    town.cut(leader, 1);
+    town.hears_across(leader, one_way);
     town.run(town.now + 2_500 * MS);
     let before = town.now;
-    let other = (steward + 1) % 3;
+    let other = (leader + 1) % 3;
     let put = town.put(other, &config(2, "new"));
     town.run(town.now + 900 * MS);
     assert_eq!(town.answer_to(put).map(|a| a.0), Some(200));
@@ -129,11 +129,11 @@
     let letter = r#"{"from":"edge-1","life":1,"notes":[]}"#;
     let asked = town.now;
     let ids = [
-        town.put(steward, &config(3, "third")),
-        town.put(steward, &old),
-        town.read(steward),
-        town.call(steward, Method::GET, "/core/chosen", ""),
-        town.call(steward, Method::POST, "/follow", letter),
+        town.put(leader, &config(3, "third")),
+        town.put(leader, &old),
+        town.read(leader),
+        town.call(leader, Method::GET, "/core/chosen", ""),
+        town.call(leader, Method::POST, "/follow", letter),
     ];
     town.run(asked + MS);
     for id in ids {
@@ -143,18 +143,18 @@
             "{status} {body}"
         );
     }
-    assert!(!town.core(steward).is_steward());
-    town.cut(steward, 0);
-    town.hears_across(steward, false);
+    assert!(!town.core(leader).is_leader());
+    town.cut(leader, 0);
+    town.hears_across(leader, false);
     let healed = town.now;
-    while town.status(steward, "contact") != JsonValue::String("holds".to_owned()) {
+    while town.status(leader, "contact") != JsonValue::String("holds".to_owned()) {
         town.run(town.now + MS);
         assert!(town.now <= healed + 420 * MS, "one round of news, and a read");
     }
-    let follow = town.call(steward, Method::POST, "/follow", letter);
+    let follow = town.call(leader, Method::POST, "/follow", letter);
     town.run(town.now + 100 * MS);
     let (_, seat) = town.seats[&follow];
-    let lines = town.lines.iter().filter(|(n, of, _)| (*n, *of) == (steward, seat));
+    let lines = town.lines.iter().filter(|(n, of, _)| (*n, *of) == (leader, seat));
     let first = lines.map(|(_, _, line)| String::from_utf8_lossy(line).into_owned()).next().expect("a line");
     let packed = |text: &str| millpost_barrow::pack::pack(text).expect("packed");
     let configuration = millpost_tariff::Config::parse(&config(2, "new")).expect("one").to_json();
@@ -175,10 +175,10 @@
 /// A stall that has started hears which configuration stands from a machine in contact only.
 #[test]
 fn which_configuration_stands_is_told_in_contact_only() {
-    let (mut town, steward) = settled(0);
-    town.put(steward, &config(7, "one"));
+    let (mut town, leader) = settled(0);
+    town.put(leader, &config(7, "one"));
     town.run(town.now + 1_000 * MS);
-    let other = (steward + 1) % 3;
+    let other = (leader + 1) % 3;
     let asked = |town: &mut Town| {
         let letter = r#"{"from":"edge-1","life":1,"notes":[{"t":"acts","v":0,"n":0},{"t":"askrev"}]}"#;
         let id = town.call(other, Method::POST, "/mail", letter);
@@ -215,19 +215,19 @@
 /// Who follows it already hears at once that it feeds nothing new, and that it does again.
 #[test]
 fn followers_are_told_when_contact_is_lost_and_when_it_is_back() {
-    let (mut town, steward) = settled(0);
+    let (mut town, leader) = settled(0);
     town.run(town.now + 1_000 * MS);
-    let porter = town.call(steward, Method::POST, "/follow", r#"{"from":"edge-1","life":1,"notes":[]}"#);
+    let porter = town.call(leader, Method::POST, "/follow", r#"{"from":"edge-1","life":1,"notes":[]}"#);
     town.run(town.now + 10 * MS);
     let (_, seat) = town.seats[&porter];
     let told = |town: &Town, what: &str| {
-        let of = |line: &&(usize, u64, bytes::Bytes)| (line.0, line.1) == (steward, seat);
+        let of = |line: &&(usize, u64, bytes::Bytes)| (line.0, line.1) == (leader, seat);
         town.lines.iter().filter(of).filter(|line| String::from_utf8_lossy(&line.2).contains(what)).count()
     };
-    town.cut(steward, 1);
+    town.cut(leader, 1);
     town.run(town.now + 2_000 * MS);
     assert_eq!((told(&town, r#""t":"contact""#), told(&town, r#""o":1"#)), (1, 0));
-    town.cut(steward, 0);
+    town.cut(leader, 0);
     town.run(town.now + 1_000 * MS);
     assert_eq!((told(&town, r#""t":"contact""#), told(&town, r#""o":1"#)), (2, 1));
 }
@@ -279,49 +279,49 @@
 
 #[test]
 fn a_holder_that_was_frozen_calls_nothing_after_its_lease() {
-    let (mut town, steward) = settled(0);
-    assert!(town.until(1_000 * MS, |town| town.in_hand(steward)));
+    let (mut town, leader) = settled(0);
+    assert!(town.until(1_000 * MS, |town| town.in_hand(leader)));
     let thaws = town.now + 2_500 * MS;
-    town.freeze(steward, thaws);
+    town.freeze(leader, thaws);
     town.run(thaws + 2_000 * MS);
-    assert_eq!(town.kept_back.iter().map(|(at, n)| (*at, *n)).collect::<Vec<_>>(), [(thaws, steward)]);
+    assert_eq!(town.kept_back.iter().map(|(at, n)| (*at, *n)).collect::<Vec<_>>(), [(thaws, leader)]);
     assert!(town.went.iter().all(|(at, _, errand)| *at < errand.until));
-    assert!(town.went.iter().all(|(at, n, _)| *n != steward || *at < thaws));
-    assert!(town.steward().is_some_and(|n| n != steward));
+    assert!(town.went.iter().all(|(at, n, _)| *n != leader || *at < thaws));
+    assert!(town.leader().is_some_and(|n| n != leader));
 }
 
 #[test]
-fn a_steward_whose_voter_says_nothing_is_none_after_its_lease() {
-    let (mut town, steward) = settled(0);
-    town.input(steward, Input::Standing(false, None));
+fn a_leader_whose_voter_says_nothing_is_none_after_its_lease() {
+    let (mut town, leader) = settled(0);
+    town.input(leader, Input::Standing(false, None));
     let note = r#"{"from":"e","life":1,"notes":[{"t":"want","s":"f","c":1}]}"#;
     town.run(town.now + 1_600 * MS);
-    let id = town.call(steward, Method::POST, "/mail", note);
+    let id = town.call(leader, Method::POST, "/mail", note);
     town.run(town.now);
     assert_eq!(town.answer_to(id).map(|a| a.0), Some(409));
-    assert!(!town.core(steward).is_steward());
+    assert!(!town.core(leader).is_leader());
 }
 
 #[test]
 fn a_voter_that_is_silent_gives_way_to_a_spare() {
-    let (mut town, steward) = settled(1);
+    let (mut town, leader) = settled(1);
     let id = town.put(0, &config(1, "one"));
     town.run(8_000 * MS);
     assert_eq!(town.answer_to(id).map(|a| a.0), Some(200));
-    let gone = (0..3).find(|n| *n != steward).expect("another");
+    let gone = (0..3).find(|n| *n != leader).expect("another");
     town.down(gone);
     town.run(town.now + 2_900 * MS);
     let votes = |town: &mut Town, n| {
-        let JsonValue::Array(all) = town.status(steward, "voters") else { panic!("no voters") };
+        let JsonValue::Array(all) = town.status(leader, "voters") else { panic!("no voters") };
         all.iter().any(|a| *a == JsonValue::String(address(n).to_string()))
     };
     assert!(votes(&mut town, gone) && !votes(&mut town, 3));
     town.run(town.now + 4_000 * MS);
     assert!(!votes(&mut town, gone) && votes(&mut town, 3));
     // The spare counts: without another of the first three all is still there.
-    let next = (0..3).find(|n| *n != steward && *n != gone).expect("a third");
+    let next = (0..3).find(|n| *n != leader && *n != gone).expect("a third");
     town.down(next);
-    let id = town.read(steward);
+    let id = town.read(leader);
     town.run(town.now + 900 * MS);
     assert_eq!(town.answer_to(id), Some((200, config(1, "one").as_str())));
 }
@@ -333,9 +333,9 @@
     the_leader = { 0 },
 )]
 fn a_voter_that_leaves_waits_until_a_spare_votes_in_its_place(beyond: usize) {
-    let (mut town, steward) = settled(1);
-    let leaves = (steward + beyond) % 3;
-    town.put(steward, &config(1, "one"));
+    let (mut town, leader) = settled(1);
+    let leaves = (leader + beyond) % 3;
+    town.put(leader, &config(1, "one"));
     town.run(8_000 * MS);
     town.input(leaves, Input::Leave);
     let left = town.now;
@@ -363,10 +363,10 @@
 /// Two voters hold what was acknowledged, and one of them is told to end. There is no spare: the third has it on its disk before that.
 #[test]
 fn what_a_voter_that_leaves_holds_stands_without_it() {
-    let (mut town, steward) = settled(0);
-    let (leaves, lacks) = ((steward + 1) % 3, (steward + 2) % 3);
+    let (mut town, leader) = settled(0);
+    let (leaves, lacks) = ((leader + 1) % 3, (leader + 2) % 3);
     town.cut(lacks, 1);
-    town.put(steward, &config(1, "one"));
+    town.put(leader, &config(1, "one"));
     town.run(town.now + 1_000 * MS);
     town.cut(lacks, 0);
     town.run(town.now + 3_000 * MS);
@@ -383,10 +383,10 @@
 /// The third does not answer: what is held is not handed over, and the process ends all the same, at half of its grace.
 #[test]
 fn a_voter_whose_successors_are_silent_ends_at_half_of_its_grace() {
-    let (mut town, steward) = settled(0);
-    town.down((steward + 2) % 3);
+    let (mut town, leader) = settled(0);
+    town.down((leader + 2) % 3);
     town.run(town.now + 1_000 * MS);
-    let leaves = (steward + 1) % 3;
+    let leaves = (leader + 1) % 3;
     town.input(leaves, Input::Leave);
     let left = town.now;
     town.run(left + 2_999 * MS);
@@ -401,13 +401,12 @@
 fn after_a_thousand_changes_who_was_away_is_back_as_soon_as_after_ten() {
     let mut found = Vec::new();
     for changes in [10, 100, 1_000] {
-        let (mut town, steward) = settled(1);
-        let away = (0..3).find(|n| *n != steward).expect("another");
-        let stays = (0..3).find(|n| *n != steward && *n != away).expect("a third");
+        let (mut town, leader) = settled(1);
+        let away = (0..3).find(|n| *n != leader).expect("another");
+        let stays = (0..3).find(|n| *n != leader && *n != away).expect("a third");
         town.down(away);
         for revision in 1..=changes {
-            let id =
-                town.put(if revision % 2 == 0 { steward } else { stays }, &config(1_000 + revision, "s"));
+            let id = town.put(if revision % 2 == 0 { leader } else { stays }, &config(1_000 + revision, "s"));
             assert!(town.until(900 * MS, |town| town.answer_to(id).is_some()));
             assert_eq!(town.answer_to(id).map(|a| a.0), Some(200), "{revision}");
             if revision % 7 == 0 {
@@ -449,18 +448,18 @@
 
 #[test]
 fn who_leaves_answers_what_is_under_way_and_takes_nothing_new() {
-    let (mut town, steward) = settled(0);
-    let put = town.put(steward, &config(1, "one"));
+    let (mut town, leader) = settled(0);
+    let put = town.put(leader, &config(1, "one"));
     town.run(town.now + MS);
-    town.input(steward, Input::Leave);
+    town.input(leader, Input::Leave);
     let left = town.now;
-    let new = town.read(steward);
+    let new = town.read(leader);
     town.run(left + 299 * MS);
     assert_eq!(town.answer_to(put).map(|a| a.0), Some(200));
     assert!(town.answer_to(new).is_some_and(|(status, body)| status == 503 && body.contains("busy")));
-    assert!(!town.core(steward).is_steward() && !town.core(steward).is_over(left + 299 * MS));
-    assert!(town.core(steward).is_over(left + 300 * MS));
-    assert!(town.until(700 * MS, |town| town.steward().is_some()), "the lease was given back");
+    assert!(!town.core(leader).is_leader() && !town.core(leader).is_over(left + 299 * MS));
+    assert!(town.core(leader).is_over(left + 300 * MS));
+    assert!(town.until(700 * MS, |town| town.leader().is_some()), "the lease was given back");
 }
 
 #[test]
@@ -491,7 +490,7 @@
         }
         (0..5).for_each(|n| town.cut(n, 0));
         town.run(town.now + 6_000 * MS);
-        assert!(town.until(6_000 * MS, |town| town.steward().is_some()), "{luck}: no steward");
+        assert!(town.until(6_000 * MS, |town| town.leader().is_some()), "{luck}: no steward");
         let acknowledged =
             puts.iter().filter(|(_, id)| town.answer_to(*id).is_some_and(|(status, _)| status == 200));
         let newest = acknowledged.map(|(revision, _)| *revision).max();
@@ -507,10 +506,10 @@
     assert!(changes > 40, "{changes}");
 }
 
-/// A storm of long configurations kept the steward reading for longer than its lease; it has another voter read them, and all follow by
+/// A storm of long configurations kept the leader reading for longer than its lease; it has another voter read them, and all follow by
 /// what differs.
 #[test]
-fn long_configurations_are_read_by_another_than_the_steward_and_reach_all() {
+fn long_configurations_are_read_by_another_than_the_leader_and_reach_all() {
     let long = |revision: u64| {
         let route = |n: u64| {
             format!(
@@ -526,12 +525,12 @@
             routes.join(",")
         )
     };
-    let (mut town, steward) = settled(1);
+    let (mut town, leader) = settled(1);
     for revision in 1..=4 {
-        let id = town.put(steward, &long(revision));
+        let id = town.put(leader, &long(revision));
         town.run(town.now);
         assert_eq!(town.answer_to(id).map(|a| a.0), Some(307));
-        let id = town.put((steward + 1) % 3, &long(revision));
+        let id = town.put((leader + 1) % 3, &long(revision));
         town.run(town.now + 300 * MS);
         assert_eq!(town.answer_to(id).map(|a| a.0), Some(200));
     }
@@ -544,9 +543,9 @@
         assert_eq!((status, body.contains("\"revision\":4")), (200, true), "{body}");
     }
     // Alone, it reads them itself: nobody else could.
-    town.cut(steward, 1);
+    town.cut(leader, 1);
     town.run(town.now + 1_100 * MS);
-    let id = town.put(steward, &long(9));
+    let id = town.put(leader, &long(9));
     town.run(town.now + 900 * MS);
     assert_eq!(town.answer_to(id).map(|a| a.0), Some(503));
 }
@@ -585,7 +584,7 @@
 
 fn order(town: &mut Town, owners: &mut Porter, text: &str) -> (u16, String) {
     for _ in 0..40 {
-        let n = town.steward().expect("a steward");
+        let n = town.leader().expect("a steward");
         let id = town.call(n, Method::POST, "/core/moves", text);
         for _ in 0..40 {
             if let Some((status, body)) = town.answer_to(id).filter(|(status, _)| *status != 503) {
@@ -603,10 +602,10 @@
   "services":[{"name":"s","memory_mb":512,"boot_ms":300,"concurrency":4},
               {"name":"t","memory_mb":512,"boot_ms":300,"concurrency":4}],"limits":{}}"#;
 
-/// A tenant is planned, started and done, over a target that gets warm meanwhile; its steward is cut off in the middle, and the next one ends it.
+/// A tenant is planned, started and done, over a target that gets warm meanwhile; its leader is cut off in the middle, and the next one ends it.
 #[test]
-fn a_move_is_checked_and_carried_on_by_the_next_steward() {
-    let (mut town, steward) = settled(0);
+fn a_move_is_checked_and_carried_on_by_the_next_leader() {
+    let (mut town, leader) = settled(0);
     town.workers = 700;
     let mut owners = Porter::default();
     town.put(0, TENANT);
@@ -620,7 +619,7 @@
     // Two instances are wanted at the source, so two at the target: no worker has room for a second.
     assert!(status == 422 && body.contains("workers have no room for 1 of 2 instances"), "{status} {body}");
     town.workers = 8_000;
-    // Until the steward has heard of it.
+    // Until the leader has heard of it.
     (0..40).for_each(|_| porter(&mut town, &mut owners));
     assert_eq!(order(&mut town, &mut owners, plan), (200, r#"{"step":"planned"}"#.to_owned()));
     assert!(disk(&town) >= 2);
@@ -632,7 +631,7 @@
 
     owners.warms = true;
     let step = |town: &mut Town| {
-        let Some(n) = town.steward() else { return String::new() };
+        let Some(n) = town.leader() else { return String::new() };
         let id = town.call(n, Method::GET, "/core/moves?name=m", "");
         town.run(town.now);
         town.answer_to(id).map(|(_, body)| body.to_owned()).unwrap_or_default()
@@ -643,10 +642,10 @@
         let told = step(&mut town);
         if told.contains(r#""step":"switching""#) && !cut {
             cut = true;
-            town.cut(steward, 1);
+            town.cut(leader, 1);
         }
-        if cut && town.steward().is_some_and(|n| n != steward) {
-            town.cut(steward, 0);
+        if cut && town.leader().is_some_and(|n| n != leader) {
+            town.cut(leader, 0);
         }
         if told.contains(r#""step":"done""#) {
             break;
@@ -654,7 +653,7 @@
     }
     let told = step(&mut town);
     assert!(cut && told.contains(r#""step":"done""#), "{told}");
-    assert!(town.steward().is_some_and(|n| n != steward));
+    assert!(town.leader().is_some_and(|n| n != leader));
     let id = town.read(0);
     town.run(town.now + 900 * MS);
     let (_, text) = town.answer_to(id).expect("an answer");
@@ -663,9 +662,9 @@
     assert!((11..=13).contains(&config.revision), "{}", config.revision);
 }
 
-/// What the steward says of its duty.
-fn duty(town: &mut Town, steward: usize) -> String {
-    let id = town.call(steward, Method::GET, "/core/duty", "");
+/// What the leader says of its duty.
+fn duty(town: &mut Town, leader: usize) -> String {
+    let id = town.call(leader, Method::GET, "/core/duty", "");
     town.run(town.now);
     let (status, text) = town.answer_to(id).expect("an answer");
     assert_eq!(status, 200);
@@ -673,19 +672,19 @@
 }
 
 #[test]
-fn the_steward_tells_its_operators_of_stalls_workers_and_the_platforms_answers() {
-    let (mut town, steward) = settled(0);
+fn the_leader_tells_its_operators_of_stalls_workers_and_the_platforms_answers() {
+    let (mut town, leader) = settled(0);
     let alive =
         r#"{"from":"e","life":1,"notes":[{"t":"alive","p":{"n":"e","a":"10.0.1.1:1","z":"z"},"o":1}]}"#;
-    town.call(steward, Method::POST, "/mail", alive);
+    town.call(leader, Method::POST, "/mail", alive);
     town.put(0, &config(1, "f"));
     town.workers = 512;
     town.run(town.now + 1_200 * MS);
-    town.call(steward, Method::POST, "/mail", alive);
+    town.call(leader, Method::POST, "/mail", alive);
     let want = r#"{"from":"e","life":1,"notes":[{"t":"want","s":"f","c":1}]}"#;
-    town.call(steward, Method::POST, "/mail", want);
+    town.call(leader, Method::POST, "/mail", want);
     town.run(town.now + 400 * MS);
-    let told = duty(&mut town, steward);
+    let told = duty(&mut town, leader);
     for part in
         [r#""name":"w-1""#, r#""call":"start""#, r#""answer":"ok""#, r#""zone":"z""#, r#""out":"unfed""#]
     {
@@ -694,71 +693,71 @@
     // The platform takes nothing more, and is silent on starts.
     town.workers = 0;
     let want = r#"{"from":"e","life":1,"notes":[{"t":"want","s":"f","c":9}]}"#;
-    town.call(steward, Method::POST, "/mail", want);
+    town.call(leader, Method::POST, "/mail", want);
     town.run(town.now + 300 * MS);
-    assert!(duty(&mut town, steward).contains(r#""answer":"unclear""#));
-    let other = (0..3).find(|n| *n != steward).expect("another");
+    assert!(duty(&mut town, leader).contains(r#""answer":"unclear""#));
+    let other = (0..3).find(|n| *n != leader).expect("another");
     let id = town.call(other, Method::GET, "/core/duty", "");
     town.run(town.now);
     assert_eq!(town.answer_to(id).map(|a| a.0), Some(409));
-    let words = [steward, other].map(|n| town.status(n, "lease"));
+    let words = [leader, other].map(|n| town.status(n, "lease"));
     assert_eq!(words, ["steward", "asks"].map(|word| JsonValue::String(word.to_owned())));
 }
 
-fn alive(town: &mut Town, steward: usize, rest: &str) {
+fn alive(town: &mut Town, leader: usize, rest: &str) {
     for name in ["e-1", "e-2"] {
         let peer = format!(r#"{{"t":"alive","p":{{"n":"{name}","a":"10.0.1.1:1","z":"z"}},"o":1}}"#);
         let more = if name == "e-1" { rest } else { "" };
         let letter = format!(r#"{{"from":"{name}","life":1,"notes":[{peer}{more}]}}"#);
-        town.call(steward, Method::POST, "/mail", &letter);
+        town.call(leader, Method::POST, "/mail", &letter);
     }
 }
 
 /// Both stalls are heard of for so long, and the first one rests.
 fn beats(town: &mut Town, ms: u64) {
     for _ in 0..ms / 400 {
-        if let Some(steward) = town.steward() {
-            alive(town, steward, r#",{"t":"rest","n":"e-1","l":60000}"#);
+        if let Some(leader) = town.leader() {
+            alive(town, leader, r#",{"t":"rest","n":"e-1","l":60000}"#);
         }
         town.run(town.now + 400 * MS);
     }
 }
 
 fn drains(town: &mut Town, body: &str) -> (u16, String) {
-    let steward = town.steward().expect("a steward");
+    let leader = town.leader().expect("a steward");
     let method = if body.is_empty() { Method::GET } else { Method::POST };
-    let id = town.call(steward, method, "/core/drains", body);
+    let id = town.call(leader, method, "/core/drains", body);
     town.run(town.now);
     town.answer_to(id).map(|(status, text)| (status, text.to_owned())).expect("an answer")
 }
 
 #[test]
-fn what_is_out_stays_out_under_the_next_steward_and_until_its_time() {
-    let (mut town, steward) = settled(0);
+fn what_is_out_stays_out_under_the_next_leader_and_until_its_time() {
+    let (mut town, leader) = settled(0);
     town.workers = 512;
     let edge = r#"{"order":"drain","what":"edge","name":"e-1","for_ms":20000}"#;
-    alive(&mut town, steward, "");
+    alive(&mut town, leader, "");
     assert_eq!(drains(&mut town, edge).0, 503, "what was out before may not be known yet");
     town.run(town.now + 1_000 * MS);
-    alive(&mut town, steward, "");
+    alive(&mut town, leader, "");
     assert_eq!(drains(&mut town, edge).0, 200);
     assert_eq!(drains(&mut town, &edge.replace("e-1", "e-2")).0, 422);
     let worker = r#"{"order":"drain","what":"worker","name":"w-1","for_ms":20000}"#;
     assert_eq!(drains(&mut town, worker).0, 200);
-    let other = (0..3).find(|n| *n != steward).expect("another");
+    let other = (0..3).find(|n| *n != leader).expect("another");
     let id = town.call(other, Method::POST, "/core/drains", edge);
     town.run(town.now);
     assert_eq!(town.answer_to(id).map(|a| a.0), Some(409));
-    town.cut(steward, 1);
+    town.cut(leader, 1);
     town.run(town.now + 3_000 * MS);
-    assert!(town.steward().is_some_and(|n| n != steward));
+    assert!(town.leader().is_some_and(|n| n != leader));
     beats(&mut town, 2_000);
     let (status, told) = drains(&mut town, "");
     assert_eq!(status, 200);
     assert!(told.contains(r#""name":"e-1""#) && told.contains(r#""name":"w-1""#), "{told}");
     assert!(told.contains(r#""rests":true"#), "{told}");
-    let steward = town.steward().expect("a steward");
-    assert!(duty(&mut town, steward).contains(r#""out":"drained""#));
+    let leader = town.leader().expect("a steward");
+    assert!(duty(&mut town, leader).contains(r#""out":"drained""#));
     assert_eq!(drains(&mut town, r#"{"order":"undo","what":"edge","name":"e-1"}"#).0, 200);
     assert_eq!(
         drains(&mut town, r#"{"order":"undo","what":"edge","name":"e-1"}"#).0,
@@ -771,12 +770,12 @@
 
 #[test]
 fn a_worker_that_is_out_takes_no_starts_and_is_emptied() {
-    let (mut town, steward) = settled(0);
+    let (mut town, leader) = settled(0);
     town.workers = 512;
     town.put(0, &config(1, "f"));
     let want = |town: &mut Town| {
         let want = r#"{"from":"e","life":1,"notes":[{"t":"want","s":"f","c":2}]}"#;
-        town.call(steward, Method::POST, "/mail", want);
+        town.call(leader, Method::POST, "/mail", want);
         town.run(town.now + 1_000 * MS);
     };
     (0..4).for_each(|_| want(&mut town));
--- a/bourse/tests/steward.rs
+++ b/bourse/tests/leader.rs
@@ -1,9 +1,9 @@
-//! Which functions have an owner in each zone, as the steward names them.
+//! Which functions have an owner in each zone, as the leader names them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use compact_str::CompactString;
-use millpost_bourse::steward::Steward;
+use millpost_bourse::leader::Leader;
 use millpost_broker::Owners;
 use millpost_crier::{Instance, Note, Peer, Roster, Shift, Version};
 use millpost_pitches::Terms;
@@ -47,25 +47,25 @@
     }
 }
 
-fn steward(fence: u64, now: u64, zones: &[&str], split: Option<(Version, &[&str])>) -> Steward {
-    let mut steward = Steward::new(now, Terms::new(fence, 100.0, 100), 100.0, Some(&config()), None);
-    (0..6).for_each(|n| steward.note(now, &alive(n, zones, split)));
-    steward
+fn leader(fence: u64, now: u64, zones: &[&str], split: Option<(Version, &[&str])>) -> Leader {
+    let mut leader = Leader::new(now, Terms::new(fence, 100.0, 100), 100.0, Some(&config()), None);
+    (0..6).for_each(|n| leader.note(now, &alive(n, zones, split)));
+    leader
 }
 
 /// All of the naming that stands; the one before the first where there is none.
-fn whole(steward: &mut Steward) -> Roster {
-    match steward.snapshot("edge-0").swap_remove(0) {
+fn whole(leader: &mut Leader) -> Roster {
+    match leader.snapshot("edge-0").swap_remove(0) {
         Note::Stalls { version, peers, split } => Roster::new(version, peers, split),
         _ => Roster::default(),
     }
 }
 
 /// Names the stalls: what goes to all, and how many are told of instances.
-fn name(steward: &mut Steward, now: u64) -> Option<(Note, usize)> {
-    let before = whole(steward);
-    let (note, told) = steward.name(now)?;
-    let after = whole(steward);
+fn name(leader: &mut Leader, now: u64) -> Option<(Note, usize)> {
+    let before = whole(leader);
+    let (note, told) = leader.name(now)?;
+    let after = whole(leader);
     match &note {
         Note::Stalls { .. } => assert_eq!((&after.note(), told.len()), (&note, after.peers().len())),
         Note::Shift(shift) if before.version() > (0, 0) => {
@@ -77,10 +77,10 @@
 }
 
 /// The functions that are split from now on, where stalls were named.
-fn named(steward: &mut Steward, now: u64, zones: &[&str]) -> Option<BTreeSet<String>> {
-    (0..6).for_each(|n| steward.note(now, &alive(n, zones, None)));
-    name(steward, now)?;
-    Some(whole(steward).split().iter().map(ToString::to_string).collect())
+fn named(leader: &mut Leader, now: u64, zones: &[&str]) -> Option<BTreeSet<String>> {
+    (0..6).for_each(|n| leader.note(now, &alive(n, zones, None)));
+    name(leader, now)?;
+    Some(whole(leader).split().iter().map(ToString::to_string).collect())
 }
 
 fn set(all: &[&str]) -> Option<BTreeSet<String>> {
@@ -90,28 +90,28 @@
 #[test]
 fn a_function_is_split_while_it_is_much_for_one_stall_and_together_again_when_it_is_little() {
     let zones = ["a", "b", "c"];
-    let mut steward = steward(1, 0, &zones, None);
-    assert_eq!(named(&mut steward, 700 * MS, &zones), set(&[]));
-    steward.note(800 * MS, &want(None, 0.2));
-    assert_eq!(named(&mut steward, 800 * MS, &zones), None);
-    steward.note(900 * MS, &want(None, 0.3));
-    assert_eq!(named(&mut steward, 949 * MS, &zones), None, "what changes together is named together");
-    assert_eq!(named(&mut steward, 950 * MS, &zones), set(&["f"]));
+    let mut leader = leader(1, 0, &zones, None);
+    assert_eq!(named(&mut leader, 700 * MS, &zones), set(&[]));
+    leader.note(800 * MS, &want(None, 0.2));
+    assert_eq!(named(&mut leader, 800 * MS, &zones), None);
+    leader.note(900 * MS, &want(None, 0.3));
+    assert_eq!(named(&mut leader, 949 * MS, &zones), None, "what changes together is named together");
+    assert_eq!(named(&mut leader, 950 * MS, &zones), set(&["f"]));
     // One who has not heard of that yet says nothing that counts.
-    steward.note(951 * MS, &want(None, 0.0));
+    leader.note(951 * MS, &want(None, 0.0));
     for (at, strain) in [(1_000, 0.1), (5_000, 0.02), (9_000, 0.05), (12_000, 0.02), (21_000, 0.02)] {
         for zone in zones {
-            steward.note(at * MS, &want(Some(zone), strain));
+            leader.note(at * MS, &want(Some(zone), strain));
         }
-        assert_eq!(named(&mut steward, at * MS, &zones), None, "at {at}");
+        assert_eq!(named(&mut leader, at * MS, &zones), None, "at {at}");
     }
-    assert_eq!(named(&mut steward, 22_100 * MS, &zones), set(&[]));
+    assert_eq!(named(&mut leader, 22_100 * MS, &zones), set(&[]));
 }
 
 /// What is said of floors, by stall.
-fn floors(steward: &mut Steward, now: u64) -> BTreeMap<String, Vec<(String, u32)>> {
+fn floors(leader: &mut Leader, now: u64) -> BTreeMap<String, Vec<(String, u32)>> {
     let mut told = BTreeMap::new();
-    steward.floors(now, &mut told);
+    leader.floors(now, &mut told);
     let of = |note: &Note| match note {
         Note::Floor { service, count, fence: 7, .. } => (service.to_string(), *count),
         other => panic!("{other:?}"),
@@ -122,12 +122,12 @@
 #[test]
 fn a_floor_is_told_to_the_owner_and_the_next_of_each_lot_and_to_whoever_they_are_next() {
     let zones = ["a", "b"];
-    let mut steward = steward(7, 0, &zones, Some(((6, 4), &["f"])));
-    assert_eq!(named(&mut steward, 700 * MS, &zones), set(&["f"]));
-    assert!(floors(&mut steward, 710 * MS).is_empty());
-    steward.warm(710 * MS, "f", 3);
-    steward.warm(710 * MS, "g", 2);
-    let first = floors(&mut steward, 710 * MS);
+    let mut leader = leader(7, 0, &zones, Some(((6, 4), &["f"])));
+    assert_eq!(named(&mut leader, 700 * MS, &zones), set(&["f"]));
+    assert!(floors(&mut leader, 710 * MS).is_empty());
+    leader.warm(710 * MS, "f", 3);
+    leader.warm(710 * MS, "g", 2);
+    let first = floors(&mut leader, 710 * MS);
     let of = |all: &BTreeMap<String, Vec<(String, u32)>>, service: &str| -> Vec<u32> {
         let mut counts: Vec<_> =
             all.values().flatten().filter(|(s, _)| s == service).map(|(_, n)| *n).collect();
@@ -135,99 +135,99 @@
         counts
     };
     assert_eq!((of(&first, "f"), of(&first, "g")), (vec![1, 1, 2, 2], vec![2, 2]));
-    assert!(floors(&mut steward, 1_600 * MS).is_empty());
-    assert_eq!(floors(&mut steward, 1_710 * MS), first);
+    assert!(floors(&mut leader, 1_600 * MS).is_empty());
+    assert_eq!(floors(&mut leader, 1_710 * MS), first);
     // Two of six are gone: whoever stands for it now hears at once.
-    (0..4).for_each(|n| steward.note(2_300 * MS, &alive(n, &zones, None)));
-    assert!(name(&mut steward, 2_300 * MS).is_some());
-    let next = floors(&mut steward, 2_310 * MS);
+    (0..4).for_each(|n| leader.note(2_300 * MS, &alive(n, &zones, None)));
+    assert!(name(&mut leader, 2_300 * MS).is_some());
+    let next = floors(&mut leader, 2_310 * MS);
     assert_eq!(of(&next, "g").iter().filter(|n| **n == 2).count(), 2);
     let live = |name: &String| !name.ends_with('4') && !name.ends_with('5');
     assert!(next.iter().all(|(name, all)| live(name) || all.iter().all(|(_, n)| *n == 0)), "{next:?}");
     // Only one of them is wanted still; then none.
-    steward.warm(5_000 * MS, "g", 2);
-    assert_eq!(of(&floors(&mut steward, 6_800 * MS), "f"), [0, 0, 0, 0]);
-    steward.cool();
-    assert_eq!(of(&floors(&mut steward, 6_810 * MS), "g"), [0, 0]);
-    assert!(floors(&mut steward, 20_000 * MS).is_empty());
+    leader.warm(5_000 * MS, "g", 2);
+    assert_eq!(of(&floors(&mut leader, 6_800 * MS), "f"), [0, 0, 0, 0]);
+    leader.cool();
+    assert_eq!(of(&floors(&mut leader, 6_810 * MS), "g"), [0, 0]);
+    assert!(floors(&mut leader, 20_000 * MS).is_empty());
     // A lot without any would not be told of, and nobody would know how it does.
-    steward.warm(20_000 * MS, "f", 1);
-    assert_eq!(of(&floors(&mut steward, 20_000 * MS), "f"), [1, 1, 1, 1]);
+    leader.warm(20_000 * MS, "f", 1);
+    assert_eq!(of(&floors(&mut leader, 20_000 * MS), "f"), [1, 1, 1, 1]);
 }
 
 #[test]
-fn a_new_steward_goes_on_with_what_was_split_last() {
+fn a_new_leader_goes_on_with_what_was_split_last() {
     let zones = ["a", "b"];
-    let mut steward = steward(7, 0, &zones, Some(((6, 4), &["f"])));
-    steward.note(1, &alive(2, &zones, Some(((6, 3), &["f", "g"]))));
-    assert_eq!(named(&mut steward, 700 * MS, &zones), set(&["f"]));
+    let mut leader = leader(7, 0, &zones, Some(((6, 4), &["f"])));
+    leader.note(1, &alive(2, &zones, Some(((6, 3), &["f", "g"]))));
+    assert_eq!(named(&mut leader, 700 * MS, &zones), set(&["f"]));
 }
 
 #[test]
 fn with_one_zone_nothing_is_split_and_what_the_configuration_names_no_more_is_joined() {
-    let mut alone = steward(1, 0, &["a"], Some(((0, 9), &["f"])));
+    let mut alone = leader(1, 0, &["a"], Some(((0, 9), &["f"])));
     assert_eq!(named(&mut alone, 700 * MS, &["a"]), set(&[]));
     let zones = ["a", "b"];
-    let mut steward = steward(1, 0, &zones, Some(((0, 9), &["f", "was"])));
-    assert_eq!(named(&mut steward, 700 * MS, &zones), set(&["f", "was"]));
-    assert_eq!(named(&mut steward, 950 * MS, &zones), set(&["f"]));
+    let mut leader = leader(1, 0, &zones, Some(((0, 9), &["f", "was"])));
+    assert_eq!(named(&mut leader, 700 * MS, &zones), set(&["f", "was"]));
+    assert_eq!(named(&mut leader, 950 * MS, &zones), set(&["f"]));
 }
 
 #[test]
 fn a_stall_that_two_others_say_is_deaf_is_gone_sooner_than_a_silent_one() {
     let zones = ["a", "b"];
-    let mut steward = steward(1, 0, &zones, None);
-    assert_eq!(named(&mut steward, 700 * MS, &zones), set(&[]));
-    let beat = |steward: &mut Steward, at: u64| {
-        (0..6).filter(|n| *n != 3).for_each(|n| steward.note(at, &alive(n, &zones, None)));
-        name(steward, at).map(|_| whole(steward).peers().len())
+    let mut leader = leader(1, 0, &zones, None);
+    assert_eq!(named(&mut leader, 700 * MS, &zones), set(&[]));
+    let beat = |leader: &mut Leader, at: u64| {
+        (0..6).filter(|n| *n != 3).for_each(|n| leader.note(at, &alive(n, &zones, None)));
+        name(leader, at).map(|_| whole(leader).peers().len())
     };
     let deaf = |from: &str| Note::Deaf { peer: "edge-3".into(), from: from.into() };
-    steward.note(1_200 * MS, &deaf("edge-1"));
-    steward.note(1_250 * MS, &deaf("edge-1"));
-    steward.note(1_250 * MS, &deaf("nobody"));
-    assert_eq!(beat(&mut steward, 1_400 * MS), None, "one witness");
-    steward.note(1_400 * MS, &deaf("edge-2"));
-    assert_eq!(beat(&mut steward, 1_401 * MS), Some(5));
+    leader.note(1_200 * MS, &deaf("edge-1"));
+    leader.note(1_250 * MS, &deaf("edge-1"));
+    leader.note(1_250 * MS, &deaf("nobody"));
+    assert_eq!(beat(&mut leader, 1_400 * MS), None, "one witness");
+    leader.note(1_400 * MS, &deaf("edge-2"));
+    assert_eq!(beat(&mut leader, 1_401 * MS), Some(5));
     // It is heard again, and what was said before counts no more.
-    steward.note(1_700 * MS, &alive(3, &zones, None));
-    assert_eq!(beat(&mut steward, 1_701 * MS), Some(6));
-    assert_eq!(beat(&mut steward, 2_400 * MS), None);
+    leader.note(1_700 * MS, &alive(3, &zones, None));
+    assert_eq!(beat(&mut leader, 1_701 * MS), Some(6));
+    assert_eq!(beat(&mut leader, 2_400 * MS), None);
 }
 
 /// In a storm each slow stall was named no more and named again, four times a second for 20 s, and its functions went to and fro.
 #[test]
 fn a_stall_that_was_called_deaf_and_is_heard_again_is_slow_and_stays() {
     let zones = ["a", "b", "c"];
-    let mut steward = steward(1, 0, &zones, None);
-    assert_eq!(named(&mut steward, 700 * MS, &zones), set(&[]));
+    let mut leader = leader(1, 0, &zones, None);
+    assert_eq!(named(&mut leader, 700 * MS, &zones), set(&[]));
     let (mut gone, mut at) = (0, 1_000 * MS);
     while at < 12_000 * MS {
         // Its words come 700 ms apart, and two others miss its answers all the while.
         (0..6).filter(|n| *n != 3 || at % (700 * MS) == 0).for_each(|n| {
-            steward.note(at, &alive(n, &zones, None));
+            leader.note(at, &alive(n, &zones, None));
         });
         for from in ["edge-1", "edge-2"] {
-            steward.note(at, &Note::Deaf { peer: "edge-3".into(), from: from.into() });
+            leader.note(at, &Note::Deaf { peer: "edge-3".into(), from: from.into() });
         }
-        gone += usize::from(name(&mut steward, at).is_some() && whole(&mut steward).peers().len() == 5);
+        gone += usize::from(name(&mut leader, at).is_some() && whole(&mut leader).peers().len() == 5);
         at += 50 * MS;
     }
     assert_eq!(gone, 1);
     // One that is silent is gone all the same.
-    (0..6).filter(|n| *n != 3).for_each(|n| steward.note(14_000 * MS, &alive(n, &zones, None)));
-    assert!(name(&mut steward, 14_000 * MS).is_some());
-    assert_eq!(whole(&mut steward).peers().len(), 5);
+    (0..6).filter(|n| *n != 3).for_each(|n| leader.note(14_000 * MS, &alive(n, &zones, None)));
+    assert!(name(&mut leader, 14_000 * MS).is_some());
+    assert_eq!(whole(&mut leader).peers().len(), 5);
 }
 
 #[test]
-fn what_the_steward_before_has_named_stands_as_it_is_and_else_all_of_it_goes_out() {
+fn what_the_leader_before_has_named_stands_as_it_is_and_else_all_of_it_goes_out() {
     let zones = ["a", "b"];
-    let mut first = steward(6, 0, &zones, None);
+    let mut first = leader(6, 0, &zones, None);
     assert_eq!(named(&mut first, 700 * MS, &zones), set(&[]));
     let before = whole(&mut first);
     let told = |split: &[&str], digest: u64, gone: usize| {
-        let mut second = Steward::new(0, Terms::new(7, 100.0, 100), 100.0, Some(&config()), None);
+        let mut second = Leader::new(0, Terms::new(7, 100.0, 100), 100.0, Some(&config()), None);
         for n in (0..6).filter(|n| *n != gone) {
             // One is behind, and one knows of nothing.
             let of = [None, Some((5, 90)), Some(before.version())][n.min(2)];
@@ -255,14 +255,14 @@
     one_goes_by_a_naming = { true, Some((1, 4)), 600 },
 )]
 fn the_first_naming_waits_less_where_nobody_can_own_anything(is_new: bool, known: Option<Version>, at: u64) {
-    let mut steward = Steward::new(0, Terms::new(2, 100.0, 100), 100.0, Some(&config()), None);
-    steward.control_is_new = is_new;
+    let mut leader = Leader::new(0, Terms::new(2, 100.0, 100), 100.0, Some(&config()), None);
+    leader.control_is_new = is_new;
     let named = (0..=700).find(|ms| {
         if ms % 50 == 0 {
             let split = known.map(|version| (version, &[][..]));
-            steward.note(ms * MS, &alive((ms / 50) as usize, &["z"], split));
+            leader.note(ms * MS, &alive((ms / 50) as usize, &["z"], split));
         }
-        steward.name(ms * MS).is_some()
+        leader.name(ms * MS).is_some()
     });
     assert_eq!(named, Some(at));
 }
@@ -270,37 +270,37 @@
 #[test]
 fn many_that_come_within_a_short_span_are_named_together_and_few_at_once() {
     for (many, expected) in [(40, 40), (200, 3)] {
-        let mut steward = Steward::new(0, Terms::new(1, 100.0, 100), 100.0, Some(&config()), None);
-        (0..many).for_each(|n| steward.note(0, &alive(n, &["a"], None)));
-        let first = (0..1_000).find(|at| steward.look(at * MS, |_| true).is_some());
+        let mut leader = Leader::new(0, Terms::new(1, 100.0, 100), 100.0, Some(&config()), None);
+        (0..many).for_each(|n| leader.note(0, &alive(n, &["a"], None)));
+        let first = (0..1_000).find(|at| leader.look(at * MS, |_| true).is_some());
         assert_eq!(first, Some(120), "the first naming waits no longer than for few");
         let mut namings = 0;
         for at in 0..50 {
             let now = (400 + 5 * at) * MS;
-            steward.note(now, &alive(many + (at as usize).min(39), &["a"], None));
-            let named = steward.look(now + MS, |_| true);
+            leader.note(now, &alive(many + (at as usize).min(39), &["a"], None));
+            let named = leader.look(now + MS, |_| true);
             namings += u32::from(named.is_some_and(|(note, _)| matches!(note, Note::Shift(_))));
         }
         assert_eq!(namings, expected);
-        assert_eq!(whole(&mut steward).peers().len(), many + 40);
+        assert_eq!(whole(&mut leader).peers().len(), many + 40);
     }
 }
 
 #[test]
 fn a_stall_that_goes_by_an_old_naming_for_long_is_told_all_of_it() {
     let zones = ["a", "b"];
-    let mut steward = steward(1, 0, &zones, None);
-    assert_eq!(named(&mut steward, 700 * MS, &zones), set(&[]));
-    let old = whole(&mut steward).version();
+    let mut leader = leader(1, 0, &zones, None);
+    assert_eq!(named(&mut leader, 700 * MS, &zones), set(&[]));
+    let old = whole(&mut leader).version();
     let mut told = Vec::new();
     for step in 0..16_u64 {
         let now = (1_000 + 450 * step) * MS;
-        let before = whole(&mut steward).version();
+        let before = whole(&mut leader).version();
         let knows = Some((before, &[][..]));
         let Note::Alive { peer, split, digest, .. } = alive(9, &zones, knows) else { panic!("alive") };
-        steward.note(now, &Note::Alive { peer, serving: step % 2 == 0, split, digest });
-        assert!(name(&mut steward, now).is_some(), "a naming at every step");
-        let newest = whole(&mut steward).version();
+        leader.note(now, &Note::Alive { peer, serving: step % 2 == 0, split, digest });
+        assert!(name(&mut leader, now).is_some(), "a naming at every step");
+        let newest = whole(&mut leader).version();
         for n in 0..6 {
             // Two never hear of any, one late, others a moment after the next.
             let version = match n {
@@ -309,10 +309,10 @@
                 5 => newest,
                 _ => before,
             };
-            steward.note(now + MS, &alive(n, &zones, Some((version, &[]))));
+            leader.note(now + MS, &alive(n, &zones, Some((version, &[]))));
         }
-        let (notes, _) = steward.take();
-        let all = whole(&mut steward).note();
+        let (notes, _) = leader.take();
+        let all = whole(&mut leader).note();
         assert!(notes.values().all(|notes| *notes == [all.clone()]));
         told.extend(notes.into_keys().map(|name| (step, name)));
     }
@@ -333,7 +333,7 @@
 #[yare::parameterized(soon = { 2 }, a_little_later = { 4 }, later = { 9 }, late = { 13 }, last = { 17 })]
 fn after_a_naming_those_who_stand_for_other_functions_hear_of_their_instances_and_no_others(mine: u64) {
     let zones = ["a", "b"];
-    let mut steward = steward(1, 0, &zones, None);
+    let mut leader = leader(1, 0, &zones, None);
     let instance = |n: usize| Instance {
         id: format!("i-{n}").into(),
         service: ["f", "g"][n % 2].into(),
@@ -350,28 +350,28 @@
         let there = |n: usize| n < 2 || (round * 7 + n as u64 * 5) % 11 > 3;
         (0..6).for_each(|n| {
             let Note::Alive { peer, split, digest, .. } = alive(n, &zones, None) else { panic!("alive") };
-            steward.note(now, &Note::Alive { peer, serving: there(n), split, digest });
+            leader.note(now, &Note::Alive { peer, serving: there(n), split, digest });
         });
         match round {
-            // An owner tells a new steward; with that the one that is next for it hears of them, too.
+            // An owner tells a new leader; with that the one that is next for it hears of them, too.
             _ if round == mine => {
-                let owners = Owners::from(whole(&mut steward));
-                steward.note(now, &Note::Mine { set: all.clone() });
+                let owners = Owners::from(whole(&mut leader));
+                leader.note(now, &Note::Mine { set: all.clone() });
                 let its = |p: &Peer| (p.name.to_string(), its(&all, &owners, p));
                 held.extend(owners.peers().iter().map(its));
             }
-            20 | 40 => steward.note(now, &want(None, 0.3)),
+            20 | 40 => leader.note(now, &want(None, 0.3)),
             // Instances of what the configuration names no more are there for a while.
             45 => {
                 let mut fewer = config();
                 fewer.services.retain(|s| s.name == "f");
-                steward.configure(now, &fewer);
+                leader.configure(now, &fewer);
             }
-            30 => zones.iter().for_each(|z| steward.note(now, &want(Some(z), 0.0))),
+            30 => zones.iter().for_each(|z| leader.note(now, &want(Some(z), 0.0))),
             _ => {}
         }
-        let Some((_, told)) = steward.name(now) else { continue };
-        let named = whole(&mut steward);
+        let Some((_, told)) = leader.name(now) else { continue };
+        let named = whole(&mut leader);
         (told_all, told_few) = (told_all + named.peers().len(), told_few + told.len());
         for (name, notes) in told {
             let [Note::Instances { all: true, set, .. }] = notes.as_slice() else { panic!("{notes:?}") };
--- a/bourse/tests/market/mod.rs
+++ b/bourse/tests/market/mod.rs
@@ -82,7 +82,7 @@
             floors: 0,
         };
         market.town.workers = 16_000;
-        assert!(market.town.until(4_000 * MS, |town| town.steward().is_some()), "no steward");
+        assert!(market.town.until(4_000 * MS, |town| town.leader().is_some()), "no steward");
         market.town.run(4_000 * MS);
         for n in 0..3 {
             let peer = Peer {
@@ -156,7 +156,7 @@
     /// An operator's order, until it is answered clearly.
     pub fn order(&mut self, order: &str) -> (u16, String) {
         for _ in 0..40 {
-            let Some(n) = self.town.steward() else {
+            let Some(n) = self.town.leader() else {
                 self.run(250);
                 continue;
             };
@@ -167,12 +167,12 @@
             }
         }
         let last = self.town.answers.last_key_value();
-        panic!("no clear answer to {order}: {:?}, {:?}, {last:?}", self.town.steward(), self.told);
+        panic!("no clear answer to {order}: {:?}, {:?}, {last:?}", self.town.leader(), self.told);
     }
 
-    /// What the steward tells of a move.
+    /// What the leader tells of a move.
     pub fn tells(&mut self, name: &str) -> String {
-        let Some(n) = self.town.steward() else { return String::new() };
+        let Some(n) = self.town.leader() else { return String::new() };
         let id = self.town.call(n, Method::GET, &format!("/core/moves?name={name}"), "");
         self.town.run(self.town.now);
         self.town.answer_to(id).map(|(_, body)| body.to_owned()).unwrap_or_default()
--- a/bourse/tests/moves.rs
+++ b/bourse/tests/moves.rs
@@ -46,7 +46,7 @@
     market.config().routes.iter().filter(|route| route.shares == [("t".into(), 1)]).count()
 }
 
-/// A floor holds without any request, over the death of its owner and the loss of the steward, and is gone with the move.
+/// A floor holds without any request, over the death of its owner and the loss of the leader, and is gone with the move.
 #[test]
 fn the_target_is_warm_before_the_first_load_and_stays_so_whoever_owns_it() {
     let mut market = moving(calm, 40);
@@ -59,11 +59,11 @@
     market.kill(owner);
     market.run(8_000);
     assert!(market.owner("t") != owner && market.ready("t") == warm);
-    let steward = market.town.steward().expect("a steward");
-    market.town.cut(steward, 1);
+    let leader = market.town.leader().expect("a steward");
+    market.town.cut(leader, 1);
     market.run(9_000);
-    assert!(market.town.steward().is_some_and(|n| n != steward));
-    market.town.cut(steward, 0);
+    assert!(market.town.leader().is_some_and(|n| n != leader));
+    market.town.cut(leader, 0);
     assert_eq!(market.ready("t"), warm);
     let kept = market.town.started.iter().filter(|(_, entry)| entry.service == "t").count();
     assert_eq!((kept, &market.retired[retired..]), (warm, &[] as &[String]));
@@ -128,13 +128,13 @@
 
 /// Each request runs once at an endpoint, whoever carries the move on.
 #[test]
-fn under_load_a_move_whose_steward_is_cut_off_is_done_and_loses_and_doubles_no_request() {
+fn under_load_a_move_whose_leader_is_cut_off_is_done_and_loses_and_doubles_no_request() {
     let mut market = moving(calm, 80);
     assert!(market.until(20_000, |market| moved(market) >= 3), "{}", market.tells("m"));
-    let steward = market.town.steward().expect("a steward");
-    market.town.cut(steward, 1);
+    let leader = market.town.leader().expect("a steward");
+    market.town.cut(leader, 1);
     assert!(market.until(60_000, |market| market.is("m", "done")), "{}", market.tells("m"));
-    assert!(market.town.steward().is_some_and(|n| n != steward));
+    assert!(market.town.leader().is_some_and(|n| n != leader));
     assert_eq!(moved(&market), 8);
     market.rate = 0;
     market.run(2_000);
--- a/bourse/tests/town/mod.rs
+++ b/bourse/tests/town/mod.rs
@@ -122,9 +122,9 @@
         &self.machines[n].core
     }
 
-    pub fn steward(&self) -> Option<usize> {
-        let mut stewards = (0..self.machines.len()).filter(|n| self.machines[*n].core.is_steward());
-        stewards.next().filter(|n| self.machines[*n].up && stewards.next().is_none())
+    pub fn leader(&self) -> Option<usize> {
+        let mut leaders = (0..self.machines.len()).filter(|n| self.machines[*n].core.is_leader());
+        leaders.next().filter(|n| self.machines[*n].up && leaders.next().is_none())
     }
 
     /// Whether a machine has anything of moves on its disk.
