A request goes to its route's services by its hashed id, not by the time

Tests: shares over 10,000 ids for three pairs of weights; a request is held no longer than its route allows, body and all.

--- a/stall/src/front.rs
+++ b/stall/src/front.rs
@@ -24,6 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::errors::Kind;
 use crate::pool::{ATTEMPT, Call, DEADLINE};
@@ -213,8 +214,7 @@
     let body = body.map_err(|e| if e.is::<LengthLimitError>() { Kind::TooLarge } else { Kind::Malformed })?;
     strip(&mut head.headers);
     let returned = shop.patience.borrow_mut().returned(&route.name, given);
-    let drawn = came.elapsed().as_nanos() as u64 ^ shop.now();
-    let service = route.pick(drawn).cloned().ok_or(Kind::NoRoute)?;
+    let service = route.pick(drawn(&head.headers)).cloned().ok_or(Kind::NoRoute)?;
     // An absolute target is passed on as its path.
     if let Some(path) = head.uri.path_and_query().cloned() {
         head.uri = path.into();
@@ -243,10 +243,16 @@
     }
 }
 
+/// The number by which a request goes to one of its route's services: each is as likely as its weight, and one try goes the same way by
+/// whatever configuration has the same shares. Not the time: a coarse clock would leave some services without any.
+fn drawn(headers: &HeaderMap) -> u64 {
+    xxh3_64(headers.get(&ATTEMPT).map_or(&[], |id| id.as_bytes()))
+}
+
 /// Where a request's route leads by this configuration.
-fn leads(force: &Force, request: &Request<Bytes>, drawn: u64) -> Option<CompactString> {
+fn leads(force: &Force, request: &Request<Bytes>) -> Option<CompactString> {
     let host = request.headers().get(&HOST)?.to_str().ok()?;
-    force.table.find(host, request.uri().path())?.pick(drawn).cloned()
+    force.table.find(host, request.uri().path())?.pick(drawn(request.headers())).cloned()
 }
 
 /// The tries of one request, to its end: what the passage decides is carried out.
@@ -276,7 +282,7 @@
             }
             Step::Find => {
                 let force = shop.force.borrow().clone();
-                let to = force.as_ref().and_then(|force| leads(force, &request, shop.now()));
+                let to = force.as_ref().and_then(|force| leads(force, &request));
                 if let (Some(force), Some(to)) = (&force, &to) {
                     most = force.idle.get(to).copied().unwrap_or(1);
                 }
@@ -333,3 +339,50 @@
         };
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn route(weights: [u32; 2]) -> Route {
+        let shares = format!(
+            r#"[{{"service":"a","weight":{}}},{{"service":"b","weight":{}}}]"#,
+            weights[0], weights[1]
+        );
+        let route = format!(
+            r#"{{"name":"r","host":"h","path_prefix":"/","traffic_kind":"idempotent","deadline_ms":1500,"target_latency_ms":200,"priority":0,"max_tries":2,"services":{shares}}}"#
+        );
+        let service = |name| format!(r#"{{"name":"{name}","boot_ms":300,"memory_mb":128,"concurrency":1}}"#);
+        let text = format!(
+            r#"{{"revision":1,"routes":[{route}],"services":[{},{}],"limits":{{}}}}"#,
+            service("a"),
+            service("b")
+        );
+        millpost_tariff::Config::parse(&text).expect("a configuration").routes.remove(0)
+    }
+
+    /// Ids in a row, as a client may count them; by weights whose sum is a power of two the lowest bits alone decide.
+    #[yare::parameterized(
+        even = { [1, 1] },
+        one_in_four = { [1, 3] },
+        in_hundreds = { [30, 70] },
+    )]
+    fn each_service_of_a_route_gets_its_weight(weights: [u32; 2]) {
+        let (route, mut count) = (route(weights), 0);
+        for id in 0..10_000 {
+            let mut headers = HeaderMap::new();
+            headers.insert(ATTEMPT, format!("{:x}", id * 1_000).parse().expect("a value"));
+            count += u32::from(route.pick(drawn(&headers)).is_some_and(|service| service == "a"));
+        }
+        let expected = f64::from(weights[0]) / f64::from(weights[0] + weights[1]);
+        assert!((f64::from(count) / 1e4 - expected).abs() < 0.02, "{count} of 10,000");
+    }
+
+    #[yare::parameterized(
+        its_client_waits_less = { 700.0, 700 },
+        its_route_allows_less = { 60_000.0, 1_500 },
+    )]
+    fn a_request_is_held_no_longer_than_its_route_allows(given: f64, ms: u64) {
+        assert_eq!(time_for(given, &route([1, 1])), Duration::from_millis(ms));
+    }
+}
