--- a/porter/src/follow.rs
+++ b/porter/src/follow.rs
@@ -306,10 +306,14 @@
         true
     }
 
-    /// What a feed told does not meet what is held. One that sends changes only is asked for the whole instead.
+    /// What a feed told does not meet what is held. One that sends whole configurations begins anew, with the whole; one that sends changes
+    /// only is asked for the whole instead.
     pub fn missed(&mut self, now: Nanos, address: SocketAddr) {
         let Some(feed) = self.followed.get(&address) else { return };
-        if feed.whole || now.saturating_sub(feed.since) <= SETTLED {
+        if feed.whole {
+            return self.behind(now, address);
+        }
+        if now.saturating_sub(feed.since) <= SETTLED {
             return;
         }
         let others: Vec<_> = self.followed.iter().filter(|(_, f)| f.whole).map(|(a, _)| *a).collect();
--- a/porter/tests/round.rs
+++ b/porter/tests/round.rs
@@ -285,9 +285,12 @@
     play.line(light, &[patch(3, 4)]);
     assert_eq!(play.followed(), (vec![at(1), at(2)], vec![at(heavy)]));
     play.pass(600 * MS);
-    // Who sends whole ones sends it again by itself.
+    // Who sends whole ones begins anew, and with that: it may have no other reason to send it before the next change.
+    let before = play.feed(heavy);
     play.line(heavy, &[patch(3, 4)]);
     assert_eq!(play.followed(), (vec![at(1), at(2)], vec![at(heavy)]));
+    assert_ne!(play.feed(heavy), before);
+    assert_eq!(play.opening, [acts(2)]);
     let before = play.feed(light);
     play.line(light, &[patch(3, 4)]);
     assert_eq!(play.followed(), (vec![at(light)], vec![at(light)]));
