--- a/barrow/src/lib.rs
+++ b/barrow/src/lib.rs
@@ -1,5 +1,6 @@
 //! Plumbing that the programs share: connections, what was written on them, rooms for clients, mail between our processes.
 
+pub mod figures;
 pub mod lines;
 pub mod link;
 pub mod logs;
--- a/bourse/src/calls.rs
+++ b/bourse/src/calls.rs
@@ -38,6 +38,8 @@
     News,
     /// A configuration that is chosen, for another control machine.
     Chosen,
+    /// Monitoring asks for figures.
+    Metrics,
 }
 
 /// One segment of a path.
@@ -56,6 +58,7 @@
     leaf("Config.Read", &[("GET", What::Read)]),
     leaf("follow", &[("POST", What::Follow)]),
     leaf("mail", &[("POST", What::Mail)]),
+    leaf("metrics", &[("GET", What::Metrics)]),
     Node {
         segment: "core",
         methods: &[("GET", What::Status)],
@@ -91,6 +94,7 @@
         wrong_method = { "GET", "/Config.Replace", Err(Kind::Method) },
         read = { "GET", "/Config.Read", Ok(What::Read) },
         below = { "POST", "/core/vote", Ok(What::Vote) },
+        figures = { "GET", millpost_barrow::figures::PATH, Ok(What::Metrics) },
         between = { "GET", "/core", Ok(What::Status) },
         too_deep = { "GET", "/core/vote/x", Err(Kind::Unknown) },
         trailing = { "GET", "/Config.Read/", Err(Kind::Unknown) },
--- a/bourse/src/core.rs
+++ b/bourse/src/core.rs
@@ -4,6 +4,7 @@
 mod api;
 mod carts;
 mod drains;
+mod figures;
 mod follow;
 mod leave;
 
--- a/bourse/src/core/api.rs
+++ b/bourse/src/core/api.rs
@@ -114,6 +114,7 @@
                 None => Err(Kind::Empty),
             },
             Ok(What::Status) => Ok(self.status(now)),
+            Ok(What::Metrics) => Ok(self.figures(now).reply()),
             Ok(What::Functions) => {
                 crate::functions::reply(self.leadership.leader(), now, call.query.as_deref())
             }
--- a/bourse/src/leader.rs
+++ b/bourse/src/leader.rs
@@ -508,6 +508,11 @@
         all.into_iter().map(|(name, set)| (name, note(set))).collect()
     }
 
+    /// The naming in force: fence and count.
+    pub fn view(&self) -> Version {
+        self.ranks.owners().version()
+    }
+
     /// All of the naming, where there is one.
     fn stalls_note(&self) -> Option<Note> {
         self.has_named().then(|| self.ranks.owners().roster().note())
--- a/bourse/src/ledger.rs
+++ b/bourse/src/ledger.rs
@@ -89,6 +89,11 @@
 }
 
 impl Ledger {
+    /// How often the platform has answered a kind of call so: call, answer, count.
+    pub fn answers(&self) -> impl Iterator<Item = (&'static str, &'static str, u64)> {
+        self.tallies.iter().map(|(word, (count, _))| (word.call, word.answer, *count))
+    }
+
     /// The platform has answered, or has not.
     pub fn heard(&mut self, now: Nanos, heard: &Heard) {
         let (word, of) = word(heard);
--- a/bourse/src/main.rs
+++ b/bourse/src/main.rs
@@ -24,6 +24,9 @@
     /// megabytes of lines at most; what comes beyond is counted and left out
     #[argh(option, default = "64")]
     record_mb: u64,
+    /// tell figures of the process at this port of the machine, under /metrics
+    #[argh(option)]
+    metrics: Option<u16>,
 }
 
 /// What this program needs beside what all do.
@@ -63,7 +66,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let ended = runtime.block_on(runtime::run(settings, path, lines));
+    let ended = runtime.block_on(runtime::run(settings, path, options.metrics, lines));
     runtime.shutdown_background();
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/bourse/src/runtime.rs
+++ b/bourse/src/runtime.rs
@@ -2,6 +2,7 @@
 //! comes, and carries out what the core decides.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
+use millpost_barrow::figures;
 use millpost_barrow::lines::Lines;
 use millpost_barrow::link::Client;
 use millpost_barrow::mail::{self, Call, Limits, OPTIONS, Reply};
@@ -68,7 +70,12 @@
 }
 
 /// Serves until SIGTERM. What scalers are given is told as `lines`.
-pub async fn run(settings: Settings, path: PathBuf, lines: Option<Lines>) -> Result<(), Error> {
+pub async fn run(
+    settings: Settings,
+    path: PathBuf,
+    metrics: Option<u16>,
+    lines: Option<Lines>,
+) -> Result<(), Error> {
     let address = settings.bind_addrs.control.context(NeededSnafu { key: "bind_addrs.control" })?;
     let data_dir = settings.data_dir.clone().context(NeededSnafu { key: "data_dir" })?;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address: address.to_string() })?;
@@ -92,6 +99,9 @@
             replied.await.unwrap_or_else(|_| Kind::Busy.answer())
         }
     };
+    if let Some(port) = metrics {
+        figures::serve_at(SocketAddr::new(settings.ip, port), handler.clone()).await;
+    }
     let server = tokio::spawn(mail::serve(listener, limits, handler, std::future::pending()));
 
     let clock = Instant::now();
--- a/broker/src/desk.rs
+++ b/broker/src/desk.rs
@@ -95,6 +95,19 @@
     }
 }
 
+/// An ask of this proxy's own, for operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenAsk<'a> {
+    /// The function.
+    pub service: &'a str,
+    /// With which proxy it stands, if with any.
+    pub owner: Option<&'a str>,
+    /// The instance that was granted, if one was.
+    pub instance: Option<&'a str>,
+    /// Until when its client waits.
+    pub deadline: Nanos,
+}
+
 #[derive(Debug)]
 struct Open {
     ask: Ask,
@@ -231,6 +244,16 @@
         self.open.len()
     }
 
+    /// Each of them, in the order in which they were made.
+    pub fn open_asks(&self) -> impl Iterator<Item = OpenAsk<'_>> {
+        self.open.values().map(|open| OpenAsk {
+            service: &open.ask.service,
+            owner: open.owner.as_deref(),
+            instance: open.granted.as_ref().map(|(instance, _)| instance.as_str()),
+            deadline: open.ask.deadline,
+        })
+    }
+
     /// The functions of the configuration in force.
     pub fn configure(&mut self, now: Nanos, specs: impl Iterator<Item = Spec>) {
         self.broker.configure(now, specs);
@@ -348,8 +371,9 @@
 
     fn send(&mut self, name: &str, note: Note) {
         let named = self.owners.find(name).map(|p| &p.address);
-        if let Some(to) = named.or_else(|| self.away.get(name)).cloned() {
-            self.outs.push_back(Out::Send { to, note });
+        match named.or_else(|| self.away.get(name)).cloned() {
+            Some(to) => self.outs.push_back(Out::Send { to, note }),
+            None => self.broker.counts.unaddressed += 1,
         }
     }
 
@@ -440,6 +464,7 @@
                 }
             }
             Note::Held { id, instance, left, .. } => {
+                self.broker.counts.held += 1;
                 self.broker.held(now, from.into(), id, &instance, at(left));
             }
             Note::Grant { id, instance, address, zone } => {
@@ -532,6 +557,7 @@
         let turn = owners.turn(&self.owners, &self.me.name);
         #[cfg(test)]
         let turn = if self.plainly { Turn::all() } else { turn };
+        self.broker.counts.namings += 1;
         self.digest = owners.roster().digest();
         let before = std::mem::replace(&mut self.owners, owners);
         for peer in self.owners.roster().since(before.roster()).1 {
--- a/broker/src/desk/passing.rs
+++ b/broker/src/desk/passing.rs
@@ -28,6 +28,7 @@
             let left = (out.until as f64 - now as f64) / MS as f64;
             let (to, instance) = (owner.name.clone(), out.instance.clone());
             self.hand((out.who.clone(), out.ask), Handed { to, instance, until: out.until });
+            self.broker.counts.handed_over += 1;
             permits.push(Permit { who: out.who, id: out.ask, instance: out.instance, left });
         }
         let version = self.owners.version();
--- a/broker/src/function.rs
+++ b/broker/src/function.rs
@@ -16,6 +16,7 @@
 use millpost_assay::Assay;
 
 use crate::budget::Budget;
+use crate::counts::Counts;
 use crate::demand::{Demand, keep};
 use crate::effect::{Effect, No, Terms};
 use crate::instance::{Instance, Place, Stage};
@@ -96,6 +97,7 @@
     dice: Dice,
     effects: Vec<Effect>,
     reasons: Reasons,
+    pub(crate) counts: Counts,
 }
 
 impl Broker {
@@ -120,9 +122,15 @@
             dice: Dice::seeded(seed),
             effects: Vec::new(),
             reasons: Reasons::default(),
+            counts: Counts::default(),
         }
     }
 
+    /// What was done with permits since the start.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
     /// What was decided since.
     pub fn take(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
@@ -577,6 +585,9 @@
         }
         if outcome == Outcome::Full {
             service.refuses(now);
+            let out = service.place(&permit.instance).map_or(0, |place| place.out.len());
+            self.counts.refused_as_full += 1;
+            self.counts.last_full = Some((permit.instance.clone(), out));
         }
         if let Some(function) = &mut service.function
             && matches!(outcome, Outcome::Answered | Outcome::Failed)
@@ -613,6 +624,7 @@
         let mut queued: Vec<_> = self.queued.keys().filter(|k| k.0 == from).map(|k| k.1).collect();
         permits.sort_unstable();
         queued.sort_unstable();
+        self.counts.freed += permits.len() as u64;
         for ask in permits.into_iter().chain(queued) {
             self.drop_ask(now, from, ask);
         }
--- a/broker/src/function/succession.rs
+++ b/broker/src/function/succession.rs
@@ -189,6 +189,7 @@
     pub fn taken_over(&mut self, now: Nanos, who: CompactString, ask: u64, id: &str, until: Nanos) {
         // One that was granted here meanwhile stays, until its asker says that it uses the other.
         if !self.permits.contains_key(&(who.clone(), ask)) {
+            self.counts.taken_over += 1;
             self.held(now, who, ask, id, until.saturating_sub(OVERDUE));
         }
     }
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -4,6 +4,7 @@
 //! A request is a permit: [`Broker::ask`] queues it, [`Effect::Grant`] names an instance, [`Broker::done`] gives the slot back.
 
 mod budget;
+mod counts;
 mod demand;
 mod desk;
 mod effect;
@@ -19,7 +20,8 @@
 pub mod trail;
 mod tries;
 
-pub use desk::{Desk, Out};
+pub use counts::Counts;
+pub use desk::{Desk, OpenAsk, Out};
 pub use effect::{Effect, No, Terms};
 pub use function::{Broker, Parted};
 pub use instance::{Instance, Stage};
--- a/porter/src/main.rs
+++ b/porter/src/main.rs
@@ -2,6 +2,7 @@
 //! loopback with what comes, and carries the stall's words up.
 
 mod errors;
+mod figures;
 mod run;
 
 use std::path::PathBuf;
@@ -20,6 +21,9 @@
     /// read and check the settings file, say what is wrong with it, and end
     #[argh(switch)]
     check_config: bool,
+    /// tell figures of the process at this port of the machine, under /metrics
+    #[argh(option)]
+    metrics: Option<u16>,
     /// write what the porter decides on as lines at the end of this file, for `almanac`
     #[argh(option)]
     record: Option<PathBuf>,
@@ -63,7 +67,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let ended = runtime.block_on(run::run(settings, path, lines.as_ref().map(Lines::sink)));
+    let ended = runtime.block_on(run::run(settings, path, options.metrics, lines.as_ref().map(Lines::sink)));
     runtime.shutdown_background();
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/porter/src/round.rs
+++ b/porter/src/round.rs
@@ -191,6 +191,11 @@
         &self.newest
     }
 
+    /// It was told to end.
+    pub fn leaves(&self) -> bool {
+        self.end.is_some()
+    }
+
     /// The revision that the stall acts on, as far as it said.
     pub fn acts(&self) -> u64 {
         self.acts
--- a/porter/src/run.rs
+++ b/porter/src/run.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
+use millpost_barrow::figures;
 use millpost_barrow::mail::{self, Bounds, Call, Event, Held, Incarnation, Limits, Post, Reply, To};
 use millpost_crier::frame::Head;
 use millpost_crier::line::Sink;
@@ -78,7 +80,12 @@
 }
 
 /// Follows control and serves the stall until SIGTERM. What the machine decides on is told to the sink.
-pub async fn run(settings: Settings, path: PathBuf, mut sink: Option<Sink>) -> Result<(), Error> {
+pub async fn run(
+    settings: Settings,
+    path: PathBuf,
+    metrics: Option<u16>,
+    mut sink: Option<Sink>,
+) -> Result<(), Error> {
     let loopback = if settings.ip.is_loopback() { settings.ip } else { IpAddr::V4(Ipv4Addr::LOCALHOST) };
     let ports = settings.internal_ports.0;
     let here = SocketAddr::new(loopback, ports + 2);
@@ -87,6 +94,9 @@
     let mut hang_up = signal(SignalKind::hangup()).context(SignalsSnafu)?;
     let (came, mut coming) = mpsc::channel(1_000);
     serve(listener, came.clone());
+    if let Some(port) = metrics {
+        figures::serve_at(SocketAddr::new(settings.ip, port), handler(came.clone())).await;
+    }
 
     let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     let life = unix.as_millis() as u64;
@@ -134,18 +144,24 @@
         connections: 16,
         unheard: None,
     };
-    let handler = move |call| {
+    tokio::spawn(mail::serve(listener, limits, handler(came), std::future::pending()));
+}
+
+/// Puts calls to the loop, which answers them.
+fn handler(
+    came: mpsc::Sender<Came>,
+) -> impl Fn(Call) -> Pin<Box<dyn Future<Output = Reply> + Send>> + Clone + Send + Sync + 'static {
+    move |call| {
         let came = came.clone();
-        async move {
+        Box::pin(async move {
             let (reply, replied) = oneshot::channel();
             let gone = || Reply::empty(StatusCode::SERVICE_UNAVAILABLE);
             if came.send(Came::Call(call, reply)).await.is_err() {
                 return gone();
             }
             replied.await.unwrap_or_else(|_| gone())
-        }
-    };
-    tokio::spawn(mail::serve(listener, limits, handler, std::future::pending()));
+        })
+    }
 }
 
 fn nanos(span: Duration) -> Nanos {
@@ -171,6 +187,9 @@
                 self.open.remove(&feed);
                 self.give(Input::Ended { feed }, None);
             }
+            Came::Call(call, reply) if call.method == Method::GET && call.path == figures::PATH => {
+                let _ = reply.send(crate::figures::of(&self.round, self.began.elapsed()).reply());
+            }
             Came::Call(call, reply) if call.method != Method::POST || call.path != "/mail" => {
                 let _ = reply.send(Reply::empty(StatusCode::NOT_FOUND));
             }
--- a/stall/src/front.rs
+++ b/stall/src/front.rs
@@ -94,6 +94,7 @@
         Box::pin(async move {
             seat.reading();
             let mut answer = answer(&shop, request, &seat).await;
+            shop.counters.answered(answer.status());
             seat.idle();
             if *phase.borrow() >= Phase::Leaving || shop.rests() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -142,6 +143,7 @@
         }
         Ok(asked) => {
             seat.answering();
+            shop.counters.read();
             match see_through(shop, asked, came).await {
                 Ok(answer) => {
                     let (mut head, body) = answer.into_parts();
@@ -312,6 +314,7 @@
                             let done = shop.pool.exchange(&instance, address, call).await;
                             permit.outcome.set(done.outcome);
                             shop.took(&passage.wish().service, done.outcome, begun);
+                            shop.counters.tried(done.outcome);
                             drop(permit);
                             if done.refused {
                                 shop.refused(&instance);
--- a/stall/src/main.rs
+++ b/stall/src/main.rs
@@ -3,6 +3,7 @@
 
 mod currency;
 mod errors;
+mod figures;
 mod front;
 mod opening;
 mod pool;
@@ -29,6 +30,9 @@
     /// read and check the settings file, say what is wrong with it, and end
     #[argh(switch)]
     check_config: bool,
+    /// tell figures of the process at this port of the machine, under /metrics
+    #[argh(option)]
+    metrics: Option<u16>,
     /// learn how fast workers are from what answers take, and give instances on slow ones out last
     #[argh(switch)]
     speeds: bool,
@@ -78,7 +82,8 @@
         }
     };
     let local = tokio::task::LocalSet::new();
-    let ended = local.block_on(&runtime, run(settings, options.speeds, lines.as_ref().map(Lines::sink)));
+    let ended = local
+        .block_on(&runtime, run(settings, options.speeds, options.metrics, lines.as_ref().map(Lines::sink)));
     // What is still under way is not waited for: its time was up.
     runtime.shutdown_background();
     match ended {
@@ -90,8 +95,13 @@
     }
 }
 
-async fn run(settings: Settings, speeds: bool, sink: Option<Sink>) -> Result<(), errors::Error> {
+async fn run(
+    settings: Settings,
+    speeds: bool,
+    metrics: Option<u16>,
+    sink: Option<Sink>,
+) -> Result<(), errors::Error> {
     let shop = shop::Shop::open(settings, speeds, sink).await?;
     let phases = signals::phases(Duration::from_secs_f64(shop.settings.bounds.grace_s))?;
-    opening::work(&shop, phases).await
+    opening::work(&shop, phases, metrics).await
 }
--- a/stall/src/opening.rs
+++ b/stall/src/opening.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use millpost_barrow::figures;
 use millpost_barrow::mail::{self, Limits, Reply};
 use millpost_barrow::room::Room;
 use snafu::{OptionExt, ResultExt};
@@ -21,7 +22,11 @@
 }
 
 /// Serves until the end.
-pub async fn work(shop: &Rc<Shop>, phases: watch::Receiver<Phase>) -> Result<(), Error> {
+pub async fn work(
+    shop: &Rc<Shop>,
+    phases: watch::Receiver<Phase>,
+    metrics: Option<u16>,
+) -> Result<(), Error> {
     let settings = &shop.settings;
     let front = listen(settings.bind_addrs.front.context(NeededSnafu { key: "bind_addrs.front" })?).await?;
     let ready =
@@ -61,6 +66,9 @@
             replied.await.unwrap_or_else(|_| Reply::empty(StatusCode::SERVICE_UNAVAILABLE))
         }
     };
+    if let Some(port) = metrics {
+        figures::serve_at(SocketAddr::new(settings.ip, port), handler.clone()).await;
+    }
     tokio::spawn(mail::serve(ready, limits, handler, std::future::pending()));
     let room = Room::new((settings.limits.max_fds as usize).saturating_sub(200) / 2);
     tokio::task::spawn_local(front::serve(Rc::clone(shop), front, room, phases.clone()));
--- a/stall/src/shop.rs
+++ b/stall/src/shop.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
+use millpost_barrow::figures;
 use millpost_barrow::mail::{self, Bounds, Call, Event, Incarnation, Post, Reply, To};
 use millpost_broker::{
     Ask, MS, Margins, Nanos, No, Out, Outcome, Patience, Peer, Sink, Spec, Taped as Desk, Terms, Trail,
@@ -23,6 +24,7 @@
 
 use crate::currency::Currency;
 use crate::errors::Error;
+use crate::figures::Counters;
 use crate::pool::Pool;
 use crate::rest::Rest;
 use crate::signals::Phase;
@@ -82,6 +84,8 @@
     /// The porter's mail.
     urgent: mpsc::Sender<Input>,
     coming: RefCell<Option<Coming>>,
+    /// What is counted for operators.
+    pub counters: Counters,
     /// Which configuration is in force here, and which one stands.
     pub currency: Currency,
     rest: Rest,
@@ -190,6 +194,7 @@
             inputs,
             urgent,
             coming: RefCell::new(Some(Coming { urgent: first, others })),
+            counters: Counters::default(),
             currency: Currency::default(),
             rest: Rest::default(),
             hurry: Cell::new(None),
@@ -249,7 +254,9 @@
         loop {
             let mut came = None;
             tokio::select! {
-                _ = phases.wait_for(|p| *p == Phase::Over) => return,
+                _ = phases.wait_for(|p| *p == Phase::Over) => {
+                    return self.counters.tell_open(self.now(), &self.desk.borrow());
+                }
                 input = coming.recv() => came = input,
                 () = sleep_until(due) => {}
             }
@@ -263,6 +270,7 @@
                 self.desk.borrow_mut().tick(self.now());
             }
             self.carry_out();
+            self.counters.tell_permits(self.now(), &self.desk.borrow());
             let hurry = self.hurry.get().is_some_and(|at| Instant::now() >= at);
             if hurry || beat.is_none_or(|at| at.elapsed() >= BEAT) {
                 self.hurry.set(None);
@@ -329,6 +337,11 @@
                 return Reply::empty(StatusCode::OK);
             }
             ("GET", "/readiness") => return Reply::empty(StatusCode::SERVICE_UNAVAILABLE),
+            ("GET", figures::PATH) => {
+                let (now, ready) = (self.now(), self.ready() && phase == Phase::Serving);
+                let desk = self.desk.borrow();
+                return self.counters.figures(now, &desk, phase, ready, self.currency.acted()).reply();
+            }
             (_, "/mail") if call.method == Method::POST => {}
             _ => return Reply::empty(StatusCode::NOT_FOUND),
         }
