--- /dev/null
+++ b/broker/tests/leaving.rs
@@ -0,0 +1,144 @@
+//! A proxy is told to end: it is named no more, and lives on for seconds, with requests of its own and those of others to see through.
+
+mod town;
+
+use millpost_broker::{Desk, MS, Nanos, Outcome, SECOND, Spec, Terms};
+use millpost_crier::Note;
+use town::{ALL, CONCURRENCY, T, Town, instances, owner, peer};
+
+/// The view after these have left: they own nothing any more, and live.
+fn view_without(version: u64, stay: &[usize], _leaving: &[usize]) -> Note {
+    Note::Stalls { version: (1, version), peers: stay.iter().map(|n| peer(*n)).collect(), split: vec![] }
+}
+
+fn name(n: usize) -> String {
+    format!("edge-{n}")
+}
+
+fn number(name: &str) -> usize {
+    name[5..].parse().expect("a number")
+}
+
+/// In which order those who stay and the one that leaves hear of the new view, and whether mail passes in between.
+#[derive(Clone, Copy, Debug)]
+enum Order {
+    LeaverFirst,
+    LeaverLast,
+    MailBetween,
+}
+
+fn hear(town: &mut Town, now: Nanos, leaver: usize, order: Order) {
+    let stay: Vec<_> = ALL.into_iter().filter(|n| *n != leaver).collect();
+    let mut who = stay.clone();
+    match order {
+        Order::LeaverFirst => who.insert(0, leaver),
+        Order::LeaverLast | Order::MailBetween => who.push(leaver),
+    }
+    for n in who {
+        town.with(now, &name(n), |desk| desk.told(now, view_without(2, &stay, &[leaver])));
+        if matches!(order, Order::MailBetween) {
+            town.post(now, &[]);
+            assert!(town.within_limits(), "once {n} has heard: {:?}", town.out());
+        }
+    }
+}
+
+/// Incident 016: whoever heard of the view freed the slots of the leaving proxy's requests, which went on, and gave them to others.
+#[yare::parameterized(
+    the_owner_hears_first = { true, Order::LeaverFirst },
+    the_owner_hears_last = { true, Order::LeaverLast },
+    the_owner_with_mail_between = { true, Order::MailBetween },
+    an_asker_hears_first = { false, Order::LeaverFirst },
+    an_asker_hears_last = { false, Order::LeaverLast },
+    an_asker_with_mail_between = { false, Order::MailBetween },
+)]
+fn a_proxy_that_leaves_keeps_the_slots_of_its_requests(owner_leaves: bool, order: Order) {
+    let old = owner(&ALL, false, "a");
+    let leaver =
+        if owner_leaves { number(&old) } else { ALL.into_iter().find(|n| name(*n) != old).expect("another") };
+    let mut town = Town::new(&ALL);
+    for _ in 0..5 {
+        ALL.iter().for_each(|n| town.ask(T, &name(*n)));
+        town.post(T, &[]);
+    }
+    assert_eq!(town.granted.len(), 16, "all slots are taken, and others wait");
+    let its_own = town.granted.iter().filter(|(who, ..)| *who == name(leaver)).count();
+    assert!(its_own > 0, "the one that leaves has some of them");
+    hear(&mut town, T + 10 * MS, leaver, order);
+    town.post(T + 10 * MS, &[]);
+    assert!(town.within_limits(), "{:?}", town.out());
+    // Nothing has ended, so nothing is given, however long that lasts.
+    for step in 1..60 {
+        let now = T + 10 * MS + step * 25 * MS;
+        ALL.iter().for_each(|n| town.with(now, &name(*n), |desk| desk.tick(now)));
+        town.post(now, &[]);
+        assert!(town.within_limits(), "after {} ms: {:?}", step * 25, town.out());
+    }
+    // All that waits is served in its turn, by whoever it waits at, and no slot stays taken.
+    let mut served = 0;
+    for step in 1..100 {
+        let now = T + 1_600 * MS + step * 25 * MS;
+        served += town.granted.len().min(4);
+        town.finish(now, 4);
+        ALL.iter().for_each(|n| town.with(now, &name(*n), |desk| desk.tick(now)));
+        town.post(now, &[]);
+        assert!(town.within_limits(), "{:?}", town.out());
+    }
+    assert_eq!((served, town.granted.len()), (30, 0));
+    assert!(town.desks.values().all(|desk| desk.broker().permits().count() == 0));
+}
+
+/// A request that waits at a proxy which leaves keeps its place: its owner had dropped it, and heard of it again after 1.5 s only.
+#[test]
+fn what_waits_at_a_proxy_that_leaves_keeps_its_place() {
+    let old = owner(&ALL, false, "a");
+    let leaver = ALL.into_iter().find(|n| name(*n) != old).expect("another");
+    let mut town = Town::new(&ALL);
+    (0..16).for_each(|_| town.ask(T, &old));
+    town.ask(T, &name(leaver));
+    town.post(T, &[]);
+    assert_eq!(town.granted.len(), 16);
+    hear(&mut town, T + 10 * MS, leaver, Order::LeaverFirst);
+    town.post(T + 10 * MS, &[]);
+    town.finish(T + 20 * MS, 1);
+    town.post(T + 20 * MS, &[]);
+    let granted = town.granted.iter().any(|(who, ..)| *who == name(leaver));
+    assert!(granted, "it gets the first slot that is free: {:?}", town.granted);
+    assert!(town.within_limits());
+}
+
+/// Incident 015: an owner that had started after the asker was last named knew no address to answer to, and the asker waited for ever.
+#[test]
+fn an_owner_that_starts_while_a_proxy_leaves_answers_it() {
+    let leaver = 0;
+    let stay: Vec<_> = ALL.into_iter().filter(|n| *n != leaver).collect();
+    let with = |n: usize| stay.iter().copied().chain([n]).collect::<Vec<_>>();
+    let new = (6..40).find(|n| owner(&with(*n), false, "a") == name(*n)).expect("one that owns it");
+    let view = || view_without(2, &with(new), &[leaver]);
+    let mut town = Town::new(&ALL);
+    let terms = Terms { ratio: 0.2, window: 10 * SECOND, slack: 50.0, asks_per_s: 100.0, speeds: false };
+    let mut started = Desk::new(peer(new), terms, new as u64, 1_000_000);
+    let spec = Spec { name: "f".into(), concurrency: CONCURRENCY, boot: 400 * MS, memory_mb: 128 };
+    started.configure(T, [spec].into_iter());
+    started.told(T, view());
+    started.told(T, instances(2));
+    town.desks.insert(name(new), started);
+    for n in ALL {
+        town.with(T, &name(n), |desk| desk.told(T, view()));
+    }
+    town.ask(T + SECOND, &name(leaver));
+    town.post(T + SECOND, &[]);
+    for step in 1..40 {
+        let now = T + SECOND + step * 25 * MS;
+        let names: Vec<_> = town.desks.keys().cloned().collect();
+        names.iter().for_each(|name| town.with(now, name, |desk| desk.tick(now)));
+        town.post(now, &[]);
+    }
+    let unanswered = town.desks.values().map(|desk| desk.broker().counts().unaddressed).sum::<u64>();
+    assert_eq!((town.granted.len(), unanswered), (1, 0), "it is answered");
+    let (who, id, _) = town.granted.remove(0);
+    assert_eq!(who, name(leaver));
+    town.with(T + 3 * SECOND, &who, |desk| desk.finish(T + 3 * SECOND, id, Outcome::Answered, 50 * MS));
+    town.post(T + 3 * SECOND, &[]);
+    assert_eq!(town.desks[&name(new)].broker().permits().count(), 0, "and its slot is free again");
+}
--- /dev/null
+++ b/broker/tests/town/mod.rs
@@ -0,0 +1,136 @@
+//! Several desks with mail between them that comes when the test says.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+
+use millpost_broker::{Ask, Desk, MS, Nanos, Out, Outcome, Owners, Peer, SECOND, Spec, Terms};
+use millpost_crier::{Instance, Note};
+
+pub const T: Nanos = 2 * SECOND;
+pub const CONCURRENCY: u32 = 4;
+
+pub struct Town {
+    pub desks: BTreeMap<String, Desk>,
+    /// Mail that has not come yet: from, to, note.
+    pub mail: Vec<(String, String, Note)>,
+    /// Granted, by desk: ask and instance.
+    pub granted: Vec<(String, u64, String)>,
+}
+
+pub fn peer(n: usize) -> Peer {
+    let zone = ["a", "b"][n % 2];
+    Peer { name: format!("edge-{n}").into(), address: format!("edge-{n}:1").into(), zone: zone.into() }
+}
+
+pub fn stalls(version: u64, who: &[usize], split: bool) -> Note {
+    let split = if split { vec!["f".into()] } else { vec![] };
+    Note::Stalls { version: (1, version), peers: who.iter().map(|n| peer(*n)).collect(), split }
+}
+
+pub fn owner(who: &[usize], split: bool, zone: &str) -> String {
+    let split = split.then(|| "f".into());
+    let owners = Owners::new((1, 1), who.iter().map(|n| peer(*n)).collect(), split);
+    owners.owner("f", zone, |_| true).expect("one").name.to_string()
+}
+
+pub fn instances(version: u64) -> Note {
+    let instance = |n: usize| Instance {
+        id: format!("i-{n}").into(),
+        service: "f".into(),
+        address: format!("10.0.0.{n}:80").into(),
+        zone: ["a", "b"][n % 2].into(),
+        worker: "w".into(),
+        stage: 1,
+    };
+    Note::Instances { version: (1, version), all: true, set: (0..4).map(instance).collect(), gone: vec![] }
+}
+
+impl Town {
+    /// So many stalls that all have heard of the first naming, and all instances.
+    pub fn new(stalls_of: &[usize]) -> Self {
+        let mut town = Town { desks: BTreeMap::new(), mail: vec![], granted: vec![] };
+        for n in stalls_of {
+            let me = peer(*n);
+            let terms =
+                Terms { ratio: 0.2, window: 10 * SECOND, slack: 50.0, asks_per_s: 100.0, speeds: false };
+            let mut desk = Desk::new(me, terms, *n as u64, 1_000 * *n as u64);
+            let spec = Spec { name: "f".into(), concurrency: CONCURRENCY, boot: 400 * MS, memory_mb: 128 };
+            desk.configure(0, [spec].into_iter());
+            desk.told(0, stalls(1, stalls_of, false));
+            desk.told(0, instances(1));
+            town.desks.insert(format!("edge-{n}"), desk);
+        }
+        let names: Vec<_> = town.desks.keys().cloned().collect();
+        names.iter().for_each(|name| town.with(T, name, |desk| desk.tick(T)));
+        town
+    }
+
+    pub fn with(&mut self, now: Nanos, name: &str, what: impl FnOnce(&mut Desk)) {
+        let desk = self.desks.get_mut(name).expect("a desk");
+        what(desk);
+        for out in desk.take() {
+            match out {
+                Out::Send { to, note } => {
+                    self.mail.push((name.into(), to.trim_end_matches(":1").to_owned(), note));
+                }
+                Out::Granted { ask, instance, .. } => {
+                    self.granted.push((name.into(), ask, instance.into()));
+                }
+                _ => {}
+            }
+        }
+        let _ = now;
+    }
+
+    pub fn ask(&mut self, now: Nanos, name: &str) {
+        self.with(now, name, |desk| {
+            let ask = Ask {
+                id: 0,
+                service: "f".into(),
+                deadline: now + 4 * SECOND,
+                aim: now + 300 * MS,
+                target: 300 * MS,
+                sent: 0,
+                returned: true,
+                avoid: vec![],
+                zone: peer(name[5..].parse().expect("a number")).zone,
+            };
+            desk.ask(now, ask, true);
+        });
+    }
+
+    /// Mail comes, but for what goes to those that are named.
+    pub fn post(&mut self, now: Nanos, but: &[&str]) {
+        loop {
+            let Some(at) = self.mail.iter().position(|(_, to, _)| !but.contains(&to.as_str())) else {
+                return;
+            };
+            let (from, to, note) = self.mail.remove(at);
+            if self.desks.contains_key(&to) {
+                self.with(now, &to, |desk| desk.mail(now, &from, 1, vec![note]));
+            }
+        }
+    }
+
+    /// Granted and not done yet, by instance.
+    pub fn out(&self) -> BTreeMap<&str, usize> {
+        let mut out = BTreeMap::new();
+        self.granted.iter().for_each(|(.., i)| *out.entry(i.as_str()).or_default() += 1);
+        out
+    }
+
+    pub fn within_limits(&self) -> bool {
+        self.out().values().all(|n| *n <= CONCURRENCY as usize)
+    }
+
+    /// So many of those that are out are over.
+    pub fn finish(&mut self, now: Nanos, count: usize) {
+        for _ in 0..count.min(self.granted.len()) {
+            let (name, id, _) = self.granted.remove(0);
+            self.with(now, &name, |desk| desk.finish(now, id, Outcome::Answered, 50 * MS));
+        }
+    }
+}
+
+pub const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
--- /dev/null
+++ b/fair/tests/leaving.rs
@@ -0,0 +1,64 @@
+//! An edge machine is told to end while requests are open there that can't be seen through in its time.
+
+use std::time::{Duration, Instant};
+
+use millpost_fair::{Fair, fairly, order};
+use millpost_standins::link::Weather;
+use millpost_standins::market::function::{Manner, attempt_id};
+use millpost_standins::market::message::{Connection, request};
+use millpost_standins::market::settings::Class;
+use millpost_standins::wire::Message;
+use tokio::time::{sleep, timeout};
+
+const CONNECT: Duration = Duration::from_secs(1);
+/// More than what is left of the grace time.
+const DEADLINE_MS: &str = "8000";
+
+/// The bytes of one try of a request on this route.
+fn bytes(route: &str) -> Vec<u8> {
+    let order = order(route);
+    let id = attempt_id();
+    let fields = [("X-Attempt-Id", &*id), ("X-Deadline-Ms", DEADLINE_MS)];
+    request(&order.method, &order.host, &order.path, &fields, &order.body, false)
+}
+
+/// What comes back on a connection, if a whole answer does.
+async fn answer(connection: &mut Connection) -> Option<Message> {
+    timeout(Duration::from_secs(9), connection.message()).await.ok()?.ok()?
+}
+
+/// Incident 015: the process ended and answered nothing that was open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_request_that_is_open_when_a_proxy_ends_is_answered_first() {
+    fairly(async || {
+        let mut fair = Fair::open_library().await;
+        // A run outlasts the grace time, and nothing new is started.
+        let slow = Manner { work: Duration::from_secs(20), ..Manner::default() };
+        fair.platform.behave("catalogue", &slow);
+        fair.platform.weather(Weather::Hang);
+        let front = fair.edge(0).front();
+        let mut waits = Connection::open(front, CONNECT).await.expect("a connection");
+        let mut runs = Connection::open(front, CONNECT).await.expect("a connection");
+        let mut in_pieces = Connection::open(front, CONNECT).await.expect("a connection");
+        let leaving = fair.fleet.deployment.of(Class::Edge)[0];
+        let told = Instant::now();
+        fair.fleet.on(leaving).for_each(|process| process.terminate());
+        sleep(Duration::from_millis(1_500)).await;
+        waits.write(&bytes("holds")).await.expect("written");
+        runs.write(&bytes("searches")).await.expect("written");
+        let whole = bytes("loans");
+        in_pieces.write(&whole[..whole.len() - 10]).await.expect("written");
+        let (waits, runs, in_pieces) =
+            tokio::join!(answer(&mut waits), answer(&mut runs), answer(&mut in_pieces));
+        let grace = Duration::from_secs_f64(fair.auditor.bounds().grace_s);
+        assert!(told.elapsed() < grace, "{:?}", told.elapsed());
+        let waits = waits.expect("an answer to the one that waits");
+        assert_eq!(waits.status(), 503, "it has not run");
+        let back = waits.header("retry-after").and_then(|wait| wait.parse::<f64>().ok());
+        assert!(back.is_some_and(|seconds| seconds < 1.0), "it is told when to come back: {back:?}");
+        let runs = runs.expect("an answer to the one that runs");
+        assert!(matches!(runs.status(), 502 | 504), "it may have run: {}", runs.status());
+        assert_eq!(in_pieces.expect("an answer to the one that is not whole").status(), 408);
+    })
+    .await;
+}
--- a/standins/src/market/function.rs
+++ b/standins/src/market/function.rs
@@ -143,7 +143,7 @@
 }
 
 /// An id for a try, which no other try of this process has.
-pub(crate) fn attempt_id() -> Arc<str> {
+pub fn attempt_id() -> Arc<str> {
     let mixed = digest(&[u64::from(std::process::id()), number()].map(u64::to_be_bytes).concat());
     format!("{mixed:016x}").into()
 }
