--- a/almanac/tests/day/mod.rs
+++ b/almanac/tests/day/mod.rs
@@ -337,7 +337,12 @@
                 let alive = (0..self.stalls.len()).filter(|n| self.stalls[*n].desk.is_some());
                 let peers =
                     alive.map(|n| millpost_crier::Peer { name: name(n), address: address(n), zone: zone(n) });
-                let note = Note::Stalls { version: (1, self.version), peers: peers.collect(), split: vec![] };
+                let note = Note::Stalls {
+                    version: (1, self.version),
+                    peers: peers.collect(),
+                    leaving: vec![],
+                    split: vec![],
+                };
                 self.tell(&note);
             }
         }
--- a/arcade/src/calm.rs
+++ b/arcade/src/calm.rs
@@ -63,9 +63,9 @@
         at >= self.contact && !near(&self.machines[machine], from, at) && !near(&self.core, from, at)
     }
 
-    /// Nothing outside was in trouble lately, nor any edge machine.
+    /// Nothing outside was in trouble lately, nor any edge machine but by planned work.
     pub fn calm_outside(&self, at: Time, fronts: usize) -> bool {
         let from = at.saturating_sub(self.contact);
-        !near(&self.outside, from, at) && !self.machines[..fronts].iter().any(|m| near(m, from, at))
+        !near(&self.outside, from, at) && !self.unplanned[..fronts].iter().any(|m| near(m, from, at))
     }
 }
--- a/arcade/src/day.rs
+++ b/arcade/src/day.rs
@@ -109,7 +109,7 @@
         p95: world.served().quantile(0.95, &ALL),
         p99: world.served().quantile(0.99, &ALL),
         busy_p99: world.served().quantile(0.99, &BUSY),
-        within_aim: world.served().within_aim(),
+        within_aim: world.served().within_aim(world.classes()),
         starts,
         memory,
         traffic: world.traffic,
--- a/arcade/src/glue/stall.rs
+++ b/arcade/src/glue/stall.rs
@@ -7,8 +7,8 @@
 use compact_str::CompactString;
 use millpost_barrow::mail::Incarnation;
 use millpost_broker::{
-    Margins, No, Out as Decided, Outcome, Passage, Patience, Peer, Refusal, Spec, Step, Taped as Desk, Terms,
-    Trail, Wish,
+    Margins, No, Out as Decided, Outcome, Passage, Patience, Peer, Phase, Refusal, Spec, Step, Taped as Desk,
+    Terms, Trail, Wish,
 };
 use millpost_crier::Note;
 use millpost_tariff::{Table, Traffic};
@@ -27,10 +27,6 @@
 /// Letters to one stall at once.
 const AT_ONCE: usize = 2;
 const SCOUT: Time = 12 * MS;
-/// The platform asks every second and needs two misses.
-const LEAVING: Time = 2_300 * MS;
-/// The process ends so long before its grace.
-const BEFORE_GRACE: Time = 600 * MS;
 const SCOUT_FOR: Time = 20 * SECOND;
 
 /// What a request waits for.
@@ -125,6 +121,8 @@
     hurry: Option<Time>,
     /// When it was told to leave.
     leaving: Option<Time>,
+    /// When the phases of its end begin that are still to come.
+    ends_at: Vec<Time>,
     /// Until when operators have taken it out.
     rests: Time,
     replying: Option<(CompactString, Vec<Note>)>,
@@ -165,6 +163,7 @@
             beat_at: 0,
             hurry: None,
             leaving: None,
+            ends_at: Vec::new(),
             rests: 0,
             replying: None,
             incarnations: HashMap::new(),
@@ -178,21 +177,21 @@
         self.force.is_some() && self.desk.informed() && self.leaving.is_none() && now >= self.rests
     }
 
-    /// From being told to leave to no new connections: as `stall/src/signals.rs` has it.
-    fn lingers(&self) -> Time {
-        LEAVING.min(self.place.grace / 2)
+    /// How far its end has come.
+    fn phase(&self, now: Time) -> Phase {
+        let after = |at: Time| Phase::after(self.place.grace, now.saturating_sub(at));
+        self.leaving.map_or(Phase::Serving, after)
     }
 
     /// It takes no connections any more.
     pub fn closes(&self, now: Time) -> bool {
-        self.leaving.is_some_and(|at| now >= at + self.lingers())
+        self.phase(now) >= Phase::Closing
     }
 
     /// Its process ends.
     pub fn over(&self, now: Time) -> bool {
-        let hurried = self.place.plant == Some(Plant::Hurried);
-        let span = if hurried { 0 } else { self.place.grace.saturating_sub(BEFORE_GRACE) };
-        self.leaving.is_some_and(|at| now >= at + span)
+        let hurried = self.place.plant == Some(Plant::Hurried) && self.leaving.is_some();
+        hurried || self.phase(now) == Phase::Over
     }
 
     /// The revision that it acts on.
@@ -215,7 +214,10 @@
             In::Exchanged { id, done } => self.exchanged(now, id, done),
             In::Scouted { id, up } => self.scouted(now, &id, up),
             In::Leave => {
-                self.leaving.get_or_insert(now);
+                if self.leaving.is_none() {
+                    self.leaving = Some(now);
+                    self.ends_at = Phase::schedule(self.place.grace).map(|(_, after)| now + after).to_vec();
+                }
             }
             In::Line { .. } | In::Ended { .. } | In::Seeds(_) => {}
         }
@@ -231,7 +233,11 @@
         let scouts = self.scouting.values().filter_map(|s| s.next).min();
         let due = self.due.first().map(|d| d.0);
         let beat = self.hurry.unwrap_or(Time::MAX).min(self.beat_at);
-        self.tick_at.min(beat).min(posts.into_iter().chain(scouts).chain(due).min().unwrap_or(Time::MAX))
+        let ends = self.ends_at.first().copied().unwrap_or(Time::MAX);
+        self.tick_at
+            .min(beat)
+            .min(ends)
+            .min(posts.into_iter().chain(scouts).chain(due).min().unwrap_or(Time::MAX))
     }
 
     fn due(&mut self, now: Time) {
@@ -248,6 +254,7 @@
                 _ => {}
             }
         }
+        self.end(now);
         if now >= self.tick_at {
             self.tick_at = now + TICK;
             self.desk.tick(now);
@@ -340,7 +347,14 @@
 
     fn mail(&mut self, now: Time, from: &str, life: u64, notes: Vec<Note>) -> Said {
         let mut between = Vec::new();
-        for note in notes {
+        for mut note in notes {
+            if matches!(self.place.plant, Some(Plant::Forsaken | Plant::Mute)) {
+                match &mut note {
+                    Note::Stalls { leaving, .. } => leaving.clear(),
+                    Note::Shift(shift) => shift.leaving.clear(),
+                    _ => {}
+                }
+            }
             match note {
                 Note::Packed { revision, packed } if revision > self.acts() => {
                     if let Some(known) = self.place.memo.read(&packed) {
@@ -379,7 +393,7 @@
         if between.is_empty() {
             return Said::Taken;
         }
-        let address = self.desk.owners().find(from).map(|p| p.address.clone());
+        let address = self.desk.address(from).cloned();
         self.told(now, from, life, between);
         self.replying = address.map(|address| (address, Vec::new()));
         self.carry_out(now);
@@ -395,7 +409,7 @@
     /// Mail from another stall.
     fn told(&mut self, now: Time, from: &str, life: u64, mut notes: Vec<Note>) {
         for note in notes.extract_if(.., |note| matches!(note, Note::StaleIncarnation { .. })) {
-            let address = self.desk.owners().find(from).map(|p| p.address.clone());
+            let address = self.desk.address(from).cloned();
             if let (Note::StaleIncarnation { known }, Some(address)) = (note, address) {
                 incarnation_for(&mut self.incarnations, self.place.life, &address).raise_above(known);
             }
@@ -533,6 +547,36 @@
         self.answer(client, status, again, None);
     }
 
+    /// The process ends: what waits is refused, and later what still runs is told that there is no answer.
+    fn end(&mut self, now: Time) {
+        self.ends_at.retain(|at| *at > now);
+        let phase = self.phase(now);
+        if phase < Phase::Refusing || self.place.plant == Some(Plant::Mute) {
+            return;
+        }
+        let runs = |waits: Waits| matches!(waits, Waits::Exchange { .. });
+        let due = self.asked.iter().filter(|(_, asked)| phase >= Phase::Ending || !runs(asked.waits));
+        let mut due: Vec<_> = due.map(|(client, _)| *client).collect();
+        due.sort_unstable();
+        for client in due {
+            let Some(asked) = self.asked.get_mut(&client) else { continue };
+            let step = match asked.waits {
+                Waits::Word(ask) => {
+                    self.words.remove(&ask);
+                    self.desk.finish(now, ask, Outcome::Unused, 0);
+                    asked.follow(&mut self.desk, now, |p| Trail::Late { p });
+                    asked.passage.ends()
+                }
+                Waits::Pause(_) => asked.passage.ends(),
+                Waits::Exchange { .. } => {
+                    self.late(now, client);
+                    continue;
+                }
+            };
+            self.step(now, client, step);
+        }
+    }
+
     /// Nothing has come for longer than it ever takes.
     fn silent(&mut self, now: Time, client: u64) {
         let Some(asked) = self.asked.get_mut(&client) else { return };
--- a/arcade/src/hunt.rs
+++ b/arcade/src/hunt.rs
@@ -1,7 +1,7 @@
 //! Many days in a row, and one day made smaller while its rule still breaks.
 
 use crate::day::{Report, play};
-use crate::plan::Plan;
+use crate::plan::{Days, Plan};
 use crate::plant::Plant;
 use crate::site::Size;
 use crate::speeds::Speeds;
@@ -34,16 +34,15 @@
     pub strained: bool,
     /// How fast workers are.
     pub speeds: Speeds,
-    /// Days with more troubles of the control side.
-    pub control: bool,
+    /// How days are drawn.
+    pub kind: Days,
 }
 
 /// Plays days, each to its first broken rule; `told` of each as it ends, says whether the search goes on.
 pub fn hunt(of: &Search, mut told: impl FnMut(&Report) -> bool) -> Hunted {
     let mut hunted = Hunted { days: 0, events: 0, requests: 0, broken: 0 };
     for day in 0..of.days {
-        let draw = if of.control { Plan::draw_control } else { Plan::draw };
-        let drawn = draw(of.seed.wrapping_add(day), of.size, of.plant);
+        let drawn = of.kind.draw(of.seed.wrapping_add(day), of.size, of.plant);
         let plan = Plan { strict: of.strict, strained: of.strained, speeds: of.speeds, ..drawn };
         let report = play(&plan, true, false);
         hunted.days += 1;
--- a/arcade/src/main.rs
+++ b/arcade/src/main.rs
@@ -9,7 +9,7 @@
 use argh::FromArgs;
 use millpost_arcade::day::{Report, play_recorded};
 use millpost_arcade::hunt::Search;
-use millpost_arcade::plan::Plan;
+use millpost_arcade::plan::{Days, Plan};
 use millpost_arcade::plant::Plant;
 use millpost_arcade::record::Records;
 use millpost_arcade::site::Size;
@@ -51,6 +51,9 @@
     /// days with more troubles of the control side, and longer cuts
     #[argh(switch)]
     control: bool,
+    /// longer days with planned work only, in series that overlap
+    #[argh(switch)]
+    planned: bool,
     /// judge LIMIT while the core is not settled, too
     #[argh(switch)]
     strict: bool,
@@ -105,6 +108,9 @@
     /// days with more troubles of the control side, and longer cuts
     #[argh(switch)]
     control: bool,
+    /// longer days with planned work only, in series that overlap
+    #[argh(switch)]
+    planned: bool,
     /// judge LIMIT while the core is not settled, too
     #[argh(switch)]
     strict: bool,
@@ -135,6 +141,9 @@
     /// days with more troubles of the control side, and longer cuts
     #[argh(switch)]
     control: bool,
+    /// longer days with planned work only, in series that overlap
+    #[argh(switch)]
+    planned: bool,
     /// judge LIMIT while the core is not settled, too
     #[argh(switch)]
     strict: bool,
@@ -163,16 +172,16 @@
 
 fn hunt(of: &Hunt) -> ExitCode {
     let begun = Instant::now();
-    let Hunt { days, seed, size, plant, strict, strained, speeds, control, .. } = *of;
-    let hunted =
-        hunt::hunt(&Search { days, seed, size, plant, strict, strained, speeds, control }, |report| {
-            log::info!("day {} of {} requests", report.seed, report.requests);
-            let broke = !report.breaches.is_empty();
-            if broke {
-                show(report, of.json);
-            }
-            !(broke && of.first) && of.seconds.is_none_or(|most| begun.elapsed().as_secs() < most)
-        });
+    let Hunt { days, seed, size, plant, strict, strained, speeds, .. } = *of;
+    let kind = kind(of.control, of.planned);
+    let hunted = hunt::hunt(&Search { days, seed, size, plant, strict, strained, speeds, kind }, |report| {
+        log::info!("day {} of {} requests", report.seed, report.requests);
+        let broke = !report.breaches.is_empty();
+        if broke {
+            show(report, of.json);
+        }
+        !(broke && of.first) && of.seconds.is_none_or(|most| begun.elapsed().as_secs() < most)
+    });
     let per_minute = hunted.days as f64 / begun.elapsed().as_secs_f64().max(1e-9) * 60.0;
     let (days, events, requests, broken) = (hunted.days, hunted.events, hunted.requests, hunted.broken);
     if of.json {
@@ -195,14 +204,21 @@
     ExitCode::from(2)
 }
 
-/// The day of this seed, with more troubles of the control side or not.
-fn drawn(control: bool, seed: u64, size: Size, plant: Option<Plant>) -> Plan {
-    if control { Plan::draw_control(seed, size, plant) } else { Plan::draw(seed, size, plant) }
+/// Which days are meant.
+fn kind(control: bool, planned: bool) -> Days {
+    match (control, planned) {
+        (_, true) => Days::Planned,
+        (true, false) => Days::Control,
+        (false, false) => Days::Usual,
+    }
 }
 
 fn day(of: &Day) -> ExitCode {
-    let mut plan =
-        if of.quiet { Plan::quiet(of.seed, of.size) } else { drawn(of.control, of.seed, of.size, of.plant) };
+    let mut plan = if of.quiet {
+        Plan::quiet(of.seed, of.size)
+    } else {
+        kind(of.control, of.planned).draw(of.seed, of.size, of.plant)
+    };
     (plan.plant, plan.strict, plan.part) = (of.plant, of.strict, of.part);
     (plan.strained, plan.speeds) = (of.strained, of.speeds);
     if of.open {
@@ -247,7 +263,7 @@
         strict: of.strict,
         strained: of.strained,
         speeds: of.speeds,
-        ..drawn(of.control, of.seed, of.size, of.plant)
+        ..kind(of.control, of.planned).draw(of.seed, of.size, of.plant)
     };
     match hunt::shrink(&whole, |line| log::info!("{line}")) {
         None => {
--- a/arcade/src/plan.rs
+++ b/arcade/src/plan.rs
@@ -98,6 +98,8 @@
     NodeCut { lasts: Time },
     /// The processes of all core machines get SIGTERM, one after the other.
     RollTerm { every: Time },
+    /// Those of a part of the edge machines do.
+    EdgeRoll { share: f64, every: Time },
     /// One core machine misses changes; then another loses its disk, the rest are without power for as long, and the cut is over.
     CoreBehind { lasts: Time },
     /// The second part of that, by the place in the core of the one that missed the changes.
@@ -145,7 +147,7 @@
             What::CoreSplit { .. } => "core_cut split",
             What::NodeCut { .. } => "node_cut",
             What::ClockStep { .. } => "clock_step",
-            What::RollTerm { .. } => "roll_term",
+            What::RollTerm { .. } | What::EdgeRoll { .. } => "roll_term",
             What::CoreBehind { .. } | What::BehindStrikes { .. } => "core_cut behind",
             What::HangUp { .. } => "hup",
         }
@@ -195,8 +197,38 @@
     pub speeds: Speeds,
     /// The site is smaller by this factor.
     pub part: usize,
+    /// The day is longer by this factor.
+    pub times: u64,
+    /// The site has the functions and requests of the users' homework sites, under so many times the usual load.
+    pub homework: Option<f64>,
 }
 
+/// How days are drawn.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Days {
+    /// Up to four troubles of any kind.
+    #[default]
+    Usual,
+    /// Those with more troubles of the control side, and longer cuts.
+    Control,
+    /// Longer days with planned work only, which comes in series and overlaps.
+    Planned,
+}
+
+impl Days {
+    /// The day of this seed.
+    pub fn draw(self, seed: u64, size: Size, plant: Option<Plant>) -> Plan {
+        match self {
+            Days::Usual => Plan::draw(seed, size, plant),
+            Days::Control => Plan::draw_control(seed, size, plant),
+            Days::Planned => Plan::draw_planned(seed, size, plant),
+        }
+    }
+}
+
+/// A day of planned work is so many times as long as others.
+const PLANNED_TIMES: u64 = 3;
+
 impl Plan {
     /// The day of this seed.
     pub fn draw(seed: u64, size: Size, plant: Option<Plant>) -> Self {
@@ -241,6 +273,8 @@
             strained: false,
             speeds: Speeds::Even,
             part: 1,
+            times: 1,
+            homework: None,
         }
     }
 
@@ -261,6 +295,24 @@
         plan
     }
 
+    /// A long day without unplanned trouble: rolls, single machines that are told to end, signals, changes of the configuration and
+    /// workers that are emptied, in series that overlap.
+    pub fn draw_planned(seed: u64, size: Size, plant: Option<Plant>) -> Self {
+        let site = Site::new(size);
+        let mut chance = Chance::new(seed ^ 0x501a_4b1e);
+        let homework = Some(chance.between(500, 6_000) as f64 / 1_000.0);
+        let mut plan = Plan { plant, times: PLANNED_TIMES, homework, ..Self::quiet(seed, size) };
+        let end = site.lead + site.length * PLANNED_TIMES - 8 * SECOND;
+        let mut at = site.lead + chance.between(0, SECOND);
+        while at < end {
+            let what = drawn_planned(&mut chance);
+            plan.troubles.push(Trouble { at, what, dice: chance.seed() });
+            // Most come before what the one before them does is over.
+            at += chance.between(100 * MS, 6 * SECOND);
+        }
+        plan
+    }
+
     /// A day without any trouble.
     pub fn quiet(seed: u64, size: Size) -> Self {
         Plan {
@@ -273,6 +325,8 @@
             strained: false,
             speeds: Speeds::Even,
             part: 1,
+            times: 1,
+            homework: None,
         }
     }
 
@@ -318,6 +372,22 @@
     }
 }
 
+/// Planned work.
+fn drawn_planned(chance: &mut Chance) -> What {
+    let share = chance.share();
+    match chance.below(10) {
+        0..=2 => What::EdgeRoll { share: 0.3 + 0.7 * share, every: chance.between(0, 2_500 * MS) },
+        3 | 4 => What::NodeTerm { core: false },
+        5 => What::RollTerm { every: 200 * MS + chance.between(0, 2 * SECOND) },
+        6 => What::HangUp { share: 0.3 + 0.7 * share },
+        7 => What::WorkerDrain { share: 0.11 },
+        8 => What::ConfigChange,
+        _ => {
+            What::ConfigStorm { count: 4 + (share * 20.0) as usize, every: chance.between(5 * MS, 400 * MS) }
+        }
+    }
+}
+
 /// Troubles of the control side, as they meet there on its worst days.
 fn drawn_control(chance: &mut Chance, lasts: Time, longest: Time) -> What {
     let flag = chance.one(0.5);
--- a/arcade/src/plant.rs
+++ b/arcade/src/plant.rs
@@ -39,10 +39,14 @@
     Surly,
     /// Control confirms whatever comes under a revision that stands.
     Lenient,
+    /// A stall that ends answers nothing that is open, and is taken to be gone before.
+    Mute,
+    /// Stalls that leave are taken to be gone by the others.
+    Forsaken,
 }
 
 /// Every one, by its name.
-pub const ALL: [(&str, Plant); 16] = [
+pub const ALL: [(&str, Plant); 18] = [
     ("repeated", Plant::Repeated),
     ("promised", Plant::Promised),
     ("crowded", Plant::Crowded),
@@ -59,6 +63,8 @@
     ("hurried", Plant::Hurried),
     ("surly", Plant::Surly),
     ("lenient", Plant::Lenient),
+    ("mute", Plant::Mute),
+    ("forsaken", Plant::Forsaken),
 ];
 
 /// No such guard.
--- a/arcade/src/site.rs
+++ b/arcade/src/site.rs
@@ -117,8 +117,11 @@
     pub calls: f64,
 }
 
+/// Kinds of requests of a site: two to busy functions, one to rare ones, and the calls that the first makes.
+pub type Classes = [Class; 4];
+
 /// Loans, holds, searches, and the calls that loans make.
-pub const CLASSES: [Class; 4] = [
+pub const LENDING: Classes = [
     Class {
         letter: 'l',
         repeatable: true,
@@ -161,10 +164,25 @@
     },
 ];
 
+/// Answers, marks, reports, and the calls that answers make: work and deadlines are longer.
+pub const HOMEWORK: Classes = [
+    Class { aim: 300 * MS, deadline: 4_000 * MS, work_ms: 60.0, ..LENDING[0] },
+    Class { aim: 400 * MS, deadline: 4_000 * MS, work_ms: 90.0, ..LENDING[1] },
+    Class { aim: 1_500 * MS, deadline: 12_000 * MS, work_ms: 60.0, ..LENDING[2] },
+    Class { aim: 300 * MS, deadline: 12_000 * MS, work_ms: 60.0, ..LENDING[3] },
+];
+
+/// What a function takes: megabytes of an instance, the mean time of its start in milliseconds, and slots.
+pub type Spec = (u64, u64, u32);
+
 /// Where everything stands and how much there is of it.
 pub struct Site {
     /// Its size.
     pub size: Size,
+    /// Its kinds of requests.
+    pub classes: &'static Classes,
+    /// What a busy function takes, and a rare one.
+    pub specs: [Spec; 2],
     /// Zones.
     pub zones: usize,
     /// The zone of each edge machine.
@@ -219,6 +237,8 @@
         };
         let base = Site {
             size,
+            classes: &LENDING,
+            specs: [(512, 450, 4), (128, 300, 1)],
             zones: 4,
             fronts: spread([2, 2, 1, 1]),
             cores: spread([1; 4]),
@@ -281,6 +301,13 @@
         self
     }
 
+    /// The same for so many times as long.
+    #[must_use]
+    pub fn lasting(mut self, times: u64) -> Self {
+        self.length *= times.max(1);
+        self
+    }
+
     /// The name of a function: the busy ones come first.
     pub fn service(&self, at: usize) -> CompactString {
         if at < self.busy { format_compact!("b{at}") } else { format_compact!("f{}", at - self.busy) }
@@ -292,9 +319,19 @@
         if name.starts_with('b') { Some(at) } else { Some(self.busy + at) }
     }
 
-    /// Memory, mean start in milliseconds and slots of a function.
-    pub fn spec(&self, at: usize) -> (u64, u64, u32) {
-        if at < self.busy { (512, 450, 4) } else { (128, 300, 1) }
+    /// The same machines with the functions and requests of the users' homework sites, and so many times the load.
+    #[must_use]
+    pub fn homework(mut self, load: f64) -> Self {
+        self.classes = &HOMEWORK;
+        self.specs = [(1_024, 1_400, 8), (128, 900, 1)];
+        self.workers.iter_mut().for_each(|(_, memory)| *memory = *memory * 5 / 4);
+        self.per_s *= load;
+        self
+    }
+
+    /// What a function takes.
+    pub fn spec(&self, at: usize) -> Spec {
+        self.specs[usize::from(at >= self.busy)]
     }
 
     /// A route for a class of requests to a function, under a path of its own.
@@ -316,12 +353,12 @@
     pub fn config(&self) -> Config {
         let mut routes = Vec::new();
         for at in 0..self.busy {
-            for class in [&CLASSES[0], &CLASSES[1], &CLASSES[3]] {
+            for class in [&self.classes[0], &self.classes[1], &self.classes[3]] {
                 routes.push(self.route(class.letter, at, class, self.service(at)));
             }
         }
         for at in 0..self.rare {
-            routes.push(self.route('s', at, &CLASSES[2], self.service(self.busy + at)));
+            routes.push(self.route('s', at, &self.classes[2], self.service(self.busy + at)));
         }
         let services = (0..self.busy + self.rare).map(|at| {
             let (memory_mb, boot_ms, concurrency) = self.spec(at);
--- a/arcade/src/world/client.rs
+++ b/arcade/src/world/client.rs
@@ -5,7 +5,7 @@
 use super::{Event, Role, World};
 use crate::auditor::Try;
 use crate::glue::{In, Request};
-use crate::site::{CLASSES, HOST};
+use crate::site::{Classes, HOST};
 use crate::{MS, SECOND, Time};
 
 /// A new connection gets so long to come up.
@@ -53,8 +53,8 @@
     }
 
     /// The share of all that was served in the time in which an answer earns its full worth.
-    pub fn within_aim(&self) -> f64 {
-        let within = self.all.iter().filter(|one| one.2 && one.1 <= CLASSES[one.3].aim).count();
+    pub fn within_aim(&self, classes: &Classes) -> f64 {
+        let within = self.all.iter().filter(|one| one.2 && one.1 <= classes[one.3].aim).count();
         within as f64 / self.all.len().max(1) as f64
     }
 
@@ -94,8 +94,8 @@
         let weights = &self.weights[kind];
         let place = self.chance.share() * weights.last().copied().unwrap_or(1.0);
         let number = weights.partition_point(|w| *w <= place).min(weights.len() - 1);
-        let path = format_compact!("/{}{number}/x", CLASSES[class].letter);
-        self.customer(class, path, zone, now + CLASSES[class].deadline, None, None);
+        let path = format_compact!("/{}{number}/x", self.site.classes[class].letter);
+        self.customer(class, path, zone, now + self.site.classes[class].deadline, None, None);
     }
 
     pub(super) fn customer(
@@ -114,7 +114,7 @@
             zone,
             born: self.now,
             deadline,
-            retries: if parent.is_some() || direct.is_some() { 0 } else { CLASSES[class].retries },
+            retries: if parent.is_some() || direct.is_some() { 0 } else { self.site.classes[class].retries },
             parent,
             direct,
             current: None,
@@ -166,7 +166,7 @@
         };
         let customer = &mut self.customers[place];
         customer.last_machine = Some(machine);
-        let class = &CLASSES[customer.class];
+        let class = &self.site.classes[customer.class];
         let one = Try {
             path: customer.path.clone(),
             class: customer.class,
@@ -266,7 +266,7 @@
             return;
         }
         customer.current = None;
-        let class = &CLASSES[customer.class];
+        let class = &self.site.classes[customer.class];
         self.traffic.clients += class.bytes.1;
         if (200..300).contains(&status) {
             return self.settle(place, true, status);
--- a/arcade/src/world/endpoint.rs
+++ b/arcade/src/world/endpoint.rs
@@ -8,7 +8,6 @@
 
 use super::{Event, Role, World};
 use crate::glue::{Exchanged, In, Request};
-use crate::site::CLASSES;
 use crate::{MS, SECOND, Time};
 
 /// An idle connection is used again for so long.
@@ -147,7 +146,7 @@
             return self.at(now + way, Event::Back(number, ended(Outcome::Full, true)));
         }
         let class = self.auditor.tries.get(attempt as usize).map_or(2, |t| t.class);
-        let class = &CLASSES[class.min(CLASSES.len() - 1)];
+        let class = &self.site.classes[class.min(self.site.classes.len() - 1)];
         let slow = if endpoint.slow.1 > now { endpoint.slow.0 } else { 1.0 };
         let factor = endpoint.speed * slow / host.speed.at(now);
         let work = (self.chance.around(class.work_ms, 0.5) as f64 * factor) as Time;
--- a/arcade/src/world/mod.rs
+++ b/arcade/src/world/mod.rs
@@ -21,7 +21,7 @@
 use crate::glue::{Exchanged, Hall, In, Memo, Out, Place, Porter, Said, Stall};
 use crate::plan::Plan;
 use crate::record::Records;
-use crate::site::Site;
+use crate::site::{Classes, Site};
 use crate::speeds::Speeds;
 use crate::{MS, SECOND, Time};
 
@@ -281,7 +281,12 @@
 impl World {
     /// A day before it begins.
     pub fn new(plan: Plan, trace: bool) -> Self {
-        let site = Site { strained: plan.strained, ..Site::new(plan.size) }.part(plan.part);
+        let site = Site { strained: plan.strained, ..Site::new(plan.size) };
+        let site = match plan.homework {
+            Some(load) => site.homework(load),
+            None => site,
+        };
+        let site = site.part(plan.part).lasting(plan.times);
         let mut chance = Chance::new(plan.seed);
         let fronts = site.fronts.len();
         let count = fronts + site.cores.len() + SPARES;
@@ -617,6 +622,11 @@
         }
     }
 
+    /// The kinds of requests.
+    pub fn classes(&self) -> &'static Classes {
+        self.site.classes
+    }
+
     /// The share of requests served among those that were sent between two times.
     pub fn served(&self) -> &Served {
         &self.served
--- a/arcade/src/world/net.rs
+++ b/arcade/src/world/net.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use millpost_crier::{Note, Shift};
+use millpost_crier::{Note, Peer, Shift};
 use millpost_tally::Message;
 use tinyjson::JsonValue;
 
@@ -89,13 +89,15 @@
             48 + set.iter().map(of).sum::<usize>() + gone.iter().map(|id| id.len() + 3).sum::<usize>()
         }
         Note::Mine { set } => 24 + set.len() * 90,
-        Note::Stalls { peers, .. } => {
-            34 + peers.iter().map(|p| 25 + p.name.len() + p.address.len() + p.zone.len()).sum::<usize>()
+        Note::Stalls { peers, leaving, .. } => {
+            let of = peers.iter().chain(leaving);
+            34 + of.map(|p| 25 + p.name.len() + p.address.len() + p.zone.len()).sum::<usize>()
         }
         Note::Shift(shift) => {
-            let came = shift.came.iter().map(|p| 25 + p.name.len() + p.address.len() + p.zone.len());
-            let names = shift.left.iter().chain(&shift.split).chain(&shift.joined).map(|name| name.len() + 3);
-            44 + came.chain(names).sum::<usize>()
+            let peers = shift.came.iter().chain(&shift.leaving);
+            let peers = peers.map(|p| 25 + p.name.len() + p.address.len() + p.zone.len());
+            let names = [&shift.left, &shift.ended, &shift.split, &shift.joined].into_iter().flatten();
+            44 + peers.chain(names.map(|name| name.len() + 3)).sum::<usize>()
         }
         Note::Behind { .. } | Note::StaleIncarnation { .. } => 28,
         Note::AskRevision => 14,
@@ -160,14 +162,19 @@
         if names.is_empty() { String::new() } else { format!(", {what} {}", names.join(" ")) }
     };
     notes.iter().filter_map(|note| Note::read(note).ok()).find_map(|note| match note {
-        Note::Stalls { version, peers, split } => {
-            Some(format!("names {} stalls{}, version {version:?}", peers.len(), list("split", &split)))
-        }
-        Note::Shift(Shift { version, from, came, left, split, joined }) => {
-            let came: Vec<_> = came.into_iter().map(|p| p.name).collect();
-            let (came, left) = (list("new", &came), list("gone", &left));
+        Note::Stalls { version, peers, leaving, split } => {
+            let leaving = list("leaving", &leaving.into_iter().map(|p| p.name).collect::<Vec<_>>());
+            let (count, split) = (peers.len(), list("split", &split));
+            Some(format!("names {count} stalls{leaving}{split}, version {version:?}"))
+        }
+        Note::Shift(Shift { version, from, came, left, leaving, ended, split, joined }) => {
+            let names = |of: Vec<Peer>| of.into_iter().map(|p| p.name).collect::<Vec<_>>();
+            let (came, left) = (list("new", &names(came)), list("no more", &left));
+            let (leaving, ended) = (list("leaving", &names(leaving)), list("gone", &ended));
             let (split, joined) = (list("split", &split), list("joined", &joined));
-            Some(format!("names the stalls of {from:?}{came}{left}{split}{joined}, version {version:?}"))
+            Some(format!(
+                "names the stalls of {from:?}{came}{left}{leaving}{ended}{split}{joined}, version {version:?}"
+            ))
         }
         _ => None,
     })
--- a/arcade/src/world/operator.rs
+++ b/arcade/src/world/operator.rs
@@ -7,7 +7,6 @@
 
 use super::{Event, Who, World};
 use crate::glue::Said;
-use crate::site::CLASSES;
 use crate::{MS, SECOND, Time};
 
 /// Silence after which an operator moves on.
@@ -121,7 +120,7 @@
                 }
             }
             _ => {
-                let mut route = self.site.route('s', 0, &CLASSES[2], to);
+                let mut route = self.site.route('s', 0, &self.site.classes[2], to);
                 route.path_prefix = format_compact!("/new{number}-{pick}/");
                 route.name = format_compact!("new{number}");
                 probes.push(format_compact!("{}x", route.path_prefix));
@@ -182,7 +181,7 @@
         let number = config.revision;
         for at in 0..count {
             let to = self.site.service(self.site.busy + at % self.site.rare);
-            let mut route = self.site.route('s', 0, &CLASSES[2], to);
+            let mut route = self.site.route('s', 0, &self.site.classes[2], to);
             route.path_prefix = format_compact!("/big{number}-{at}/");
             route.name = format_compact!("big{number}-{at}");
             config.routes.push(route);
--- a/arcade/src/world/trouble.rs
+++ b/arcade/src/world/trouble.rs
@@ -108,6 +108,13 @@
                     self.at(now + place as Time * every, Event::Term(*at));
                 }
             }
+            What::EdgeRoll { share, every } => {
+                let count = ((fronts as f64 * share).ceil() as usize).clamp(1, fronts);
+                let first = dice.below(fronts);
+                for place in 0..count {
+                    self.at(now + place as Time * every, Event::Term((first + place) % fronts));
+                }
+            }
             What::CoreBehind { lasts } => {
                 let missed = dice.below(cores.len());
                 let machine = cores[missed];
--- a/bourse/src/leader.rs
+++ b/bourse/src/leader.rs
@@ -183,6 +183,9 @@
         _ if many => log::info!("stalls: {} are alive", roster.peers().len()),
         _ => log::info!("stalls: {}", names(&mut roster.peers().iter().map(|p| &p.name))),
     }
+    if !roster.leaving().is_empty() {
+        log::info!("leaving: {}", names(&mut roster.leaving().iter().map(|p| &p.name)));
+    }
     let split = match note {
         Note::Shift(shift) => !shift.split.is_empty() || !shift.joined.is_empty(),
         _ => true,
@@ -442,27 +445,32 @@
             stall.dropped |= deaf && now >= stall.slow && stall.heard + DEAF <= now;
         }
         let rests = self.rests.clone();
-        let alive = |s: &&Stall| {
+        let lives = |s: &&Stall| {
             let unfed = s.unfed.is_some_and(|since| since + UNFED <= now);
-            s.serving && !s.dropped && !rests.contains(&s.peer.name) && s.heard + SILENT > now && !unfed
+            !s.dropped && s.heard + SILENT > now && !unfed
         };
+        let stays = |s: &&Stall| s.serving && !rests.contains(&s.peer.name);
+        let alive = |s: &&Stall| lives(s) && stays(s);
         if !first {
             self.join(now);
         }
         let before = self.ranks.owners().roster();
         let stalls = || self.stalls.values().filter(alive).map(|s| &s.peer);
+        let leaving = || self.stalls.values().filter(|s| lives(s) && !stays(s)).map(|s| &s.peer);
         // With one zone there is nothing to split by.
         let one = stalls().next()?;
         let split = if stalls().any(|p| p.zone != one.zone) { self.split.clone() } else { BTreeSet::new() };
-        if !first && *before.split() == split && stalls().eq(before.peers()) {
+        let same = *before.split() == split && stalls().eq(before.peers());
+        if !first && same && leaving().eq(before.leaving()) {
             return None;
         }
         let peers = stalls().cloned().collect();
+        let leaving = leaving().cloned().collect();
         // What the leader before has named may stand as it is; else all of it goes to those who know nothing yet, or something else.
         let known = self.stalls.values().filter(alive).filter_map(|s| s.knows).max();
         self.scaler.split(now, &split);
         self.named_at = now;
-        let roster = Roster::new(self.version(), peers, split);
+        let roster = Roster::new(self.version(), peers, split).with_leaving(leaving);
         let note = match known.filter(|(v, d)| *v < roster.version() && *d == roster.digest()) {
             _ if !first => Note::Shift(roster.shift(self.ranks.owners().roster())),
             Some((from, _)) => Note::Shift(Shift { version: roster.version(), from, ..Shift::default() }),
--- a/bourse/tests/leader.rs
+++ b/bourse/tests/leader.rs
@@ -56,7 +56,9 @@
 /// All of the naming that stands; the one before the first where there is none.
 fn whole(leader: &mut Leader) -> Roster {
     match leader.snapshot("edge-0").swap_remove(0) {
-        Note::Stalls { version, peers, split } => Roster::new(version, peers, split),
+        Note::Stalls { version, peers, leaving, split } => {
+            Roster::new(version, peers, split).with_leaving(leaving)
+        }
         _ => Roster::default(),
     }
 }
--- a/broker/src/desk.rs
+++ b/broker/src/desk.rs
@@ -11,7 +11,7 @@
 
 use compact_str::CompactString;
 use millpost_crier::frame::Fold;
-use millpost_crier::{Note, Version};
+use millpost_crier::{Note, Roster, Version};
 
 use crate::desk::passing::Granted;
 use crate::effect::{Effect, No, Terms};
@@ -269,7 +269,9 @@
                 told.and_then(|t| t.get(name)).is_some_and(|version| *version >= owners.version())
             };
             let all = before.all_of(service).into_iter();
-            all.filter(|name| *name != me.name && owners.find(name).is_some() && !has_told(name)).collect()
+            // One that leaves tells of what it has out as one that stays does.
+            all.filter(|name| *name != me.name && owners.find_living(name).is_some() && !has_told(name))
+                .collect()
         };
         let parted = self.broker.own(now, me, owners, turn, expects);
         for parted in parted {
@@ -369,9 +371,14 @@
         self.send(&owner, note);
     }
 
+    /// Where a stall is that lives, or was named once.
+    pub fn address(&self, name: &str) -> Option<&CompactString> {
+        let living = self.owners.find_living(name).map(|peer| &peer.address);
+        living.or_else(|| self.away.get(name))
+    }
+
     fn send(&mut self, name: &str, note: Note) {
-        let named = self.owners.find(name).map(|p| &p.address);
-        match named.or_else(|| self.away.get(name)).cloned() {
+        match self.address(name).cloned() {
             Some(to) => self.outs.push_back(Out::Send { to, note }),
             None => self.broker.counts.unaddressed += 1,
         }
@@ -423,7 +430,7 @@
 
     /// A stall is told by which later incarnation it is known here.
     fn refute(&mut self, name: &str, known: u64) {
-        if let Some(to) = self.owners.find(name).map(|p| p.address.clone()) {
+        if let Some(to) = self.owners.find_living(name).map(|p| p.address.clone()) {
             self.outs.push_back(Out::Send { to, note: Note::StaleIncarnation { known } });
         }
     }
@@ -450,10 +457,12 @@
                 if self.pass_on(&who, id, &outcome, took) {
                     return;
                 }
+                let outcome = Outcome::read(&outcome).unwrap_or(Outcome::LeftAlone);
                 let stands = |at: &CompactString| self.broker.is_out_at(&who, id, at);
                 if instance.as_ref().is_none_or(stands) {
-                    let outcome = Outcome::read(&outcome).unwrap_or(Outcome::LeftAlone);
                     self.broker.done(now, &who, id, outcome, span(took));
+                } else if !self.broker.is_out(&who, id) {
+                    self.broker.came_back(now, &who, id, outcome);
                 }
             }
             Note::Done { id, outcome, took } => {
@@ -503,8 +512,8 @@
     pub fn told(&mut self, now: Nanos, note: Note) {
         self.passed_over.remove(&self.me.name);
         match note {
-            Note::Stalls { version, peers, split } if version > self.owners.version() => {
-                self.named(now, Owners::new(version, peers, split));
+            Note::Stalls { version, peers, leaving, split } if version > self.owners.version() => {
+                self.named(now, Roster::new(version, peers, split).with_leaving(leaving).into());
             }
             Note::Shift(shift) if shift.version > self.owners.version() => {
                 match self.owners.shifted(&shift) {
@@ -560,8 +569,12 @@
         self.broker.counts.namings += 1;
         self.digest = owners.roster().digest();
         let before = std::mem::replace(&mut self.owners, owners);
-        for peer in self.owners.roster().since(before.roster()).1 {
-            self.broker.left(now, &peer.name);
+        // Who leaves lives, and so do its requests: what it has out stays out until it comes back. A stall knows of itself that it lives,
+        // whatever it is told.
+        for peer in self.owners.roster().gone_since(before.roster()) {
+            if peer.name != self.me.name {
+                self.broker.left(now, &peer.name);
+            }
             if self.away.len() < 10_000 {
                 self.away.insert(peer.name.clone(), peer.address.clone());
             }
@@ -619,7 +632,7 @@
                 continue;
             };
             let alive = |name: &str| {
-                self.owners.find(name).is_some()
+                self.owners.find_living(name).is_some()
                     && self.passed_over.get(name).is_none_or(|until| *until <= now)
             };
             if open.owner.as_deref().is_some_and(alive) {
@@ -669,10 +682,9 @@
 
     /// Mail to a stall came back: it is passed over for a while, and what it was asked goes to the next.
     pub fn returned(&mut self, now: Nanos, address: &str, notes: Vec<Note>) {
-        let Some(name) = self.owners.peers().iter().find(|p| p.address == address).map(|p| p.name.clone())
-        else {
-            return;
-        };
+        let roster = self.owners.roster();
+        let mut living = roster.peers().iter().chain(roster.leaving());
+        let Some(name) = living.find(|p| p.address == address).map(|p| p.name.clone()) else { return };
         self.passed_over.insert(name.clone(), now + PASSED_OVER);
         for note in notes {
             // It may have come all the same, late: a slot that was granted is not given to another on that account. Who did not hear of
--- a/broker/src/desk/passing.rs
+++ b/broker/src/desk/passing.rs
@@ -175,7 +175,7 @@
         if owner == self.me.name {
             return self.broker.held(now, owner, id, &instance, deadline);
         }
-        if let Some(to) = self.owners.find(&owner).map(|peer| peer.address.clone()) {
+        if let Some(to) = self.owners.find_living(&owner).map(|peer| peer.address.clone()) {
             self.held(now, to, id, service, instance, deadline);
         }
     }
--- a/broker/src/function.rs
+++ b/broker/src/function.rs
@@ -7,6 +7,7 @@
 mod dropped;
 mod floor;
 mod hardware;
+mod returned;
 mod succession;
 
 use std::collections::{BTreeSet, HashMap};
@@ -26,6 +27,7 @@
 
 use dropped::Dropped;
 pub(crate) use floor::Floor;
+use returned::Returned;
 use succession::EARLY;
 pub use succession::Parted;
 pub(crate) use succession::SETTLES;
@@ -84,6 +86,8 @@
     permits: HashMap<Key, Permit>,
     /// Permits that were told of before their instance was: by instance, until when each counts.
     early: HashMap<CompactString, Vec<(Key, Nanos, Nanos)>>,
+    /// Permits that came back before they were told of.
+    returned: Returned,
     /// No permit is overdue before.
     overdue: Nanos,
     /// Where each ask stands in its function's queue.
@@ -113,6 +117,7 @@
             homes: HashMap::new(),
             permits: HashMap::new(),
             early: HashMap::new(),
+            returned: Returned::default(),
             overdue: Nanos::MAX,
             queued: HashMap::new(),
             dropped: Dropped::default(),
@@ -395,6 +400,11 @@
         self.permits.contains_key(&key) || self.queued.contains_key(&key)
     }
 
+    /// Somebody has a permit here.
+    pub(crate) fn is_out(&self, who: &str, ask: u64) -> bool {
+        self.permits.contains_key(&(who.into(), ask))
+    }
+
     /// Somebody has a permit for this instance.
     pub fn is_out_at(&self, who: &str, ask: u64, instance: &str) -> bool {
         self.permits.get(&(who.into(), ask)).is_some_and(|permit| permit.instance == instance)
@@ -553,7 +563,9 @@
     /// A permit comes back.
     pub fn done(&mut self, now: Nanos, from: &str, ask: u64, outcome: Outcome, took: Nanos) {
         let key = (from.into(), ask);
-        let Some(permit) = self.permits.get_mut(&key) else { return };
+        let Some(permit) = self.permits.get_mut(&key) else {
+            return self.came_back(now, from, ask, outcome);
+        };
         let (at, service) = (permit.service, &mut self.services[permit.service]);
         if outcome.lingers() && !permit.lingers {
             if outcome == Outcome::Silent {
@@ -567,6 +579,10 @@
             return;
         }
         let Some(permit) = self.permits.remove(&key) else { return };
+        if !service.expects.is_empty() {
+            // An owner of before may tell of it once more.
+            self.returned.put(now, key);
+        }
         let target = service.function.as_ref().map_or(200 * MS, |f| f.target);
         let (mut lost, settles) = (false, now < service.settling + SETTLES);
         let unsure = service.place(&permit.instance).is_some_and(|p| service.unsure(now, p));
@@ -780,6 +796,7 @@
     /// Time passes: deadlines, what is needed, what is not.
     pub fn tick(&mut self, now: Nanos) {
         self.end_overdue(now);
+        self.returned.sweep(now);
         self.weigh(now);
         // One that is roused meanwhile is looked at the next time.
         for at in self.awake.clone() {
--- /dev/null
+++ b/broker/src/function/returned.rs
@@ -0,0 +1,48 @@
+//! Permits that came back before this owner had heard that they were out: mail of an owner of before may come in any order.
+//!
+//! Invariant: what has come back is not counted as out by late word of it, for as long as such word may be on its way; what is remembered
+//! is bounded.
+
+use std::collections::HashMap;
+
+use super::succession::{EARLY, MOST_EARLY};
+use super::{Broker, Key};
+use crate::{Nanos, Outcome};
+
+/// Those that are remembered, and since when.
+#[derive(Debug, Default)]
+pub(super) struct Returned(HashMap<Key, Nanos>);
+
+impl Returned {
+    pub(super) fn put(&mut self, now: Nanos, key: Key) {
+        if self.0.len() >= MOST_EARLY {
+            self.0.retain(|_, since| now < *since + EARLY);
+        }
+        if self.0.len() < MOST_EARLY {
+            self.0.insert(key, now);
+        }
+    }
+
+    fn has(&self, now: Nanos, key: &Key) -> bool {
+        self.0.get(key).is_some_and(|since| now < *since + EARLY)
+    }
+
+    /// Forgets what is too old.
+    pub(super) fn sweep(&mut self, now: Nanos) {
+        self.0.retain(|_, since| now < *since + EARLY);
+    }
+}
+
+impl Broker {
+    /// A permit came back that is not known to be out here. One that was not used says nothing: its ask may use another.
+    pub(crate) fn came_back(&mut self, now: Nanos, who: &str, ask: u64, outcome: Outcome) {
+        if outcome != Outcome::Unused {
+            self.returned.put(now, (who.into(), ask));
+        }
+    }
+
+    /// Word of a permit comes late: it has come back already.
+    pub(super) fn is_back(&self, now: Nanos, key: &Key) -> bool {
+        self.returned.has(now, key)
+    }
+}
--- a/broker/src/function/succession.rs
+++ b/broker/src/function/succession.rs
@@ -18,7 +18,7 @@
 const SETTLES_WITH: Nanos = 1_500 * MS;
 /// Permits of instances that are not known yet are remembered for so long, and only so many.
 pub(super) const EARLY: Nanos = 2 * SECOND;
-const MOST_EARLY: usize = 10_000;
+pub(super) const MOST_EARLY: usize = 10_000;
 
 /// What an owner parts with.
 #[derive(Debug, PartialEq)]
@@ -198,7 +198,7 @@
     /// used.
     pub fn held(&mut self, now: Nanos, from: CompactString, ask: u64, id: &str, until: Nanos) {
         let key = (from, ask);
-        if self.is_out_at(&key.0, ask, id) || self.permits.len() > 100_000 {
+        if self.is_out_at(&key.0, ask, id) || self.permits.len() > 100_000 || self.is_back(now, &key) {
             return;
         }
         self.forget(now, &key.0, ask);
--- a/broker/src/instance.rs
+++ b/broker/src/instance.rs
@@ -1,11 +1,14 @@
 //! One instance of a function as its owner sees it: what is out there, how long it takes, whether it is well.
 
+mod narrow;
+
 use std::collections::VecDeque;
 
 use compact_str::CompactString;
 use millpost::retry_probability;
 
 use crate::{MS, Nanos, Outcome, SECOND};
+use narrow::Narrow;
 
 /// Weight of a new sample in the averages (the paper's w_q).
 const WEIGHT: f64 = 0.2;
@@ -77,6 +80,8 @@
     pub behind: u8,
     /// Its worker is slow.
     pub slow: bool,
+    /// What is left of its slots after it was full by its own count.
+    narrow: Narrow,
     /// Nothing goes there before; grows with failures in a row.
     pub shunned: Nanos,
     fails: u32,
@@ -106,6 +111,7 @@
             told: now,
             behind: 0,
             slow: false,
+            narrow: Narrow::default(),
             shunned: 0,
             fails: 0,
             average: 0.0,
@@ -130,6 +136,11 @@
         }
     }
 
+    /// How many of all its slots may be used.
+    pub fn slots_left(&self, now: Nanos, all: usize) -> usize {
+        self.narrow.left_of(now, all)
+    }
+
     /// Requests may go there.
     pub fn open(&self) -> bool {
         self.of.stage == Stage::Ready && !self.leaving && !self.retired
@@ -180,8 +191,9 @@
             Outcome::Full => {
                 let full = self.average + t1 as f64;
                 self.sample(now, full);
-                // Somebody holds a slot that is not known here: a moment of rest.
+                // Somebody holds a slot that is not known here: a moment of rest, and that slot is left alone.
                 self.shunned = now + 15 * MS;
+                self.narrow.refused(now, self.out.len());
             }
             Outcome::NoAnswer | Outcome::Silent => {
                 self.sample(now, (took as f64).max(self.average));
--- a/broker/src/owners.rs
+++ b/broker/src/owners.rs
@@ -85,6 +85,11 @@
         self.roster.find(name)
     }
 
+    /// The stall of this name, if it lives: it may leave, and own nothing any more.
+    pub fn find_living(&self, name: &str) -> Option<&Peer> {
+        self.roster.find_living(name)
+    }
+
     /// How many.
     pub fn len(&self) -> usize {
         self.peers().len()
--- a/broker/src/passage.rs
+++ b/broker/src/passage.rs
@@ -135,6 +135,11 @@
         Step::Tell(Err(if self.may_have_run { Refusal::NoAnswer } else { Refusal::Full(SOON) }))
     }
 
+    /// The process ends: nothing more is sent anywhere, and its client is told at once.
+    pub fn ends(&mut self) -> Step<A> {
+        self.over(false)
+    }
+
     /// Its time ended before word came.
     pub fn late(&mut self) -> Step<A> {
         self.over(true)
@@ -313,6 +318,22 @@
         assert_eq!(step, Step::Tell(Err(Refusal::Late)));
     }
 
+    /// What waits when the process ends has not run, or may have, and its client is told which.
+    #[test]
+    fn when_the_process_ends_each_is_told_what_became_of_it() {
+        let mut waits = passage(true);
+        waits.begin(true);
+        assert_eq!(waits.ends(), Step::Tell(Err(Refusal::NotSent)));
+        let mut again = passage(true);
+        again.begin(true);
+        sent(&mut again, Outcome::NoAnswer, None);
+        assert_eq!(again.ends(), Step::Tell(Err(Refusal::NoAnswer)));
+        let mut failed = passage(true);
+        failed.begin(true);
+        sent(&mut failed, Outcome::Failed, Some(500));
+        assert_eq!(failed.ends(), Step::Tell(Ok(500)));
+    }
+
     #[test]
     fn with_nobody_to_ask_only_what_came_back_waits() {
         assert_eq!(passage(true).begin(false), Step::Tell(Err(Refusal::Empty)));
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -248,9 +248,9 @@
         }
         let most = |p: &Place| match self.owned {
             true if settles && p.found && !self.expects.is_empty() => 0,
-            true if settles && p.found => all.div_ceil(2),
+            true if settles && p.found => p.slots_left(now, all.div_ceil(2)),
             false if settles => 0,
-            _ if !self.unsure(now, p) => all,
+            _ if !self.unsure(now, p) => p.slots_left(now, all),
             _ if p.proven => (all / 4).max(1),
             _ if tries > 0 => 1,
             _ => 0,
--- a/broker/tests/leaving.rs
+++ b/broker/tests/leaving.rs
@@ -7,8 +7,9 @@
 use town::{ALL, CONCURRENCY, T, Town, instances, owner, peer};
 
 /// The view after these have left: they own nothing any more, and live.
-fn view_without(version: u64, stay: &[usize], _leaving: &[usize]) -> Note {
-    Note::Stalls { version: (1, version), peers: stay.iter().map(|n| peer(*n)).collect(), split: vec![] }
+fn view_without(version: u64, stay: &[usize], leaving: &[usize]) -> Note {
+    let peers = |of: &[usize]| of.iter().map(|n| peer(*n)).collect();
+    Note::Stalls { version: (1, version), peers: peers(stay), leaving: peers(leaving), split: vec![] }
 }
 
 fn name(n: usize) -> String {
--- a/broker/tests/town/mod.rs
+++ b/broker/tests/town/mod.rs
@@ -25,7 +25,8 @@
 
 pub fn stalls(version: u64, who: &[usize], split: bool) -> Note {
     let split = if split { vec!["f".into()] } else { vec![] };
-    Note::Stalls { version: (1, version), peers: who.iter().map(|n| peer(*n)).collect(), split }
+    let peers = who.iter().map(|n| peer(*n)).collect();
+    Note::Stalls { version: (1, version), peers, leaving: vec![], split }
 }
 
 pub fn owner(who: &[usize], split: bool, zone: &str) -> String {
--- a/broker/tests/waiting.rs
+++ b/broker/tests/waiting.rs
@@ -36,7 +36,15 @@
                 Terms { ratio: 0.2, window: 10 * SECOND, slack: 50.0, asks_per_s: 1e6, speeds: false };
             let mut desk = Desk::new(peer(n), terms, n as u64, 1_000 * n as u64);
             desk.configure(0, [spec("s"), spec("t")].into_iter());
-            desk.told(0, Note::Stalls { version: (1, 1), peers: vec![peer(0), peer(1)], split: vec![] });
+            desk.told(
+                0,
+                Note::Stalls {
+                    version: (1, 1),
+                    peers: vec![peer(0), peer(1)],
+                    leaving: vec![],
+                    split: vec![],
+                },
+            );
             let instance = |(id, service): (&str, &str)| Instance {
                 id: id.into(),
                 service: service.into(),
--- a/crier/src/line.rs
+++ b/crier/src/line.rs
@@ -418,7 +418,7 @@
             Note::Done { id: 1, outcome: "ok".into(), took: 12.3456789 },
             Note::Held { id: 2, service: "s".into(), instance: "i".into(), left: -7.0 / 9.0 },
             Note::Grant { id: 3, instance: "i".into(), address: "a:1".into(), zone: Some("b".into()) },
-            Note::Stalls { version: (1, 2), peers, split: vec![] },
+            Note::Stalls { version: (1, 2), peers, leaving: vec![], split: vec![] },
             Note::Over {
                 service: "s".into(),
                 version: (3, 4),
--- a/crier/src/note.rs
+++ b/crier/src/note.rs
@@ -185,6 +185,8 @@
         version: Version,
         /// All of them.
         peers: Vec<Peer>,
+        /// Those that own functions no more, and live still.
+        leaving: Vec<Peer>,
         /// Functions with an owner in each zone, in their order.
         split: Vec<CompactString>,
     },
@@ -315,6 +317,11 @@
     },
 }
 
+/// No key where there are none.
+pub(crate) fn peers_or_none(all: &[Peer]) -> JsonValue {
+    if all.is_empty() { JsonValue::Null } else { JsonValue::Array(all.iter().map(Peer::to_json).collect()) }
+}
+
 pub(crate) fn names(all: &[CompactString]) -> JsonValue {
     if all.is_empty() { JsonValue::Null } else { JsonValue::Array(all.iter().map(|n| text(n)).collect()) }
 }
@@ -492,10 +499,11 @@
             Note::Folded { revision, packed } => {
                 object([("t", text("folded")), ("v", n(revision)), ("z", text(packed))])
             }
-            Note::Stalls { version: v, peers, split } => object([
+            Note::Stalls { version: v, peers, leaving, split } => object([
                 ("t", text("stalls")),
                 ("v", version(*v)),
                 ("all", JsonValue::Array(peers.iter().map(Peer::to_json).collect())),
+                ("leaving", peers_or_none(leaving)),
                 ("split", names(split)),
             ]),
             Note::Shift(shift) => shift.to_json(),
@@ -615,6 +623,7 @@
             "stalls" => Note::Stalls {
                 version: read_version(from, "v")?,
                 peers: list(from, "all")?.iter().map(Peer::read).collect::<Result<_, _>>()?,
+                leaving: list(from, "leaving")?.iter().map(Peer::read).collect::<Result<_, _>>()?,
                 split: read_names(from, "split")?,
             },
             "shift" => Note::Shift(Shift::read(value)?),
@@ -727,7 +736,12 @@
             Note::Patch { revision: 4, change: text("y") },
             Note::Packed { revision: 4, packed: "eJ".to_owned() },
             Note::Folded { revision: 4, packed: "eJ".to_owned() },
-            Note::Stalls { version: (1, 2), peers: vec![peer.clone()], split: vec!["f".into()] },
+            Note::Stalls {
+                version: (1, 2),
+                peers: vec![peer.clone()],
+                leaving: vec![Peer { name: "edge-3".into(), ..peer.clone() }],
+                split: vec!["f".into()],
+            },
             Note::Instances {
                 version: (1, 2),
                 all: true,
@@ -765,8 +779,10 @@
             Note::Shift(Shift {
                 version: (2, 1),
                 from: (1, 2),
-                came: vec![peer],
+                came: vec![peer.clone()],
                 left: vec!["edge-2".into()],
+                leaving: vec![Peer { name: "edge-2".into(), ..peer }],
+                ended: vec!["edge-3".into()],
                 split: vec!["f".into()],
                 joined: vec!["g".into()],
             }),
--- a/crier/src/roster.rs
+++ b/crier/src/roster.rs
@@ -1,7 +1,10 @@
 //! The stalls that are alive, as control names them, and how one naming differs from the one before.
 //!
-//! Invariant: names stand in their order, none twice; a shift makes out of the naming that it goes from exactly the one that it leads
-//! to, or nothing.
+//! A stall that was told to end, or that operators took out, is *leaving*: it owns no function any more, but it lives, sees its requests
+//! through, and must be answered. Who stands in neither list is taken to be gone.
+//!
+//! Invariant: names stand in their order, none twice and none in both lists; a shift makes out of the naming that it goes from exactly
+//! the one that it leads to, or nothing.
 
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
@@ -11,7 +14,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 use crate::json::{Fault, list, object, text};
-use crate::note::{Note, Peer, Version, map, names, read_names, read_version, version};
+use crate::note::{Note, Peer, Version, map, names, peers_or_none, read_names, read_version, version};
 
 /// Stalls in a naming, and functions that are split; a shift that leads to more is none.
 const MOST: usize = 10_000;
@@ -21,6 +24,7 @@
 pub struct Roster {
     version: Version,
     peers: Vec<Peer>,
+    leaving: Vec<Peer>,
     split: BTreeSet<CompactString>,
 }
 
@@ -33,8 +37,12 @@
     pub from: Version,
     /// Stalls that are new, or have moved.
     pub came: Vec<Peer>,
-    /// Names of those that are gone.
+    /// Names of those that own functions no more: they leave, or are gone.
     pub left: Vec<CompactString>,
+    /// Stalls that leave from now on, or have moved meanwhile.
+    pub leaving: Vec<Peer>,
+    /// Names of those that left, and are gone now.
+    pub ended: Vec<CompactString>,
     /// Functions that have an owner in each zone from now on.
     pub split: Vec<CompactString>,
     /// ... and no more.
@@ -43,15 +51,16 @@
 
 impl Roster {
     /// Of these stalls, in any order; of two of one name the last counts.
-    pub fn new(
-        version: Version,
-        mut peers: Vec<Peer>,
-        split: impl IntoIterator<Item = CompactString>,
-    ) -> Self {
-        peers.reverse();
-        peers.sort_by(|a, b| a.name.cmp(&b.name));
-        peers.dedup_by(|a, b| a.name == b.name);
-        Roster { version, peers, split: split.into_iter().collect() }
+    pub fn new(version: Version, peers: Vec<Peer>, split: impl IntoIterator<Item = CompactString>) -> Self {
+        Roster { version, peers: in_order(peers), leaving: Vec::new(), split: split.into_iter().collect() }
+    }
+
+    /// The same, with these stalls leaving; those that are named are not.
+    #[must_use]
+    pub fn with_leaving(mut self, mut leaving: Vec<Peer>) -> Self {
+        leaving.retain(|peer| self.find(&peer.name).is_none());
+        self.leaving = in_order(leaving);
+        self
     }
 
     /// Fence of the steward that named them, and its count.
@@ -69,10 +78,24 @@
         &self.split
     }
 
-    /// Where a stall of this name stands among them.
+    /// The stalls that leave, in the order of their names.
+    pub fn leaving(&self) -> &[Peer] {
+        &self.leaving
+    }
+
+    /// The stall of this name, if it is named.
     pub fn find(&self, name: &str) -> Option<&Peer> {
-        let at = self.peers.binary_search_by(|p| p.name.as_str().cmp(name)).ok()?;
-        self.peers.get(at)
+        find(&self.peers, name)
+    }
+
+    /// The stall of this name, if it lives: it is named, or leaves.
+    pub fn find_living(&self, name: &str) -> Option<&Peer> {
+        self.find(name).or_else(|| find(&self.leaving, name))
+    }
+
+    /// The stalls that lived by the naming before, and do no more.
+    pub fn gone_since<'a>(&'a self, before: &'a Roster) -> impl Iterator<Item = &'a Peer> {
+        before.peers.iter().chain(&before.leaving).filter(|peer| self.find_living(&peer.name).is_none())
     }
 
     /// The same stalls and functions have the same digest, under whatever version.
@@ -88,45 +111,40 @@
         }
         add("");
         self.split.iter().for_each(|name| add(name));
+        // Where nobody leaves the digest is as it was before there was that list.
+        if !self.leaving.is_empty() {
+            add("");
+            for peer in &self.leaving {
+                [&peer.name, &peer.address, &peer.zone].into_iter().for_each(|text| add(text));
+            }
+        }
         all.digest()
     }
 
     /// All of it, for who has nothing.
     pub fn note(&self) -> Note {
         let split = self.split.iter().cloned().collect();
-        Note::Stalls { version: self.version, peers: self.peers.clone(), split }
+        let (peers, leaving) = (self.peers.clone(), self.leaving.clone());
+        Note::Stalls { version: self.version, peers, leaving, split }
     }
 
     /// Stalls that are new here or have moved since, and those of before that are gone.
     pub fn since<'a>(&'a self, before: &'a Roster) -> (Vec<&'a Peer>, Vec<&'a Peer>) {
-        let (mut came, mut left) = (Vec::new(), Vec::new());
-        let (mut here, mut there) = (self.peers.iter().peekable(), before.peers.iter().peekable());
-        loop {
-            let order = match (here.peek(), there.peek()) {
-                (Some(a), Some(b)) => a.name.cmp(&b.name),
-                (Some(_), None) => Ordering::Less,
-                (None, Some(_)) => Ordering::Greater,
-                (None, None) => return (came, left),
-            };
-            match order {
-                Ordering::Less => came.extend(here.next()),
-                Ordering::Greater => left.extend(there.next()),
-                Ordering::Equal => {
-                    let (a, b) = (here.next(), there.next());
-                    came.extend(a.filter(|_| a != b));
-                }
-            }
-        }
+        differ(&self.peers, &before.peers)
     }
 
     /// How this differs from the naming before.
     pub fn shift(&self, before: &Roster) -> Shift {
         let (came, left) = self.since(before);
+        let (leaving, _) = differ(&self.leaving, &before.leaving);
+        let ended = before.leaving.iter().filter(|p| self.find_living(&p.name).is_none());
         Shift {
             version: self.version,
             from: before.version,
             came: came.into_iter().cloned().collect(),
             left: left.into_iter().map(|p| p.name.clone()).collect(),
+            leaving: leaving.into_iter().cloned().collect(),
+            ended: ended.map(|p| p.name.clone()).collect(),
             split: self.split.difference(&before.split).cloned().collect(),
             joined: before.split.difference(&self.split).cloned().collect(),
         }
@@ -134,8 +152,9 @@
 
     /// The naming that a shift leads to; none where it goes from another than this one, or leads to too many.
     pub fn shifted(&self, shift: &Shift) -> Option<Roster> {
-        let too_many =
-            self.peers.len() + shift.came.len() > MOST || self.split.len() + shift.split.len() > MOST;
+        let too_many = self.peers.len() + shift.came.len() > MOST
+            || self.leaving.len() + shift.leaving.len() > MOST
+            || self.split.len() + shift.split.len() > MOST;
         if shift.from != self.version || too_many {
             return None;
         }
@@ -143,9 +162,47 @@
             shift.left.iter().chain(shift.came.iter().map(|p| &p.name)).map(CompactString::as_str).collect();
         let stay = self.peers.iter().filter(|p| !gone.contains(p.name.as_str()));
         let peers = stay.chain(&shift.came).cloned().collect();
+        let ended: BTreeSet<_> = shift.ended.iter().collect();
+        let leave = self.leaving.iter().filter(|p| !ended.contains(&p.name)).chain(&shift.leaving);
+        let leaving = leave.cloned().collect();
         let joined: BTreeSet<_> = shift.joined.iter().collect();
         let split = self.split.iter().filter(|name| !joined.contains(name)).chain(&shift.split);
-        Some(Roster::new(shift.version, peers, split.cloned()))
+        Some(Roster::new(shift.version, peers, split.cloned()).with_leaving(leaving))
+    }
+}
+
+/// In the order of their names; of two of one name the last counts.
+fn in_order(mut peers: Vec<Peer>) -> Vec<Peer> {
+    peers.reverse();
+    peers.sort_by(|a, b| a.name.cmp(&b.name));
+    peers.dedup_by(|a, b| a.name == b.name);
+    peers
+}
+
+fn find<'a>(peers: &'a [Peer], name: &str) -> Option<&'a Peer> {
+    let at = peers.binary_search_by(|p| p.name.as_str().cmp(name)).ok()?;
+    peers.get(at)
+}
+
+/// Of two lists in order: those that are new here or have moved since, and those of there that are here no more.
+fn differ<'a>(here: &'a [Peer], there: &'a [Peer]) -> (Vec<&'a Peer>, Vec<&'a Peer>) {
+    let (mut came, mut left) = (Vec::new(), Vec::new());
+    let (mut here, mut there) = (here.iter().peekable(), there.iter().peekable());
+    loop {
+        let order = match (here.peek(), there.peek()) {
+            (Some(a), Some(b)) => a.name.cmp(&b.name),
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (None, None) => return (came, left),
+        };
+        match order {
+            Ordering::Less => came.extend(here.next()),
+            Ordering::Greater => left.extend(there.next()),
+            Ordering::Equal => {
+                let (a, b) = (here.next(), there.next());
+                came.extend(a.filter(|_| a != b));
+            }
+        }
     }
 }
 
@@ -156,16 +213,14 @@
 
 impl Shift {
     pub(crate) fn to_json(&self) -> JsonValue {
-        let came = match self.came.as_slice() {
-            [] => JsonValue::Null,
-            all => JsonValue::Array(all.iter().map(Peer::to_json).collect()),
-        };
         object([
             ("t", text("shift")),
             ("v", version(self.version)),
             ("from", version(self.from)),
-            ("came", came),
+            ("came", peers_or_none(&self.came)),
             ("left", names(&self.left)),
+            ("leaving", peers_or_none(&self.leaving)),
+            ("ended", names(&self.ended)),
             ("split", names(&self.split)),
             ("joined", names(&self.joined)),
         ])
@@ -178,6 +233,8 @@
             from: read_version(of, "from")?,
             came: list(of, "came")?.iter().map(Peer::read).collect::<Result<_, _>>()?,
             left: read_names(of, "left")?,
+            leaving: list(of, "leaving")?.iter().map(Peer::read).collect::<Result<_, _>>()?,
+            ended: read_names(of, "ended")?,
             split: read_names(of, "split")?,
             joined: read_names(of, "joined")?,
         })
@@ -201,7 +258,8 @@
         let bit = |n: u64| draw >> n & 1 == 1;
         let peers = (0..10).filter(|n| bit(*n)).map(|n| peer(n, u64::from(bit(n + 10))));
         let split = (0..4).filter(|n| bit(n + 20)).map(|n| format!("f{n}").into());
-        Roster::new((1, count), peers.collect(), split)
+        let leaving = (0..10).filter(|n| bit(n + 21)).map(|n| peer(n, u64::from(bit(n + 10))));
+        Roster::new((1, count), peers.collect(), split).with_leaving(leaving.collect())
     }
 
     #[test]
@@ -216,9 +274,17 @@
             assert_eq!(read, Ok(Note::Shift(shift.clone())));
             assert_eq!(before.shifted(&shift).as_ref(), Some(&after));
             assert_eq!(after.shifted(&shift), None, "it goes from another");
-            let same = after.peers == before.peers && after.split == before.split;
+            let same = (&after.peers, &after.split, &after.leaving)
+                == (&before.peers, &before.split, &before.leaving);
             assert_eq!(after.digest() == before.digest(), same);
             assert_eq!(shift.came.is_empty() && shift.left.is_empty(), after.peers == before.peers);
+            let lived = |n: u64| before.find_living(&peer(n, 0).name).is_some();
+            let lives = |n: u64| after.find_living(&peer(n, 0).name).is_some();
+            let gone: Vec<_> = after.gone_since(&before).map(|p| p.name.clone()).collect();
+            let expected: BTreeSet<_> =
+                (0..10).filter(|n| lived(*n) && !lives(*n)).map(|n| peer(n, 0).name).collect();
+            assert_eq!(gone.iter().cloned().collect::<BTreeSet<_>>(), expected);
+            assert!(after.leaving.iter().all(|p| after.find(&p.name).is_none()), "none in both lists");
             before = after;
         }
     }
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -267,7 +267,7 @@
 }
 
 fn owned(asked: &Asked, large: bool) -> bool {
-    let more = if large { [owners::large(), owners::open()].concat() } else { Vec::new() };
+    let more = if large { owners::large() } else { Vec::new() };
     let named = |case: owners::Case| (case.name, Some(owners::DEVIATIONS), move |fault| case.start(fault));
     let small: Vec<_> = owners::cases().into_iter().map(named).collect();
     let large: Vec<_> = more.into_iter().map(named).collect();
--- a/explore/src/owners.rs
+++ b/explore/src/owners.rs
@@ -41,10 +41,13 @@
     OverIsEmpty,
     /// Owners take an instance to have a slot more than it has.
     OneSlotTooMany,
+    /// A proxy that leaves is said to be gone.
+    LeavesAsGone,
 }
 
 /// Each fault, and a word of the worlds in which it is looked for.
-pub const FAULTS: [(Fault, &str); 2] = [(Fault::OverIsEmpty, "owners"), (Fault::OneSlotTooMany, "owners")];
+pub const FAULTS: [(Fault, &str); 3] =
+    [(Fault::OverIsEmpty, "owners"), (Fault::OneSlotTooMany, "owners"), (Fault::LeavesAsGone, "one leaves")];
 
 /// Steps off a calm day, unless more are asked for.
 pub const DEVIATIONS: u8 = 3;
@@ -67,10 +70,14 @@
 /// Worlds in which all holds.
 pub fn cases() -> Vec<Case> {
     let case = |name, instances, asks| Case { name, instances, asks, leaves: false, ends: false };
+    let one = |name, leaves, ends| Case { leaves, ends, ..case(name, 1, [1, 1, 0]) };
     vec![
         case("owners: one comes, one slot, two asks", 1, [1, 1, 0]),
         case("owners: one comes, the newcomer asks too", 1, [0, 1, 1]),
         case("owners: one comes, two slots, an ask of each", 2, [1, 1, 1]),
+        one("owners: one leaves, one slot, two asks", true, false),
+        one("owners: one comes, and all ends", false, true),
+        one("owners: one leaves, and all ends", true, true),
     ]
 }
 
@@ -80,15 +87,6 @@
     vec![Case { name, instances: 2, asks: [0, 2, 0], leaves: false, ends: false }]
 }
 
-/// Worlds in which something does not hold as the program is, with its cause in the roadmap: what is mended moves up.
-pub fn open() -> Vec<Case> {
-    let case = |name, leaves, ends| Case { name, instances: 1, asks: [1, 1, 0], leaves, ends };
-    vec![
-        case("owners, open: one comes, and all ends", false, true),
-        case("owners, open: one leaves", true, false),
-    ]
-}
-
 /// One thing that happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Step {
@@ -201,12 +199,14 @@
 impl World {
     fn naming(&self, version: u64) -> Note {
         let [old, other, new] = self.names;
-        let who = match (version, self.case.leaves) {
-            (1, _) => vec![old, other],
-            (_, true) => vec![other, new],
-            (_, false) => vec![old, other, new],
+        let (stay, leave) = match (version, self.case.leaves) {
+            (1, _) => (vec![old, other], vec![]),
+            (_, true) if self.fault == Some(Fault::LeavesAsGone) => (vec![other, new], vec![]),
+            (_, true) => (vec![other, new], vec![old]),
+            (_, false) => (vec![old, other, new], vec![]),
         };
-        Note::Stalls { version: (1, version), peers: who.into_iter().map(peer).collect(), split: vec![] }
+        let peers = |of: Vec<usize>| of.into_iter().map(peer).collect();
+        Note::Stalls { version: (1, version), peers: peers(stay), leaving: peers(leave), split: vec![] }
     }
 
     fn instances(&self, version: u64) -> Note {
--- a/porter/src/newest.rs
+++ b/porter/src/newest.rs
@@ -100,11 +100,11 @@
                     _ => Taken::Unread(format!("change to {revision} can't be unpacked")),
                 }
             }
-            Note::Stalls { version, peers, split } => {
+            Note::Stalls { version, peers, leaving, split } => {
                 if self.stalls.version() >= version {
                     return Taken::Old;
                 }
-                self.stalls = Roster::new(version, peers, split);
+                self.stalls = Roster::new(version, peers, split).with_leaving(leaving);
                 Taken::News(self.stalls.note())
             }
             Note::Shift(shift) if self.stalls.version() >= shift.version => Taken::Old,
--- a/porter/tests/round.rs
+++ b/porter/tests/round.rs
@@ -45,7 +45,7 @@
 
 fn stalls(version: (u64, u64)) -> Note {
     let peers = vec![Peer { name: "edge-1".into(), address: "10.0.1.1:7760".into(), zone: "a".into() }];
-    Note::Stalls { version, peers, split: vec![] }
+    Note::Stalls { version, peers, leaving: vec![], split: vec![] }
 }
 
 fn shift(from: (u64, u64), version: (u64, u64), came: &[&str], left: &[&str]) -> Note {
--- a/stall/src/figures.rs
+++ b/stall/src/figures.rs
@@ -7,9 +7,7 @@
 
 use hyper::StatusCode;
 use millpost_barrow::figures::Figures;
-use millpost_broker::{Counts, Desk, MS, Nanos, Outcome};
-
-use crate::signals::Phase;
+use millpost_broker::{Counts, Desk, MS, Nanos, Outcome, Phase};
 
 /// Open requests that are told one by one when a process ends.
 const TOLD_AT_THE_END: usize = 20;
--- a/stall/src/front.rs
+++ b/stall/src/front.rs
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioTimer;
 use millpost_barrow::room::{Room, Seat};
 use millpost_barrow::serving::serve_one;
-use millpost_broker::{MS, Outcome, Passage, Refusal, Step, Trail, Wish};
+use millpost_broker::{MS, Outcome, Passage, Phase, Refusal, Step, Trail, Wish};
 use millpost_tariff::{Route, Traffic};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -27,9 +27,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::errors::Kind;
-use crate::pool::{ATTEMPT, Call, DEADLINE};
+use crate::pool::{ATTEMPT, Call, DEADLINE, Exchange};
 use crate::shop::{Force, Shop};
-use crate::signals::Phase;
 use crate::trail::Follow;
 
 /// A body that has not come after this does not come.
@@ -93,7 +92,7 @@
         let (shop, seat, phase) = (Rc::clone(&shop), Rc::clone(&seat), phase.clone());
         Box::pin(async move {
             seat.reading();
-            let mut answer = answer(&shop, request, &seat).await;
+            let mut answer = answer(&shop, request, &seat, &End(phase.clone())).await;
             shop.counters.answered(answer.status());
             seat.idle();
             if *phase.borrow() >= Phase::Leaving || shop.rests() {
@@ -129,10 +128,34 @@
     response
 }
 
-async fn answer(shop: &Rc<Shop>, request: Request<Incoming>, seat: &Seat) -> Response<Full<Bytes>> {
+/// The end of the process, as a request waits for it.
+struct End(watch::Receiver<Phase>);
+
+impl End {
+    /// Waits for that phase; for ever where nothing leads to it any more.
+    async fn comes(&self, phase: Phase) {
+        let mut phases = self.0.clone();
+        if phases.wait_for(|p| *p >= phase).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+async fn answer(
+    shop: &Rc<Shop>,
+    request: Request<Incoming>,
+    seat: &Seat,
+    end: &End,
+) -> Response<Full<Bytes>> {
     let came = Instant::now();
     let attempt = if shop.records() { request.headers().get(&ATTEMPT).cloned() } else { None };
-    match read(shop, request, came).await {
+    // What does not come in whole before the end is not passed on any more.
+    let read = tokio::select! {
+        biased;
+        read = read(shop, request, came) => read,
+        () = end.comes(Phase::Refusing) => Err(Kind::Slow),
+    };
+    match read {
         Err(kind) => {
             if shop.records() {
                 let attempt =
@@ -144,7 +167,7 @@
         Ok(asked) => {
             seat.answering();
             shop.counters.read();
-            match see_through(shop, asked, came).await {
+            match see_through(shop, asked, came, end).await {
                 Ok(answer) => {
                     let (mut head, body) = answer.into_parts();
                     strip(&mut head.headers);
@@ -258,7 +281,12 @@
 }
 
 /// The tries of one request, to its end: what the passage decides is carried out.
-async fn see_through(shop: &Rc<Shop>, asked: Asked, came: Instant) -> Result<Response<Bytes>, Kind> {
+async fn see_through(
+    shop: &Rc<Shop>,
+    asked: Asked,
+    came: Instant,
+    end: &End,
+) -> Result<Response<Bytes>, Kind> {
     let Asked { request, route, service, force, deadline, returned } = asked;
     let repeatable = route.traffic == Traffic::Idempotent;
     let mut most = force.idle.get(&service).copied().unwrap_or(1);
@@ -292,16 +320,25 @@
                 follow.step(now, |p| Trail::Moved { p, to: to.clone() });
                 passage.moved(now, to)
             }
-            Step::Wait(at) => {
-                sleep_until(shop.moment(at)).await;
-                passage.ask()
-            }
+            Step::Wait(at) => tokio::select! {
+                () = sleep_until(shop.moment(at)) => passage.ask(),
+                () = end.comes(Phase::Refusing) => passage.ends(),
+            },
             Step::Ask(ask, first) => match shop.ask(ask, first, follow.number()) {
                 None => passage.unasked(),
                 Some((id, word)) => {
                     let permit =
                         Permit { shop, id, outcome: Cell::new(Outcome::Unused), since: Cell::new(None) };
-                    match timeout_at(deadline, word).await {
+                    let word = tokio::select! {
+                        biased;
+                        word = timeout_at(deadline, word) => word,
+                        () = end.comes(Phase::Refusing) => {
+                            follow.step(shop.now(), |p| Trail::Late { p });
+                            step = passage.ends();
+                            continue;
+                        }
+                    };
+                    match word {
                         Ok(Ok(Ok((instance, address)))) => {
                             let begun = Instant::now();
                             let since = shop.at(begun);
@@ -311,7 +348,11 @@
                             let within = shop.margins.borrow().within(&passage.wish().service);
                             let until = passage.waits(since, within).map(|at| shop.moment(at));
                             let call = Call { request: &request, once: !repeatable, deadline, until, most };
-                            let done = shop.pool.exchange(&instance, address, call).await;
+                            let done = tokio::select! {
+                                biased;
+                                done = shop.pool.exchange(&instance, address, call) => done,
+                                () = end.comes(Phase::Ending) => Exchange::cut(),
+                            };
                             permit.outcome.set(done.outcome);
                             shop.took(&passage.wish().service, done.outcome, begun);
                             shop.counters.tried(done.outcome);
--- a/stall/src/opening.rs
+++ b/stall/src/opening.rs
@@ -8,6 +8,7 @@
 use millpost_barrow::figures;
 use millpost_barrow::mail::{self, Limits, Reply};
 use millpost_barrow::room::Room;
+use millpost_broker::Phase;
 use snafu::{OptionExt, ResultExt};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
@@ -15,7 +16,6 @@
 use crate::errors::{Error, ListenSnafu, NeededSnafu};
 use crate::front;
 use crate::shop::{Input, Shop, loopback};
-use crate::signals::Phase;
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).await.context(ListenSnafu { address: address.to_string() })
--- a/stall/src/pool.rs
+++ b/stall/src/pool.rs
@@ -77,6 +77,11 @@
 }
 
 impl Exchange {
+    /// One that is waited for no more: its request may be running.
+    pub fn cut() -> Self {
+        Exchange::of(Outcome::LeftAlone, true)
+    }
+
     fn of(outcome: Outcome, sent: bool) -> Self {
         Exchange { outcome, sent, refused: false, answer: None }
     }
--- a/stall/src/shop.rs
+++ b/stall/src/shop.rs
@@ -12,8 +12,8 @@
 use millpost_barrow::figures;
 use millpost_barrow::mail::{self, Bounds, Call, Event, Incarnation, Post, Reply, To};
 use millpost_broker::{
-    Ask, MS, Margins, Nanos, No, Out, Outcome, Patience, Peer, Sink, Spec, Taped as Desk, Terms, Trail,
-    asks_per_s,
+    Ask, MS, Margins, Nanos, No, Out, Outcome, Patience, Peer, Phase, Sink, Spec, Taped as Desk, Terms,
+    Trail, asks_per_s,
 };
 use millpost_crier::frame::Head;
 use millpost_crier::{Letter, Note, object, text};
@@ -27,7 +27,6 @@
 use crate::figures::Counters;
 use crate::pool::Pool;
 use crate::rest::Rest;
-use crate::signals::Phase;
 
 /// How often what is due is looked for.
 const TICK: Duration = Duration::from_millis(25);
@@ -402,7 +401,7 @@
             return Reply::empty(StatusCode::OK);
         }
         // What is to be said in return goes with the answer, and needs no mail of its own.
-        let address = self.desk.borrow().owners().find(&letter.from).map(|p| p.address.clone());
+        let address = self.desk.borrow().address(&letter.from).cloned();
         self.mail(&letter.from, letter.life, between);
         *self.replying.borrow_mut() = address.map(|address| (address, Vec::new()));
         self.carry_out();
@@ -432,7 +431,7 @@
 
     /// Another stall knows this one by a later life.
     fn raise_incarnation(&self, by: &str, known: u64) {
-        let Some(address) = self.desk.borrow().owners().find(by).map(|p| p.address.clone()) else { return };
+        let Some(address) = self.desk.borrow().address(by).cloned() else { return };
         if self.incarnation_for(&address).raise_above(known) {
             log::warn!("{by} knows this stall by a later life: the time of day has stepped back");
         }
