--- a/arcade/tests/rules.rs
+++ b/arcade/tests/rules.rs
@@ -6,6 +6,13 @@
 use millpost_arcade::site::Size;
 use millpost_arcade::{MS, SECOND};
 
+/// The edge machines of a homework site are told to end one after the other, and once more, under this load.
+fn rolled(seed: u64, load: f64) -> Plan {
+    let roll = What::EdgeRoll { share: 1.0, every: 1_300 * MS };
+    let plan = Plan { homework: Some(load), strict: true, ..Plan::quiet(seed, Size::Small) };
+    plan.with(8 * SECOND, roll.clone()).with(17 * SECOND, roll)
+}
+
 /// A day on which a guard has something to keep.
 fn day(seed: u64, plant: Plant) -> Plan {
     let quiet = Plan::quiet(seed, Size::Small);
@@ -30,6 +37,8 @@
         Plant::Lenient => {
             (8..20).fold(quiet, |plan, at| plan.with(at * SECOND, What::ConfigRaceOf { count: 8 }))
         }
+        Plant::Forsaken => rolled(seed, 4.0),
+        Plant::Mute => rolled(seed, 1.0),
         Plant::Surly | Plant::Crowded | Plant::Unexpected | Plant::Renamed => quiet,
     };
     Plan { plant: Some(plant), ..plan }
@@ -51,6 +60,8 @@
     lost_request = { Plant::Hurried, "LOST" },
     denied = { Plant::Surly, "DENIED" },
     two_contents = { Plant::Lenient, "CONFIG" },
+    given_twice = { Plant::Forsaken, "LIMIT" },
+    lost_at_the_end = { Plant::Mute, "LOST" },
 )]
 fn a_rule_breaks_without_its_guard_and_holds_with_it(plant: Plant, rule: &str) {
     let mut seeds = 1..40;
--- a/fair/src/lib.rs
+++ b/fair/src/lib.rs
@@ -5,6 +5,7 @@
 //! made to search through the system before it answers.
 
 pub mod programs;
+pub mod soak;
 mod still;
 
 pub use still::fairly;
@@ -103,11 +104,20 @@
     /// # Panics
     /// Where something can't be built or started.
     pub async fn open(bounds: Bounds) -> Self {
+        Self::open_with(bounds, 1).await
+    }
+
+    /// The same with so many edge machines in each zone.
+    ///
+    /// # Panics
+    /// Where something can't be built or started.
+    pub async fn open_with(bounds: Bounds, edges: usize) -> Self {
         // The first build takes minutes, and others wait for it.
         let programs =
             tokio::task::spawn_blocking(programs::programs).await.expect("it ends").expect("programs");
         let auditor = Auditor::new(bounds.clone());
-        let mut shape = settings::Shape { bounds, ..settings::Shape::small(([127, 0, 0, 1], 1).into()) };
+        let mut shape =
+            settings::Shape { bounds, edges, ..settings::Shape::small(([127, 0, 0, 1], 1).into()) };
         let workers = platform::Shape::small(&shape.zones, 2);
         let platform = Platform::start(workers, &library(0), auditor.clone()).await.expect("a platform");
         shape.platform = platform.address;
--- a/standins/src/market/client.rs
+++ b/standins/src/market/client.rs
@@ -226,6 +226,16 @@
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// The dispatchers that get new connections now.
+    pub fn up(&self) -> Vec<usize> {
+        (0..self.doors.len()).filter(|n| self.doors[*n].up.load(Ordering::Relaxed)).collect()
+    }
+
+    /// Who is told of what clients see.
+    pub fn auditor(&self) -> &Auditor {
+        &self.auditor
+    }
+
     /// The door for a client's connection: of its zone, by its hash; a later try's is another.
     fn door(&self, client: u64, attempt: usize) -> usize {
         let zone = &self.zones[client as usize % self.zones.len()];
