--- a/fair/src/bin/soak.rs
+++ b/fair/src/bin/soak.rs
@@ -23,7 +23,7 @@
     #[argh(option, default = "2")]
     edges: usize,
     /// clients with a connection each
-    #[argh(option, default = "40")]
+    #[argh(option, default = "100")]
     clients: usize,
     /// kill and freeze processes too
     #[argh(switch)]
--- a/fair/src/soak.rs
+++ b/fair/src/soak.rs
@@ -33,7 +33,7 @@
 /// A worker that was emptied takes endpoints again after this.
 const WORKER_BACK: Duration = Duration::from_secs(6);
 /// Rare functions beside those of the library.
-const RARE: usize = 12;
+const RARE: usize = 120;
 /// A service that changes drop and bring back.
 const TOGGLED: &str = "reading-room";
 
@@ -59,6 +59,8 @@
     pub tries: BTreeMap<String, usize>,
     /// Answers by status.
     pub answers: BTreeMap<u16, usize>,
+    /// Requests that endpoints turned away as full.
+    pub turned_away: usize,
     /// Things that were done.
     pub acts: usize,
     /// Processes at once.
@@ -73,12 +75,13 @@
     /// One line, and one for each broken rule.
     pub fn to_text(&self, seed: u64) -> String {
         let mut text = format!(
-            "seed {seed}: {} acts, {} processes, {} MB, tries {:?}, answers {:?}, {}\n",
+            "seed {seed}: {} acts, {} processes, {} MB, tries {:?}, answers {:?}, {} turned away, {}\n",
             self.acts,
             self.processes,
             self.memory_mb,
             self.tries,
             self.answers,
+            self.turned_away,
             if self.broken.is_empty() { "no rule broken" } else { "BROKEN" },
         );
         for broken in &self.broken {
@@ -111,15 +114,25 @@
     let mut fair = Fair::open_with(Bounds::default(), setup.edges).await;
     let every = configuration(1, true);
     fair.platform.knows(&every);
-    let slow = Manner { work: Duration::from_millis(60), spread: 0.5, ..Manner::default() };
-    every.services.iter().for_each(|service| fair.platform.behave(&service.name, &slow));
+    for service in &every.services {
+        let busy = library(0).services.iter().any(|function| function.name == service.name);
+        let work = Duration::from_millis(if busy { 250 } else { 60 });
+        let manner = Manner { work, spread: 0.5, ..Manner::default() };
+        fair.platform.behave(&service.name, &manner);
+    }
     fair.put(&every).await;
     fair.is_ready().await;
     let over = Arc::<AtomicBool>::default();
-    let orders: Vec<Order> = every.routes.iter().map(Order::on).collect();
+    let (common, rare) = every.routes.split_at(library(0).routes.len());
+    let orders = |of: &[Route]| of.iter().map(Order::on).collect::<Vec<_>>();
     let mut clients = JoinSet::new();
     for n in 0..setup.clients {
-        let kept = Kept { clients: fair.clients.clone(), orders: orders.clone(), over: over.clone() };
+        let kept = Kept {
+            clients: fair.clients.clone(),
+            common: orders(common),
+            rare: orders(rare),
+            over: over.clone(),
+        };
         clients.spawn(kept.run(setup.seed ^ (n as u64 + 1) << 32));
     }
     let mut run = Run::begin(&fair, setup);
@@ -289,6 +302,7 @@
             }
         }
         let audit: Audit = fair.auditor.verdict();
+        self.report.turned_away = audit.full;
         self.report.broken.extend(audit.broken.iter().map(Broken::to_string));
         self.report.broken.extend(self.refused.lock().unwrap_or_else(|e| e.into_inner()).drain(..));
         if audit.served * 10 < seen.len() * 7 {
--- a/fair/src/soak/kept.rs
+++ b/fair/src/soak/kept.rs
@@ -22,8 +22,10 @@
 pub struct Kept {
     /// Who deals connections out.
     pub clients: Arc<Clients>,
-    /// What it asks for.
-    pub orders: Vec<Order>,
+    /// What it asks for mostly,
+    pub common: Vec<Order>,
+    /// ... and now and then: most of these functions have no instance.
+    pub rare: Vec<Order>,
     /// Set once it is to end.
     pub over: Arc<AtomicBool>,
 }
@@ -56,7 +58,8 @@
         seen: &mut Vec<Seen>,
     ) {
         while !self.over.load(Ordering::Relaxed) {
-            let order = &self.orders[rng.random_range(0..self.orders.len())];
+            let among = if rng.random_range(0..5) < 3 { &self.common } else { &self.rare };
+            let order = &among[rng.random_range(0..among.len())];
             let Some(one) = self.ask(&mut connection, edge, order, rng).await else { return };
             let keeps = matches!(one.0.end, End::Answer(_)) && one.1;
             seen.push(one.0);
