--- a/fair/src/soak.rs
+++ b/fair/src/soak.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use millpost_standins::link::Weather;
 use millpost_standins::market::auditor::{Broken, Verdict as Audit};
 use millpost_standins::market::client::Order;
 use millpost_standins::market::function::Manner;
@@ -170,6 +171,7 @@
     restarts: Vec<(Instant, usize, Role)>,
     thaws: Vec<(Instant, usize, Role)>,
     workers_back: Vec<(Instant, String)>,
+    platform_back: Option<Instant>,
     trouble: Vec<(usize, std::ops::Range<Duration>)>,
     report: Report,
 }
@@ -195,6 +197,7 @@
             restarts: Vec::new(),
             thaws: Vec::new(),
             workers_back: Vec::new(),
+            platform_back: None,
             trouble: Vec::new(),
             report: Report { processes, ..Report::default() },
         }
@@ -237,6 +240,9 @@
             let at = fair.fleet.at(machine, role);
             fair.fleet.processes[at].thaw();
         }
+        if self.platform_back.take_if(|at| *at <= now).is_some() {
+            fair.platform.weather(Weather::Clear);
+        }
         for (_, worker) in self.workers_back.extract_if(.., |(at, _)| *at <= now) {
             fair.platform.worker_is_back(&worker);
         }
@@ -265,6 +271,10 @@
                 fair.platform.drain_worker(&worker);
                 self.workers_back.push((Instant::now() + WORKER_BACK, worker));
             }
+            Act::Platform(lasts) => {
+                fair.platform.weather(Weather::Hang);
+                self.platform_back = Some(Instant::now() + lasts);
+            }
             Act::Kill(n, part) => {
                 self.strikes(fair, n, Duration::from_secs(1));
                 fair.fleet.nth(role(part), n).kill();
--- a/fair/src/soak/schedule.rs
+++ b/fair/src/soak/schedule.rs
@@ -1,7 +1,7 @@
 //! What is done to a system during a soak, drawn from a seed: the same seed gives the same schedule.
 //!
 //! Planned work comes in series that overlap: rolls, second signals inside the grace time, changes of the configuration in rows, workers
-//! that are emptied. Unplanned trouble is added where it is asked for.
+//! that are emptied, and a platform that is slow beside it. Trouble of the system's own machines is added where it is asked for.
 
 use std::time::Duration;
 
@@ -43,6 +43,8 @@
     Toggle,
     /// A worker is emptied, and takes endpoints again later.
     Drain(usize),
+    /// The platform answers nothing for so long: no instance is started or stopped, and requests for rare functions wait.
+    Platform(Duration),
     /// A process of an edge machine is killed.
     Kill(usize, Part),
     /// A process of an edge machine stands still for so long.
@@ -50,7 +52,7 @@
 }
 
 impl Act {
-    /// It is no planned work.
+    /// It is trouble of a machine of the system.
     pub fn is_unplanned(self) -> bool {
         matches!(self, Act::Kill(..) | Act::Freeze(..))
     }
@@ -79,7 +81,7 @@
             |rng: &mut Pcg64Mcg, from: u64, to: u64| Duration::from_millis(rng.random_range(from..to));
         let edge = rng.random_range(0..size.edges);
         let mut put = |after: Duration, act: Act| all.push(Due { at: at + after, act });
-        match rng.random_range(0..if unplanned { 12 } else { 9 }) {
+        match rng.random_range(0..if unplanned { 13 } else { 10 }) {
             0 | 1 => {
                 let (count, gap) = (rng.random_range(1..=size.edges), millis(&mut rng, 0, 2_000));
                 (0..count).for_each(|n| put(gap * n as u32, Act::EndEdge((edge + n) % size.edges)));
@@ -98,7 +100,8 @@
                 let (count, gap) = (rng.random_range(3..20), millis(&mut rng, 20, 250));
                 (0..count).for_each(|n| put(gap * n, Act::Change));
             }
-            9 | 10 => {
+            9 => put(Duration::ZERO, Act::Platform(millis(&mut rng, 2_000, 7_000))),
+            10 | 11 => {
                 let part = if rng.random() { Part::Proxy } else { Part::Agent };
                 put(Duration::ZERO, Act::Kill(edge, part));
             }
--- a/fair/tests/leaving.rs
+++ b/fair/tests/leaving.rs
@@ -1,8 +1,9 @@
 //! An edge machine is told to end while requests are open there that can't be seen through in its time.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use millpost_fair::{Fair, fairly, order};
+use millpost_fair::{Fair, fairly, order, until};
 use millpost_standins::link::Weather;
 use millpost_standins::market::function::{Manner, attempt_id};
 use millpost_standins::market::message::{Connection, request};
@@ -14,12 +15,13 @@
 /// More than what is left of the grace time.
 const DEADLINE_MS: &str = "8000";
 
-/// The bytes of one try of a request on this route.
-fn bytes(route: &str) -> Vec<u8> {
+/// One try of a request on this route: its id and its bytes.
+fn bytes(route: &str) -> (Arc<str>, Vec<u8>) {
     let order = order(route);
     let id = attempt_id();
     let fields = [("X-Attempt-Id", &*id), ("X-Deadline-Ms", DEADLINE_MS)];
-    request(&order.method, &order.host, &order.path, &fields, &order.body, false)
+    let bytes = request(&order.method, &order.host, &order.path, &fields, &order.body, false);
+    (id, bytes)
 }
 
 /// What comes back on a connection, if a whole answer does.
@@ -32,21 +34,23 @@
 async fn every_request_that_is_open_when_a_proxy_ends_is_answered_first() {
     fairly(async || {
         let mut fair = Fair::open_library().await;
-        // A run outlasts the grace time, and nothing new is started.
+        // A run outlasts the grace time. It has begun before the end does, and nothing is started after it.
         let slow = Manner { work: Duration::from_secs(20), ..Manner::default() };
         fair.platform.behave("catalogue", &slow);
-        fair.platform.weather(Weather::Hang);
         let front = fair.edge(0).front();
-        let mut waits = Connection::open(front, CONNECT).await.expect("a connection");
         let mut runs = Connection::open(front, CONNECT).await.expect("a connection");
+        let (id, whole) = bytes("searches");
+        runs.write(&whole).await.expect("written");
+        until("it runs", async || (!fair.auditor.arrivals(&id).is_empty()).then_some(())).await;
+        fair.platform.weather(Weather::Hang);
+        let mut waits = Connection::open(front, CONNECT).await.expect("a connection");
         let mut in_pieces = Connection::open(front, CONNECT).await.expect("a connection");
         let leaving = fair.fleet.deployment.of(Class::Edge)[0];
         let told = Instant::now();
         fair.fleet.on(leaving).for_each(|process| process.terminate());
         sleep(Duration::from_millis(1_500)).await;
-        waits.write(&bytes("holds")).await.expect("written");
-        runs.write(&bytes("searches")).await.expect("written");
-        let whole = bytes("loans");
+        waits.write(&bytes("holds").1).await.expect("written");
+        let (_, whole) = bytes("loans");
         in_pieces.write(&whole[..whole.len() - 10]).await.expect("written");
         let (waits, runs, in_pieces) =
             tokio::join!(answer(&mut waits), answer(&mut runs), answer(&mut in_pieces));
