--- a/broker/src/desk.rs
+++ b/broker/src/desk.rs
@@ -6,6 +6,7 @@
 mod passing;
 #[cfg(test)]
 mod turns;
+mod view;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -561,125 +562,6 @@
         }
     }
 
-    /// Control has named the stalls anew.
-    fn named(&mut self, now: Nanos, owners: Owners) {
-        let turn = owners.turn(&self.owners, &self.me.name);
-        #[cfg(test)]
-        let turn = if self.plainly { Turn::all() } else { turn };
-        self.broker.counts.namings += 1;
-        self.digest = owners.roster().digest();
-        let before = std::mem::replace(&mut self.owners, owners);
-        // Who leaves lives, and so do its requests: what it has out stays out until it comes back. A stall knows of itself that it lives,
-        // whatever it is told.
-        for peer in self.owners.roster().gone_since(before.roster()) {
-            if peer.name != self.me.name {
-                self.broker.left(now, &peer.name);
-            }
-            if self.away.len() < 10_000 {
-                self.away.insert(peer.name.clone(), peer.address.clone());
-            }
-        }
-        self.passed_over.retain(|_, until| *until > now);
-        let owners = &self.owners;
-        self.heard.retain(|name, _| owners.find(name).is_some());
-        let newer = owners.version().0 > before.version().0;
-        if newer {
-            self.broker.say_all_again();
-        }
-        self.own(now, &before, &turn);
-        let version = self.owners.version();
-        self.owners_before = before;
-        self.told_over.retain(|_, all| {
-            all.retain(|_, of| *of > version);
-            !all.is_empty()
-        });
-        if newer && self.owners_before.version() > (0, 0) {
-            self.mine();
-        }
-        self.replace(now);
-    }
-
-    /// A new steward hears which instances there are, also those that start and stand in no list yet.
-    fn mine(&mut self) {
-        let note = |i: &Instance| millpost_crier::Instance {
-            id: i.id.clone(),
-            service: i.service.clone(),
-            address: i.address.clone(),
-            zone: i.zone.clone(),
-            worker: i.worker.clone(),
-            stage: i.stage as u8,
-        };
-        let set: Vec<_> = self.broker.owned_instances().map(note).collect();
-        if !set.is_empty() {
-            self.outs.push_back(Out::Up(Note::Mine { set }));
-        }
-    }
-
-    /// Owners have changed: asks go to the new ones, and so does word of the permits that owners had given out who are gone. One who
-    /// lives tells of them itself.
-    fn replace(&mut self, now: Nanos) {
-        for id in self.open.keys().copied().collect::<Vec<_>>() {
-            let Some(open) = self.open.get(&id) else { continue };
-            let Some(owner) = self.owner_of(now, &open.ask.service).cloned() else { continue };
-            if open.granted.is_none() && open.owner.as_deref() == Some(owner.name.as_str()) {
-                continue;
-            }
-            let Some((instance, zone)) = open.granted.clone() else {
-                if open.owner.as_deref() == Some(self.me.name.as_str()) {
-                    self.broker.forget(now, &self.me.name, id);
-                }
-                self.place(now, id);
-                continue;
-            };
-            let alive = |name: &str| {
-                self.owners.find_living(name).is_some()
-                    && self.passed_over.get(name).is_none_or(|until| *until <= now)
-            };
-            if open.owner.as_deref().is_some_and(alive) {
-                continue;
-            }
-            let heard = |p: &Peer| self.passed_over.get(&p.name).is_none_or(|until| *until <= now);
-            let Some(owner) = self.owners.owner(&open.ask.service, &zone, heard).cloned() else { continue };
-            let (service, deadline) = (open.ask.service.clone(), open.ask.deadline);
-            if let Some(open) = self.open.get_mut(&id) {
-                open.owner = Some(owner.name.clone());
-            }
-            if owner.name == self.me.name {
-                self.broker.held(now, self.me.name.clone(), id, &instance, deadline);
-            } else {
-                self.held(now, owner.address, id, service, instance, deadline);
-            }
-        }
-    }
-
-    fn held(
-        &mut self,
-        now: Nanos,
-        to: CompactString,
-        id: u64,
-        service: CompactString,
-        instance: CompactString,
-        deadline: Nanos,
-    ) {
-        let left = (deadline as f64 - now as f64) / MS as f64;
-        self.outs.push_back(Out::Send { to, note: Note::Held { id, service, instance, left } });
-    }
-
-    /// A stall lives anew, and knows nothing of what it had given out: it hears what is out here.
-    fn tell_anew(&mut self, now: Nanos, name: &str) {
-        let Some(to) = self.owners.find(name).map(|p| p.address.clone()) else { return };
-        let of = self.open.iter().filter(|(_, o)| o.owner.as_deref() == Some(name));
-        let out: Vec<_> = of
-            .filter_map(|(id, o)| {
-                let (instance, _) = o.granted.clone()?;
-                Some((*id, o.ask.service.clone(), instance, o.ask.deadline))
-            })
-            .collect();
-        for (id, service, instance, deadline) in out {
-            self.held(now, to.clone(), id, service, instance, deadline);
-        }
-    }
-
     /// Mail to a stall came back: it is passed over for a while, and what it was asked goes to the next.
     pub fn returned(&mut self, now: Nanos, address: &str, notes: Vec<Note>) {
         let roster = self.owners.roster();
--- a/broker/src/function.rs
+++ b/broker/src/function.rs
@@ -7,6 +7,8 @@
 mod dropped;
 mod floor;
 mod hardware;
+mod known;
+mod needs;
 mod returned;
 mod succession;
 
@@ -18,9 +20,9 @@
 
 use crate::budget::Budget;
 use crate::counts::Counts;
-use crate::demand::{Demand, keep};
+use crate::demand::Demand;
 use crate::effect::{Effect, No, Terms};
-use crate::instance::{Instance, Place, Stage};
+use crate::instance::{Instance, Stage};
 use crate::reason::{Reason, Reasons, Why};
 use crate::service::{Function, Service, Waiting};
 use crate::{Ask, MS, Nanos, Outcome, SECOND, Spec, first_gap};
@@ -28,7 +30,6 @@
 use dropped::Dropped;
 pub(crate) use floor::Floor;
 use returned::Returned;
-use succession::EARLY;
 pub use succession::Parted;
 pub(crate) use succession::SETTLES;
 
@@ -258,88 +259,6 @@
         }
     }
 
-    /// Control tells of an instance: new, or changed. `mine`: it belongs to what is owned here.
-    pub fn known(&mut self, now: Nanos, of: Instance, mine: bool) {
-        let id = of.id.clone();
-        if let Some(at) = self.homes.get(&id).copied() {
-            self.services[at].change_one(&id, |place| {
-                // What this owner has seen work does not boot any more.
-                let stage = of.stage.max(place.of.stage);
-                (place.of, place.mine) = (Instance { stage, ..of }, mine);
-            });
-            return self.serve(now, at);
-        }
-        let at = self.enter(&of.service);
-        self.homes.insert(id, at);
-        self.meet(now, at, Place::new(of, mine, now));
-    }
-
-    /// An instance that is new here.
-    fn meet(&mut self, now: Nanos, at: usize, place: Place) {
-        let (id, mine, adopted) = (place.of.id.clone(), place.mine, place.of.stage == Stage::Ready);
-        self.services[at].add(place);
-        self.rouse(at);
-        self.scout(now, at, &id);
-        for ((from, ask), until, heard) in self.early.remove(&id).unwrap_or_default() {
-            if now < heard + EARLY && now < until.saturating_add(OVERDUE) {
-                self.held(now, from, ask, &id, until);
-            }
-        }
-        if adopted && mine && self.services[at].owned {
-            self.found(now, at);
-        }
-        self.serve(now, at);
-    }
-
-    /// An instance accepts connections.
-    pub fn up(&mut self, now: Nanos, id: &str) {
-        let Some(at) = self.homes.get(id).copied().filter(|at| self.services[*at].boots(id)) else { return };
-        self.services[at].change_one(id, |place| (place.of.stage, place.used) = (Stage::Ready, now));
-        self.serve(now, at);
-    }
-
-    /// Control says that an instance is no more.
-    pub fn gone(&mut self, now: Nanos, id: &str) {
-        let Some(at) = self.homes.remove(id) else { return };
-        let out = self.services[at].remove(id).map(|place| place.out);
-        for key in out.into_iter().flatten() {
-            self.permits.remove(&key);
-        }
-        self.services[at].hold(now);
-        self.serve(now, at);
-        self.vacate(at);
-    }
-
-    /// The instances that there are, whole: others are no more.
-    pub fn whole(&mut self, now: Nanos, all: Vec<Instance>, mine: impl Fn(&Instance) -> bool) {
-        let stay: BTreeSet<_> = all.iter().map(|i| &i.id).collect();
-        let mut gone: Vec<_> = self.homes.keys().filter(|id| !stay.contains(id)).cloned().collect();
-        gone.sort_unstable();
-        for id in gone {
-            self.gone(now, &id);
-        }
-        for instance in all {
-            self.heard_of(now, instance, &mine);
-        }
-    }
-
-    /// One of a whole list. What a new owner learns so while it settles was there before it: the owner of before may have seen it up
-    /// though it still starts by control's word.
-    fn heard_of(&mut self, now: Nanos, instance: Instance, mine: impl Fn(&Instance) -> bool) {
-        let (id, mine) = (instance.id.clone(), mine(&instance));
-        let new = !self.knows(&id);
-        let settles = |s: &Service| s.owned && (now < s.settling || !s.expects.is_empty());
-        let found = new && self.names.get(&instance.service).is_some_and(|at| settles(&self.services[*at]));
-        if !found {
-            return self.known(now, instance, mine);
-        }
-        let at = self.enter(&instance.service);
-        self.homes.insert(id.clone(), at);
-        let mut place = Place::new(instance, mine, now);
-        place.found = true;
-        self.meet(now, at, place);
-    }
-
     /// It is known, and was not seen to accept connections yet.
     pub fn boots(&self, id: &str) -> bool {
         self.homes.get(id).is_some_and(|at| self.services[*at].boots(id))
@@ -351,20 +270,6 @@
         owned.flat_map(|s| s.places()).filter(|p| p.mine && p.live()).map(|p| &p.of)
     }
 
-    /// A new steward names the instances that it knows. Those of functions that are owned here stay beside them, since it hears of them
-    /// from here; it says so once one is no more.
-    pub fn renewed(&mut self, now: Nanos, known: Vec<Instance>, mine: impl Fn(&Instance) -> bool) {
-        let stay: BTreeSet<_> =
-            known.iter().map(|i| i.id.clone()).chain(self.owned_instances().map(|i| i.id.clone())).collect();
-        let gone: Vec<_> = self.instances().map(|i| i.id.clone()).filter(|id| !stay.contains(id)).collect();
-        for id in gone {
-            self.gone(now, &id);
-        }
-        for instance in known {
-            self.heard_of(now, instance, &mine);
-        }
-    }
-
     /// The instances that are known, in no order.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
         self.services.iter().flat_map(|s| s.places()).map(|p| &p.of)
@@ -697,85 +602,6 @@
         }
     }
 
-    /// Says how many instances the function needs, where that has changed or was said long ago.
-    fn want(&mut self, now: Nanos, at: usize) {
-        let service = &mut self.services[at];
-        if !service.owned {
-            return;
-        }
-        let (wait, live, held) = (service.wait(now), service.live(), service.stock().held);
-        let floor = service.floor(now);
-        let Some(function) = &mut service.function else { return };
-        // A queue that moves within a part of its aim needs nothing new.
-        let patience = (function.target / 4).min(function.spec.boot / 2);
-        let queued = if live == 0 || wait > patience { function.queue.len() } else { 0 };
-        let need = function.demand.needed(now, &function.spec, queued).max(floor);
-        let strain = function.demand.rate(now) / self.terms.asks_per_s.max(1.0);
-        let idle = function.demand.asked.is_none_or(|at| at + 3 * keep(&function.spec) < now);
-        let say = match function.said {
-            None => need > 0 || live > 0,
-            Some((at, count)) => {
-                count != need
-                    || (strain - function.strain).abs() > STRAIN_STEP
-                    || function.floor.as_ref().is_some_and(|floor| floor.tells(now, at))
-                    || (now >= at + SAY_AGAIN && !(idle && need == 0 && live == 0))
-            }
-        };
-        if say {
-            (function.said, function.strain) = (Some((now, need)), strain);
-            let waits = function.queue.len();
-            let (service, zones) = (service.name.clone(), function.zones());
-            self.reasons.put(|| {
-                let service = service.clone();
-                Reason::Want { service, need, live, held, queued: waits, wait }
-            });
-            let does = self.services[at].does(now);
-            let slow = self.speeds.as_ref().map(|speeds| speeds.slow_ones(&service)).unwrap_or_default();
-            self.effects.push(Effect::Want { service, count: need, zones, strain, does, slow });
-            if need > 0 {
-                self.rouse(at);
-            }
-        }
-    }
-
-    /// Lets instances go that are not needed: nothing more goes to one, and it is stopped once nothing is out.
-    fn retire(&mut self, now: Nanos, at: usize) {
-        let service = &mut self.services[at];
-        let said = service.function.as_ref().filter(|_| service.owned).and_then(|f| f.said);
-        let Some((_, need)) = said else { return };
-        let live = service.live();
-        if let Some(old) = service.spare(now, need as usize) {
-            service.change_one(&old, |place| place.leaving = true);
-            self.reasons.put(|| Reason::Spare { instance: old, need, live });
-        }
-        if service.stock().leaving == 0 {
-            return;
-        }
-        let effects = &mut self.effects;
-        service.change(|places| {
-            for place in places.iter_mut().filter(|p| p.leaving && !p.retired && p.out.is_empty()) {
-                (place.retired, place.told) = (true, now);
-                effects.push(Effect::Retire(place.of.id.clone()));
-            }
-        });
-    }
-
-    /// What control has not heard, or has not acted on.
-    fn tell_again(&mut self, now: Nanos, at: usize) {
-        let service = &mut self.services[at];
-        if service.stock().retired == 0 {
-            return;
-        }
-        let effects = &mut self.effects;
-        service.change(|places| {
-            for place in places.iter_mut().filter(|p| p.retired && p.told + RETIRE_AGAIN <= now) {
-                place.told = now;
-                let id = place.of.id.clone();
-                effects.push(if place.lost { Effect::Lost(id) } else { Effect::Retire(id) });
-            }
-        });
-    }
-
     /// Permits whose request must be over by now.
     fn end_overdue(&mut self, now: Nanos) {
         if now < self.overdue {
