Lots of zones without proxies change hands as others do

Zones that were ever heard of are remembered, and what moves is worked out for them, too. The test of lots plays that, and an instance that the new owner hears of after the view.

--- a/broker/src/desk.rs
+++ b/broker/src/desk.rs
@@ -154,6 +154,8 @@
     passed_over: BTreeMap<CompactString, Nanos>,
     /// When other stalls were heard of last.
     heard: BTreeMap<CompactString, Nanos>,
+    /// Zones that were ever heard of: instances stand also where no stall is any more.
+    zones: BTreeSet<CompactString>,
     /// Stalls that a new leader has not named, as it may not have heard of them yet; they are gone from then on.
     missing: BTreeMap<CompactString, Nanos>,
     /// Stalls that were named before, and where: they may ask still, as they may not know.
@@ -193,6 +195,7 @@
             lives: BTreeMap::new(),
             passed_over: BTreeMap::new(),
             heard: BTreeMap::new(),
+            zones: BTreeSet::new(),
             missing: BTreeMap::new(),
             away: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -281,7 +284,7 @@
             let mut transfer = Transfer::default();
             // Of a function with one owner before and after, it is the same in all zones.
             let is_split = before.lots(service) > 1 || owners.lots(service) > 1;
-            let all = zones.iter().chain(before.zones()).chain(owners.zones());
+            let all = zones.iter().chain(&self.zones);
             for zone in all.take(if is_split { usize::MAX } else { 1 }) {
                 let of = |owners: &Owners| owners.owner(service, zone, |_| true).map(|p| p.name.clone());
                 let (was, is) = (of(before), of(owners));
@@ -559,17 +562,19 @@
                     worker: i.worker,
                     stage: stage(i.stage),
                 });
+                let set: Vec<Instance> = set.collect();
+                self.hear_of_zones(set.iter().map(|i| &i.zone));
                 let (owners, me) = (&self.owners, &self.me.name);
                 let mine = |i: &Instance| owners.owns(me, &i.service, &i.zone).is_ok();
                 if all && now < self.renews {
-                    self.broker.renewed(now, set.collect(), mine);
+                    self.broker.renewed(now, set, mine);
                 } else if all {
-                    self.broker.whole(now, set.collect(), mine);
+                    self.broker.whole(now, set, mine);
                 } else {
-                    set.for_each(|i| {
+                    for i in set {
                         let mine = mine(&i);
                         self.broker.known(now, i, mine);
-                    });
+                    }
                     gone.iter().for_each(|id| self.broker.gone(now, id));
                 }
                 self.carry_out(now);
--- a/broker/src/desk/view.rs
+++ b/broker/src/desk/view.rs
@@ -14,6 +14,9 @@
 /// Stalls that are kept in mind though they are named no more.
 const MOST_AWAY: usize = 10_000;
 
+/// Zones that are remembered.
+const MOST_ZONES: usize = 1_000;
+
 /// Another leader has named these than those before.
 fn owners_are_newer(owners: &Owners, before: &Owners) -> bool {
     owners.version().0 > before.version().0
@@ -30,8 +33,10 @@
         let before = std::mem::replace(&mut self.owners, owners);
         // Who leaves lives, and so do its requests: what it has out stays out until it comes back. A stall knows of itself that it lives,
         // whatever it is told.
+        let roster = self.owners.roster().clone();
+        self.hear_of_zones(roster.peers().iter().chain(roster.leaving()).map(|peer| &peer.zone));
         let newer = owners_are_newer(&self.owners, &before);
-        for peer in self.owners.roster().gone_since(before.roster()) {
+        for peer in roster.gone_since(before.roster()) {
             if self.away.len() < MOST_AWAY {
                 self.away.insert(peer.name.clone(), peer.address.clone());
             }
@@ -62,6 +67,15 @@
         self.replace(now);
     }
 
+    /// Zones are remembered; there are few.
+    pub(super) fn hear_of_zones<'a>(&mut self, zones: impl Iterator<Item = &'a CompactString>) {
+        for zone in zones {
+            if !self.zones.contains(zone) && self.zones.len() < MOST_ZONES {
+                self.zones.insert(zone.clone());
+            }
+        }
+    }
+
     /// Who was not named in time by a new leader is gone.
     pub(super) fn end_missing(&mut self, now: Nanos) {
         if self.missing.values().all(|until| *until > now) {
--- a/broker/src/owners.rs
+++ b/broker/src/owners.rs
@@ -143,11 +143,6 @@
         }
     }
 
-    /// The zones with a stall.
-    pub fn zones(&self) -> &BTreeSet<CompactString> {
-        &self.zones
-    }
-
     fn best(&self, service: &str, may: impl Fn(&Peer) -> bool) -> Option<&Peer> {
         let of = self.seeds.iter().zip(self.peers()).filter(|(_, p)| may(p));
         of.max_by_key(|(seed, p)| (hash(service, **seed), &p.name)).map(|(_, p)| p)
--- a/broker/tests/leaving.rs
+++ b/broker/tests/leaving.rs
@@ -150,22 +150,34 @@
     Note::Stalls { version, peers: peers(stay), leaving: peers(leaving), split: vec!["f".into()] }
 }
 
-/// An instance with four slots, in the zone of the only proxy there, and all of them in use.
-fn lot_of_one() -> (Town, String) {
-    let mut town = Town::new(&[0, 1, 2, 3, 100]);
-    let of_c = Instance {
+/// The only instance, in this zone.
+fn instance_in(version: (u64, u64), zone: &str) -> Note {
+    let instance = Instance {
         id: "i-c".into(),
         service: "f".into(),
         address: "10.0.0.9:80".into(),
-        zone: "c".into(),
+        zone: zone.into(),
         worker: "w".into(),
         stage: 1,
     };
-    let told = Note::Instances { version: (1, 2), all: true, set: vec![of_c], gone: vec![] };
+    Note::Instances { version, all: true, set: vec![instance], gone: vec![] }
+}
+
+/// The owner of the function's lot for this zone, among these.
+fn lot_owner(who: &[usize], zone: &str) -> String {
+    let owners = Owners::new((1, 1), who.iter().map(|n| peer(*n)).collect(), ["f".into()]);
+    owners.owner("f", zone, |_| true).expect("one").name.to_string()
+}
+
+/// An instance with four slots in this zone, whose lot the only proxy of zone c owns, and all of them in use. `known`: by all; else by that
+/// proxy alone.
+fn lot_of_one(zone: &str, known: bool) -> (Town, String) {
+    let mut town = Town::new(&[0, 1, 2, 3, 100]);
     for n in [0, 1, 2, 3, 100] {
         town.with(T, &name(n), |desk| {
             desk.told(T, split_view((1, 2), &[0, 1, 2, 3, 100], &[]));
-            desk.told(T, told.clone());
+            let none = Note::Instances { version: (1, 2), all: true, set: vec![], gone: vec![] };
+            desk.told(T, if known || n == 100 { instance_in((1, 2), zone) } else { none });
         });
     }
     // The change to one owner for each zone has settled.
@@ -178,18 +190,31 @@
     (0..4).for_each(|_| town.ask(now, &name(100)));
     town.post(now, &[]);
     assert_eq!(town.out().get("i-c"), Some(&4));
-    let stay: Vec<_> = [0, 1, 2, 3].into_iter().map(peer).collect();
-    let owners = Owners::new((1, 3), stay, ["f".into()]);
-    let heir = owners.owner("f", "c", |_| true).expect("one").name.to_string();
-    (town, heir)
+    (town, lot_owner(&[0, 1, 2, 3], zone))
+}
+
+/// A zone without a proxy, whose instances belong to the lot of zone c.
+fn zone_without_proxies() -> String {
+    let zones = (0..200).map(|n| format!("d{n}"));
+    zones.into_iter().find(|zone| lot_owner(&[0, 1, 2, 3, 100], zone) == name(100)).expect("one")
 }
 
 /// Found by the simulator: the owner of one lot that took over another's gave its slots at once, though all of them were out.
-#[test]
-fn an_owner_that_takes_over_another_lot_waits_for_word_of_it_and_gives_it_back_with_word() {
-    let (mut town, heir) = lot_of_one();
+#[yare::parameterized(
+    of_a_zone_with_a_proxy = { "c".to_owned(), true },
+    which_it_hears_of_afterwards = { "c".to_owned(), false },
+    of_a_zone_without_any = { zone_without_proxies(), true },
+)]
+fn an_owner_that_takes_over_another_lot_waits_for_word_of_it_and_gives_it_back_with_word(
+    zone: String,
+    known: bool,
+) {
+    let (mut town, heir) = lot_of_one(&zone, known);
     let now = T + 2 * SECOND + 10 * MS;
-    town.with(now, &heir, |desk| desk.told(now, split_view((1, 3), &[0, 1, 2, 3], &[100])));
+    town.with(now, &heir, |desk| {
+        desk.told(now, split_view((1, 3), &[0, 1, 2, 3], &[100]));
+        desk.told(now, instance_in((1, 3), &zone));
+    });
     (0..6).for_each(|_| town.ask(now, &heir));
     town.post(now, &[]);
     assert!(town.within_limits(), "before the one of before has said anything: {:?}", town.out());
