--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -201,12 +201,17 @@
         shutil.rmtree(disk)
         os.makedirs(disk)
 
-    def start(self, m, role, bootstrap=False):
-        name, run, serves = role
+    def write_settings(self, m, role, bootstrap):
+        name, _, serves = role
         path = os.path.join(self.folder, f"{m['name']}-{name}.json")
         with open(path + '.new', 'w') as f:
             json.dump(self.settings(m, name, serves, bootstrap), f, indent=1)
         os.rename(path + '.new', path)
+        return path
+
+    def start(self, m, role, bootstrap=False):
+        name, run, _ = role
+        path = self.write_settings(m, role, bootstrap)
         # Metrics would need the same port on each machine's own address, which loopback addresses allow.
         out = open(os.path.join(self.folder, f"{m['name']}-{name}.log"), 'ab')
         env = {k: v for k, v in os.environ.items() if k in ('PATH', 'HOME', 'LANG')}
