--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,10 @@
-"""The core's machines are replaced one after the other, in order: do the edge machines still follow control?"""
+"""The core's machines are replaced one after the other, the leader last: do the edge machines still follow control?"""
 import os, sys
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), '..', 'lib'))
 from harness import *
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-ORDER = os.environ.get('ORDER', 'name')
+ORDER = os.environ.get('ORDER', 'leader-last')
 HERE = os.path.dirname(os.path.abspath(__file__))
 HOST = 'dese56.example'
 SETTLE_S = (BOUNDS['catch_up_s'] * 1000 + BOUNDS['contact_ms']) / 1000      # 8 s
