--- a/review/1/case.py
+++ b/review/1/case.py
@@ -124,11 +124,11 @@
                 log(f'  {i} at {at:.3f} s {what}')
         for i, rs in list(twice.items())[:20]:
             log(f'TWICE: {i} (mutating) ran at ' + ', '.join(f"{r['at']:.3f} s on {r['endpoint']}" for r in rs)
-                + f"; its client got {by_id[i]['status']}")
+                + f"; its client got {by_id.get(i, {}).get('status')}")
         for t in refused[:20]:
             log(f"REFUSED: {t['id']} (mutating) got {t['status']} at {t['end']:.3f} s, but ran at {ran[t['id']][0]['at']:.3f} s "
                 f"on {ran[t['id']][0]['endpoint']}")
-        done = Counter(by_id[i]['operation'] for i, rs in ran.items() for _ in rs)
+        done = Counter(i.rsplit('.', 1)[0] for i, rs in ran.items() for _ in rs)
         doubled = [o for o, times in done.items() if times > 1]
         log(f'run twice under one id: {len(twice)}; refused and yet run: {len(refused)}; operations that were carried out '
             f'more than once, though their clients tried again only after such a refusal: {len(doubled)} {doubled[:10]}')
