Agent logs when no controller is followed; proxy logs the connection of each attempt

An agent without a feed looked the same whether it knew no live controller or was refused by all; it now logs, 5 s after its last feed in contact and again each 5 s, which controllers it knows and which feeds are open, and exports agent_known_controllers. The proxy logs, at debug level, attempt, connection, status and outcome, so that two attempts of one request on one connection can be seen.

The test of invalid feeds counted all log lines; it now counts those of invalid lines as before, and the two new ones apart.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -29,6 +29,8 @@
 const PROXY_ALIVE_FOR: Nanos = 1_500 * MS;
 /// After the queue to the proxy was full, the snapshot is sent again after this long, and no more often.
 const RESEND_AFTER: Nanos = SECOND;
+/// After this long without a feed from a controller in contact, that is logged, and again after each such time.
+const LOG_UNFOLLOWED_AFTER: Nanos = 5 * SECOND;
 /// The most messages in a line of a feed; a line with more is invalid.
 const MAX_MESSAGES: usize = 10_000;
 /// The most unreadable messages that are logged for each line or batch.
@@ -150,6 +152,8 @@
     /// When the proxy is sent a snapshot to make up for dropped messages.
     resend_at: Option<Nanos>,
     settings_read_at: Nanos,
+    /// When a controller in contact was last followed, or when that was last logged to be missing.
+    followed_at: Nanos,
     grace: Nanos,
     exit_at: Option<Nanos>,
     effects: Vec<Effect>,
@@ -168,6 +172,7 @@
             due: now,
             resend_at: None,
             settings_read_at: now,
+            followed_at: now,
             grace: config.grace,
             exit_at: None,
             effects: Vec::new(),
@@ -268,12 +273,28 @@
         if self.resend_at.is_some_and(|at| now >= at) {
             self.send_snapshot(now);
         }
+        self.log_if_unfollowed(now);
         if now.saturating_sub(self.settings_read_at) >= READ_SETTINGS_EVERY {
             self.settings_read_at = now;
             self.effects.push(Effect::ReadSettings);
         }
     }
 
+    /// Logs which controllers are known if none of them has been followed for some time.
+    fn log_if_unfollowed(&mut self, now: Nanos) {
+        if self.feeds.follows_any(now) {
+            self.followed_at = now;
+        } else if now.saturating_sub(self.followed_at) >= LOG_UNFOLLOWED_AFTER {
+            self.followed_at = now;
+            let known: Vec<_> = self.feeds.known().collect();
+            let open: Vec<_> = self.feeds.feeds().map(|(_, address, _)| address).collect();
+            self.log(
+                Level::Warn,
+                format!("no controller in contact is followed; known: {known:?}, open feeds: {open:?}"),
+            );
+        }
+    }
+
     /// Turns the actions of the feed set into effects.
     fn run_feed_actions(&mut self, now: Nanos) {
         for action in self.feeds.take() {
--- a/agent/src/feeds.rs
+++ b/agent/src/feeds.rs
@@ -156,6 +156,11 @@
         self.feeds.values().filter(|f| f.contact_lost.is_some()).count()
     }
 
+    /// The known controllers' addresses: the seeds, and those that messages have named.
+    pub fn known(&self) -> impl Iterator<Item = SocketAddr> {
+        self.seeds.iter().chain(&self.others).copied()
+    }
+
     /// The number of all addresses in memory.
     pub fn tracked_addresses(&self) -> usize {
         self.seeds.len() + self.others.len() + self.failed.len() + self.feeds.len()
@@ -193,7 +198,7 @@
         self.close_surplus(now);
         self.ensure_full_config(now);
         self.reopen_if_due(now);
-        let known: Vec<_> = self.seeds.iter().chain(&self.others).copied().collect();
+        let known: Vec<_> = self.known().collect();
         for _ in 0..known.len() {
             if self.in_contact(now) >= FEEDS_IN_CONTACT || self.feeds.len() >= MAX_FEEDS {
                 break;
@@ -206,6 +211,11 @@
         }
     }
 
+    /// Whether a controller in contact has sent a line on an open feed.
+    pub fn follows_any(&self, now: Nanos) -> bool {
+        self.feeds.values().any(|feed| feed.received && feed.is_in_contact(now))
+    }
+
     /// The number of feeds in contact.
     fn in_contact(&self, now: Nanos) -> usize {
         self.feeds.values().filter(|f| f.is_in_contact(now)).count()
--- a/agent/src/metrics.rs
+++ b/agent/src/metrics.rs
@@ -13,6 +13,7 @@
     metrics.put("agent_leaving", u8::from(agent.is_shutting_down()));
     metrics.put("agent_feeds", agent.feeds().feeds().count());
     metrics.put("agent_feeds_without_contact", agent.feeds().feeds_without_contact());
+    metrics.put("agent_known_controllers", agent.feeds().known().count());
     metrics.put("agent_leader_fence", agent.feeds().leader().map_or(0, |(fence, _)| fence));
     metrics.put("agent_config_revision", agent.latest().revision());
     metrics.put("agent_proxy_config_revision", agent.proxy_revision());
--- a/agent/tests/round.rs
+++ b/agent/tests/round.rs
@@ -470,6 +470,22 @@
     assert_eq!([(); 3].map(|()| pause(&mut harness)), [200, 400, 800]);
 }
 
+/// Without this log line an agent whose controllers are all gone looks like one that they refuse.
+#[test]
+fn an_agent_without_a_feed_logs_the_known_controllers() {
+    let mut harness = Harness::new(&[1, 2]);
+    for _ in 0..20 {
+        [1, 2].iter().for_each(|n| harness.line(*n, &[leader(1, 1)]));
+        harness.advance(SECOND);
+    }
+    [1, 2].iter().for_each(|n| harness.ended(*n));
+    harness.advance(4_900 * MS);
+    assert!(harness.log.is_empty(), "{:?}", harness.log);
+    harness.advance(5 * SECOND);
+    let [(Level::Warn, text)] = &*harness.log else { panic!("{:?}", harness.log) };
+    assert!(text.contains(&at(1).to_string()) && text.contains(&at(2).to_string()), "{text}");
+}
+
 #[test]
 fn seeds_are_reloaded_and_the_agent_exits_before_the_grace_period_ends() {
     let mut harness = Harness::new(&[1]);
@@ -562,7 +578,11 @@
     }
     // Ten seconds, with pauses of up to one second.
     assert!((8..=16).contains(&opened), "{opened}");
-    assert_eq!(harness.log.len(), opened);
+    // Beside them only the two lines, 5 s and 10 s after the start, that no controller is followed.
+    let (invalid, others): (Vec<_>, Vec<_>) =
+        harness.log.iter().map(|(_, text)| text).partition(|text| text.starts_with("invalid line"));
+    assert_eq!(invalid.len(), opened);
+    assert!(others.len() == 2 && others.iter().all(|text| text.starts_with("no controller")), "{others:?}");
     assert_eq!((harness.to_proxy.len(), harness.to_control.len()), (0, 0));
 }
 
--- a/proxy/src/pool.rs
+++ b/proxy/src/pool.rs
@@ -3,7 +3,7 @@
 //! Invariants: a connection on which anything unexpected happened is not reused. An outcome states that the
 //! request was not executed only if its last byte was not written or the instance said so.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,6 +44,8 @@
 
 struct Idle {
     link: Link,
+    /// Number of the connection, for the log.
+    number: u64,
     since: Instant,
     /// Time for which the connection may stay idle.
     max_idle_time: Duration,
@@ -52,6 +54,8 @@
 /// Idle connections by instance.
 #[derive(Default)]
 pub struct Pool {
+    /// Number of the newest connection.
+    last_number: Cell<u64>,
     idle: RefCell<HashMap<CompactString, Vec<Idle>>>,
 }
 
@@ -94,13 +98,13 @@
 
 impl Pool {
     /// Takes the most recently used idle connection, and returns it with its idle time.
-    fn take_idle(&self, instance: &str) -> Option<(Link, Duration)> {
+    fn take_idle(&self, instance: &str) -> Option<(Link, u64, Duration)> {
         let mut idle = self.idle.borrow_mut();
         let all = idle.get_mut(instance)?;
         while let Some(kept) = all.pop() {
             let age = kept.since.elapsed();
             if age < kept.max_idle_time && kept.link.usable() {
-                return Some((kept.link, age));
+                return Some((kept.link, kept.number, age));
             }
         }
         idle.remove(instance);
@@ -108,15 +112,28 @@
     }
 
     /// Keeps an idle connection for reuse, if fewer than `max_idle` are kept for the instance.
-    pub fn keep(&self, instance: &CompactString, link: Link, max_idle_time: Duration, max_idle: usize) {
+    fn keep(
+        &self,
+        instance: &CompactString,
+        link: Link,
+        number: u64,
+        max_idle_time: Duration,
+        max_idle: usize,
+    ) {
         let mut idle = self.idle.borrow_mut();
         let count: usize = idle.values().map(Vec::len).sum();
         let all = idle.entry(instance.clone()).or_default();
         if all.len() < max_idle.max(1) && count < MAX_IDLE && !max_idle_time.is_zero() && link.usable() {
-            all.push(Idle { link, since: Instant::now(), max_idle_time });
+            all.push(Idle { link, number, since: Instant::now(), max_idle_time });
         }
     }
 
+    /// Returns the number of a new connection.
+    fn next_number(&self) -> u64 {
+        self.last_number.set(self.last_number.get() + 1);
+        self.last_number.get()
+    }
+
     /// Closes connections that are idle for too long.
     pub fn close_expired(&self) {
         self.idle.borrow_mut().retain(|_, all| {
@@ -132,7 +149,7 @@
         match Link::open_with(address, options).await {
             Ok(link) => {
                 if keep {
-                    self.keep(instance, link, IDLE_TIMEOUT, 1);
+                    self.keep(instance, link, self.next_number(), IDLE_TIMEOUT, 1);
                 }
                 true
             }
@@ -151,14 +168,14 @@
         let mut fresh = false;
         loop {
             let kept = if fresh { None } else { self.take_idle(instance) };
-            let (mut link, age) = match kept {
+            let (mut link, number, age) = match kept {
                 Some(kept) => kept,
                 None => {
                     fresh = true;
                     let within = CONNECT_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
                     let options = Options { connect_timeout: Some(within), ack_timeout: None };
                     match Link::open_with(address, options).await {
-                        Ok(link) => (link, Duration::ZERO),
+                        Ok(link) => (link, self.next_number(), Duration::ZERO),
                         Err(e) => {
                             let refused = matches!(&e, Error::Connect(e) if e.kind() == std::io::ErrorKind::ConnectionRefused);
                             return Exchange { refused, ..Exchange::of(Outcome::Unreachable, false) };
@@ -194,6 +211,11 @@
                 Ok(Ok(body)) => body.to_bytes(),
             };
             let outcome = classify(request, head.status, &head.headers);
+            log::debug!(
+                "attempt {:?} at {instance} on connection {number}: {}, {outcome:?}",
+                request.headers().get(ATTEMPT),
+                head.status
+            );
             if outcome == Outcome::NoAnswer {
                 return Exchange::of(outcome, true);
             }
@@ -205,7 +227,7 @@
                 && link.all_written()
                 && matches!(timeout(REUSABLE_WITHIN, link.reusable()).await, Ok(true))
             {
-                self.keep(instance, link, max_idle_time, max_idle);
+                self.keep(instance, link, number, max_idle_time, max_idle);
             }
             let sent = true;
             let answer = Some(Response::from_parts(head, body));
