Controllers tell agents which controllers exist; agents follow those (CONFIG)

Callers saw: after each core machine had been replaced at a new address, the leader last, all edge machines answered 404 on an acknowledged route, and half a minute later 503 on every one.

Cause: an agent knew the controllers of its settings file and the leaders that it had heard of. When the last other one was removed it followed the leader alone, and when that was killed nobody was left to name the next.

Change: the feed names the present controllers (voters, and peers heard within 10 s), in its first line and when that changes, in contact only. Agents know seeds, leader and the last reports of those that they follow, 32 at most. Members are known where the register is; now so do those who follow it.

The simulator replaces every core machine, the leader last, with running processes keeping their seeds. Red before: round.rs (2 tests) and rules.rs, where CONFIG breaks as in the case (404 for a route that was acknowledged), with the report ignored.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -369,6 +369,11 @@
             }
             return;
         }
+        if let PeerMessage::Controllers { addresses } = &message {
+            let addresses = addresses.iter().filter_map(|address| address.parse().ok()).collect();
+            self.feeds.set_controllers(now, from, addresses);
+            return self.run_feed_actions(now);
+        }
         if let PeerMessage::Contact { holds } = &message {
             self.feeds.set_contact(now, from, *holds);
             return self.run_feed_actions(now);
--- a/agent/src/feeds.rs
+++ b/agent/src/feeds.rs
@@ -1,12 +1,18 @@
 //! Chooses the controllers that the agent opens feeds to: two that are in contact with a majority of the
 //! voters, the leader among them. One of the feeds carries full configurations, the others only changes.
 //!
+//! Controllers come and go while the agent runs, and the settings file need not follow them. So the agent
+//! learns the present ones from those that it follows: it knows its seeds, the leader, and what the followed
+//! controllers reported last.
+//!
 //! Invariant: there is at most one feed for an address, and each feed has a number of its own, so that late
 //! lines of a closed feed are not taken for lines of its successor.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use millpost_protocol::MAX_CONTROLLERS;
+
 use crate::{MS, Nanos, SECOND};
 
 /// How many feeds to controllers in contact are kept open.
@@ -17,8 +23,6 @@
 /// A controller that has reported for this long that it has lost contact no longer counts as in contact, and
 /// another feed is opened.
 const CONTACT_LOST_AFTER: Nanos = 400 * MS;
-/// The most known controllers beside the seeds.
-const MAX_OTHERS: usize = 32;
 /// The first pause after a failed feed; it doubles with each failure, up to [`RETRY_MAX`].
 const RETRY_MIN: Nanos = 100 * MS;
 const RETRY_MAX: Nanos = SECOND;
@@ -66,6 +70,8 @@
     full_config: bool,
     /// Since when the controller reports that it has no contact with a majority.
     contact_lost: Option<Nanos>,
+    /// The controllers that it reported last.
+    reported: Vec<SocketAddr>,
 }
 
 impl Feed {
@@ -79,7 +85,8 @@
 #[derive(Clone, Debug)]
 pub struct FeedSet {
     seeds: Vec<SocketAddr>,
-    /// Controllers that messages have named, beside the seeds.
+    /// Controllers beside the seeds: those that the followed controllers reported last, and leaders. Kept when
+    /// the feeds end. At most [`MAX_CONTROLLERS`].
     others: Vec<SocketAddr>,
     /// Fence and address.
     leader: Option<(u64, SocketAddr)>,
@@ -283,8 +290,15 @@
     fn open_feed(&mut self, address: SocketAddr, full_config: bool, now: Nanos) {
         self.last_number += 1;
         let number = self.last_number;
-        self.feeds
-            .insert(address, Feed { number, since: now, received: false, full_config, contact_lost: None });
+        let feed = Feed {
+            number,
+            since: now,
+            received: false,
+            full_config,
+            contact_lost: None,
+            reported: Vec::new(),
+        };
+        self.feeds.insert(address, feed);
         self.actions.push(FeedAction::Open { feed: number, address, full_config });
     }
 
@@ -379,10 +393,30 @@
         self.leader = Some((fence, address));
         if !self.seeds.contains(&address) && !self.others.contains(&address) {
             self.others.push(address);
-            if self.others.len() > MAX_OTHERS {
+            if self.others.len() > MAX_CONTROLLERS {
                 self.others.remove(0);
             }
         }
         self.maintain(now);
     }
+
+    /// A followed controller has reported the controllers that it knows. What the followed controllers
+    /// reported last replaces what was known beside the seeds, so that removed machines are forgotten.
+    pub fn set_controllers(&mut self, now: Nanos, from: SocketAddr, controllers: Vec<SocketAddr>) {
+        let Some(feed) = self.feeds.get_mut(&from) else { return };
+        feed.reported = controllers;
+        let leader = self.leader.map(|(_, leader)| leader);
+        // The newest report first, in case there are more addresses than are kept.
+        let newest = self.feeds.get(&from).into_iter();
+        let reported = newest.chain(self.feeds.values()).flat_map(|feed| &feed.reported).copied();
+        let mut others = Vec::new();
+        for address in leader.into_iter().chain(reported) {
+            if others.len() < MAX_CONTROLLERS && !self.seeds.contains(&address) && !others.contains(&address)
+            {
+                others.push(address);
+            }
+        }
+        self.others = others;
+        self.maintain(now);
+    }
 }
--- a/agent/tests/round.rs
+++ b/agent/tests/round.rs
@@ -470,6 +470,61 @@
     assert_eq!([(); 3].map(|()| pause(&mut harness)), [200, 400, 800]);
 }
 
+fn controllers(numbers: &[u8]) -> PeerMessage {
+    PeerMessage::Controllers { addresses: numbers.iter().map(|n| at(*n).to_string().into()).collect() }
+}
+
+/// Guards against an agent that is left without a live controller: its seeds are removed, then the leader.
+#[test]
+fn an_agent_whose_seeds_and_leader_are_gone_follows_the_reported_controllers() {
+    let mut harness = Harness::new(&[1, 2, 3]);
+    let followed: Vec<u8> = (1..=3).filter(|n| harness.followed().0.contains(&at(*n))).collect();
+    let (leads, other) = (followed[0], followed[1]);
+    for n in &followed {
+        harness.line(*n, &[leader(1, leads), controllers(&[1, 2, 3, 4, 5, 6])]);
+    }
+    // All controllers that the agent knew at its start are removed, the leader last.
+    let mut removed: Vec<u8> = (1..=3).filter(|n| ![leads, other].contains(n)).chain([other]).collect();
+    let end_removed = |harness: &mut Harness, removed: &[u8]| {
+        for _ in 0..30 {
+            harness.advance(100 * MS);
+            let gone: Vec<u8> =
+                removed.iter().copied().filter(|n| harness.followed().0.contains(&at(*n))).collect();
+            gone.iter().for_each(|n| harness.ended(*n));
+        }
+    };
+    end_removed(&mut harness, &removed);
+    let live = |harness: &Harness| (4..=6).find(|n| harness.followed().0.contains(&at(*n)));
+    let first = live(&harness).expect("a reported controller is followed beside the leader");
+    harness.line(first, &[leader(1, leads), controllers(&[leads, 4, 5, 6])]);
+    removed.push(leads);
+    end_removed(&mut harness, &removed);
+    let live_feeds = (4..=6).filter(|n| harness.followed().0.contains(&at(*n))).count();
+    assert_eq!(live_feeds, 2, "{:?}", harness.followed());
+}
+
+/// A controller that was removed is not tried for ever, also if another one does not know of that yet.
+#[test]
+fn reported_controllers_replace_earlier_ones_and_are_bounded() {
+    let mut harness = Harness::new(&[1, 2]);
+    let known = |harness: &Harness| {
+        let mut known: Vec<_> = harness.agent.feeds().known().collect();
+        known.sort();
+        known
+    };
+    harness.line(1, &[controllers(&[1, 2, 8])]);
+    harness.line(2, &[controllers(&[1, 2, 3]), leader(1, 9)]);
+    assert_eq!(known(&harness), [1, 2, 3, 8, 9].map(at), "the reports of both, and the leader");
+    let open: Vec<u8> = (1..=9).filter(|n| harness.followed().0.contains(&at(*n))).collect();
+    open.iter().for_each(|n| harness.line(*n, &[controllers(&[1, 2, 3])]));
+    assert_eq!(known(&harness), [1, 2, 3, 9].map(at));
+    harness.line(open[0], &[controllers(&(10..=200).collect::<Vec<_>>())]);
+    assert!(known(&harness).len() <= 2 + 32, "{}", known(&harness).len());
+    let nonsense = PeerMessage::Controllers { addresses: vec!["nowhere".into()] };
+    harness.line(open[0], &[nonsense]);
+    assert_eq!(known(&harness), [1, 2, 3, 9].map(at));
+}
+
 /// Without this log line an agent whose controllers are all gone looks like one that they refuse.
 #[test]
 fn an_agent_without_a_feed_logs_the_known_controllers() {
--- a/controller/src/core.rs
+++ b/controller/src/core.rs
@@ -192,6 +192,8 @@
     contact: Contact,
     /// The contact state that was last announced to followers.
     announced_contact: bool,
+    /// The controllers that were last announced to followers.
+    announced_controllers: Vec<Address>,
     rounds: Rounds,
     leadership: Leadership,
     gossip: Gossip,
@@ -243,6 +245,7 @@
             config_read: false,
             contact: Contact::new(me.clone(), apply / 2),
             announced_contact: false,
+            announced_controllers: Vec::new(),
             rounds: Rounds::new(&me, life, seed),
             leadership: Leadership::new(me.clone(), life, seed),
             gossip: Gossip::new(me.clone()),
@@ -543,6 +546,20 @@
         }
     }
 
+    /// Announces the known controllers to followers if they have changed, so that agents can follow others
+    /// than those in their settings files. Without contact the local view may be stale.
+    fn announce_controllers(&mut self, now: Nanos) {
+        if !self.in_contact(now) {
+            return;
+        }
+        let controllers = self.gossip.controllers(now, self.rounds.members());
+        if controllers != self.announced_controllers {
+            self.announced_controllers.clone_from(&controllers);
+            let lines = self.feed.broadcast(&[PeerMessage::Controllers { addresses: controllers }]);
+            self.send_lines(lines);
+        }
+    }
+
     /// Records the leader, and announces it to followers if it has changed.
     fn update_leader(&mut self, fence: u64, address: &str) {
         if self.gossip.update_leader(fence, address) {
@@ -632,6 +649,7 @@
             parts.insert("drains".to_owned(), drains);
         }
         let body = Bytes::from(message.stringify().unwrap_or_default());
+        self.announce_controllers(now);
         self.effects.extend(to.into_iter().map(|to| Effect::Gossip(to, body.clone())));
     }
 
--- a/controller/src/core/follow.rs
+++ b/controller/src/core/follow.rs
@@ -83,7 +83,9 @@
             }
         }
         let (fence, address) = self.known_leader();
-        let mut snapshot = vec![PeerMessage::Leader { address, fence }];
+        let controllers = self.gossip.controllers(now, self.rounds.members());
+        let mut snapshot =
+            vec![PeerMessage::Leader { address, fence }, PeerMessage::Controllers { addresses: controllers }];
         if let Some(leader) = self.leadership.leader_mut() {
             snapshot.extend(self.drain_state.drains().snapshot(now, &batch.from));
             snapshot.extend(leader.snapshot(&batch.from));
--- a/controller/src/gossip.rs
+++ b/controller/src/gossip.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use millpost_protocol::{object, string, text, whole};
+use millpost_protocol::{MAX_CONTROLLERS, object, string, text, whole};
 use millpost_quorum::{Address, Members, Value};
 use tinyjson::JsonValue;
 use xxhash_rust::xxh3::xxh3_64;
@@ -196,6 +196,26 @@
         &self.peers
     }
 
+    /// Returns the controllers that agents may follow: this one, the voters, and the peers that were heard
+    /// recently. If there are too many, the voters come before other peers.
+    pub fn controllers(&self, now: Nanos, members: Option<&Members>) -> Vec<Address> {
+        let mut controllers = vec![self.me.clone()];
+        let voters = members.into_iter().flat_map(Members::all_voters);
+        let peers = self.recent_peers(now).cloned();
+        for address in voters.chain(peers) {
+            if controllers.len() < MAX_CONTROLLERS && !controllers.contains(&address) {
+                controllers.push(address);
+            }
+        }
+        controllers.sort();
+        controllers
+    }
+
+    /// Returns the peers that were heard recently.
+    fn recent_peers(&self, now: Nanos) -> impl Iterator<Item = &Address> {
+        self.peers.iter().filter(move |(_, seen)| seen.last_heard + SEND_TIMEOUT > now).map(|(a, _)| a)
+    }
+
     /// Returns the last known leader and its fence.
     pub fn leader(&self) -> &(u64, CompactString) {
         &self.leader
@@ -258,9 +278,7 @@
         self.next_send = now + INTERVAL;
         let mut to = seeds.to_vec();
         to.extend(members.into_iter().flat_map(Members::all_voters));
-        to.extend(
-            self.peers.iter().filter(|(_, s)| s.last_heard + SEND_TIMEOUT > now).map(|(a, _)| a.clone()),
-        );
+        to.extend(self.recent_peers(now).cloned());
         to.sort();
         to.dedup();
         to.retain(|a| *a != self.me);
--- a/controller/tests/control.rs
+++ b/controller/tests/control.rs
@@ -7,6 +7,9 @@
 use millpost_controller::core::Input;
 use millpost_controller::leadership::Call;
 use millpost_controller::rounds;
+use millpost_net::messaging::json;
+use millpost_protocol::PeerMessage;
+use millpost_quorum::Address;
 use tinyjson::JsonValue;
 
 /// Returns a cluster of three voters with a leader, and spares.
@@ -235,6 +238,44 @@
     assert_eq!((count(&cluster, r#""t":"contact""#), count(&cluster, r#""o":1"#)), (2, 1));
 }
 
+/// Agents learn from their feeds which controllers exist: all that are heard and all voters, from the first line on,
+/// and again when that changes, but nothing from a controller without contact.
+#[test]
+fn followers_are_told_of_controllers_that_come_and_go() {
+    let (mut cluster, leader) = cluster_with_leader(1);
+    let (spare, all) = (3, (0..4).map(address).collect::<Vec<_>>());
+    cluster.run(cluster.now + 1_000 * MS);
+    let agent = cluster.call(leader, Method::POST, "/follow", r#"{"from":"edge-1","life":1,"notes":[]}"#);
+    cluster.run(cluster.now + 10 * MS);
+    let (_, connection) = cluster.feeds[&agent];
+    let reports = |cluster: &Cluster| -> Vec<Vec<Address>> {
+        let lines = cluster.lines.iter().filter(|line| (line.0, line.1) == (leader, connection));
+        let messages = lines.flat_map(|line| {
+            let Some(JsonValue::Object(mut parts)) = json(&line.2) else { panic!("no object") };
+            let Some(JsonValue::Array(messages)) = parts.remove("notes") else { panic!("no messages") };
+            messages
+        });
+        messages
+            .filter_map(|message| match PeerMessage::read(&message).expect("a message") {
+                PeerMessage::Controllers { addresses } => Some(addresses),
+                _ => None,
+            })
+            .collect()
+    };
+    assert_eq!(reports(&cluster), std::slice::from_ref(&all));
+    // The spare is removed, and started again.
+    cluster.down(spare);
+    cluster.run(cluster.now + 11_000 * MS);
+    assert_eq!(reports(&cluster), [all.clone(), all[..3].to_vec()]);
+    cluster.restart(spare);
+    cluster.up(spare);
+    cluster.run(cluster.now + 1_000 * MS);
+    assert_eq!(reports(&cluster), [all.clone(), all[..3].to_vec(), all.clone()]);
+    cluster.cut(leader, 1);
+    cluster.run(cluster.now + 12_000 * MS);
+    assert_eq!(reports(&cluster).len(), 3, "without contact nothing is reported");
+}
+
 #[test]
 fn a_put_is_acknowledged_once_a_majority_has_it_on_disk() {
     let (mut cluster, _) = cluster_with_leader(1);
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -17,4 +17,4 @@
 pub use json::{Fault, list, number, object, string, text, whole};
 pub use membership::{MembershipView, ViewChange, peer_hash};
 pub use message_batch::MessageBatch;
-pub use peer_message::{Instance, Peer, PeerMessage, Permit, Version};
+pub use peer_message::{Instance, MAX_CONTROLLERS, Peer, PeerMessage, Permit, Version};
--- a/protocol/src/peer_message.rs
+++ b/protocol/src/peer_message.rs
@@ -14,6 +14,9 @@
 /// Orders published state: the fence of the publishing leader, and its count of publications.
 pub type Version = (u64, u64);
 
+/// The most addresses in a [`PeerMessage::Controllers`]; any further ones are ignored.
+pub const MAX_CONTROLLERS: usize = 32;
+
 /// A live proxy.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
@@ -227,6 +230,12 @@
         /// Its fence.
         fence: u64,
     },
+    /// Down, only to the agent: the controllers that the sender knows to exist, itself included. Each report
+    /// replaces the earlier ones of the same controller.
+    Controllers {
+        /// Their addresses, at most [`MAX_CONTROLLERS`].
+        addresses: Vec<CompactString>,
+    },
     /// Down: drains this proxy, so that it accepts no new clients; up: the proxy is drained.
     Drain {
         /// Name of the machine.
@@ -535,6 +544,9 @@
             PeerMessage::Leader { address, fence } => {
                 object([("t", text("steward")), ("a", text(address)), ("f", n(fence))])
             }
+            PeerMessage::Controllers { addresses } => {
+                object([("t", text("controllers")), ("a", names(addresses))])
+            }
             PeerMessage::Drain { name, left } => {
                 object([("t", text("rest")), ("n", text(name)), ("l", ms(*left))])
             }
@@ -671,6 +683,9 @@
                 gone: read_names(from, "gone")?,
             },
             "steward" => PeerMessage::Leader { address: string(from, "a")?, fence: whole(from, "f")? },
+            "controllers" => PeerMessage::Controllers {
+                addresses: read_names(from, "a")?.into_iter().take(MAX_CONTROLLERS).collect(),
+            },
             "rest" => PeerMessage::Drain { name: string(from, "n")?, left: number(from, "l")? },
             "want" => PeerMessage::DesiredInstances {
                 service: string(from, "s")?,
--- a/protocol/src/peer_message/tests.rs
+++ b/protocol/src/peer_message/tests.rs
@@ -76,6 +76,7 @@
         },
         PeerMessage::OwnedInstances { set: vec![instance] },
         PeerMessage::Leader { address: "10.0.0.2:80".into(), fence: 3 },
+        PeerMessage::Controllers { addresses: vec!["10.0.0.2:80".into(), "10.0.0.3:80".into()] },
         PeerMessage::DesiredInstances {
             service: "f".into(),
             count: 2,
--- a/simulator/src/plan.rs
+++ b/simulator/src/plan.rs
@@ -74,6 +74,9 @@
     DiskFull { lasts: Time },
     /// A core machine is removed permanently. An empty one starts at another address after the delay `after`.
     ReplaceCore { whom: ReplaceTarget, after: Time },
+    /// The core machines are replaced one per `every`, the leader last. Each successor starts half of `every`
+    /// before its predecessor is removed. The settings of running processes do not change.
+    ReplaceEach { every: Time },
     /// Other core machines become the seeds in the settings files.
     SeedTurnover,
     /// The processes of a machine get SIGTERM and are restarted.
@@ -139,7 +142,7 @@
             FaultKind::DiskStall { .. } => "disk_stall",
             FaultKind::DiskSlow { .. } => "disk_slow",
             FaultKind::DiskFull { .. } => "disk_full",
-            FaultKind::ReplaceCore { .. } => "replace_core",
+            FaultKind::ReplaceCore { .. } | FaultKind::ReplaceEach { .. } => "replace_core",
             FaultKind::SeedTurnover => "seed_turnover",
             FaultKind::NodeTerm { .. } => "node_term",
             FaultKind::BigConfig { .. } => "big_config",
--- a/simulator/src/world/faults.rs
+++ b/simulator/src/world/faults.rs
@@ -191,6 +191,7 @@
                 self.record_disturbance(machine, now + lasts);
             }
             FaultKind::ReplaceCore { whom, after } => self.replace_core(&mut target_rng, whom, after),
+            FaultKind::ReplaceEach { every } => self.replace_each(every, fault.target_seed),
             FaultKind::SeedTurnover => self.seed_turnover(&mut target_rng),
             FaultKind::NodeTerm { core } => {
                 let machine = one(&mut target_rng, core);
@@ -222,7 +223,7 @@
     }
 
     /// Schedules a follow-up fault.
-    fn schedule_fault(&mut self, at: Time, what: FaultKind, target_seed: u64) {
+    pub(super) fn schedule_fault(&mut self, at: Time, what: FaultKind, target_seed: u64) {
         self.plan.faults.push(InjectedFault { at, kind: what, target_seed });
         self.at(at, Event::Fault(self.plan.faults.len() - 1));
     }
--- a/simulator/src/world/mod.rs
+++ b/simulator/src/world/mod.rs
@@ -38,7 +38,7 @@
 use platform::Platform;
 
 /// Spare machines that can replace core machines.
-const SPARES: usize = 2;
+const SPARES: usize = 8;
 /// Wall-clock time at the start of the day, in milliseconds of Unix time.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -292,7 +292,8 @@
         let site = site.part(plan.site_divisor).lasting(plan.length_factor);
         let mut rng = Rng::new(plan.seed);
         let edges = site.edges.len();
-        let count = edges + site.cores.len() + SPARES;
+        let first_spare = edges + site.cores.len();
+        let count = first_spare + SPARES;
         let machine = |at: usize, zone: usize, core: bool| Machine {
             name: if core {
                 format_compact!("core-{zone}-{at}")
@@ -359,7 +360,8 @@
             machines,
             names: HashMap::new(),
             cores: (edges..edges + site.cores.len()).collect(),
-            spares: (edges + site.cores.len()..count).collect(),
+            // Taken from the end. The order keeps the addresses of the first two.
+            spares: (first_spare + 2..count).chain(first_spare..first_spare + 2).collect(),
             seeds: Vec::new(),
             parse_cache: Rc::default(),
             incarnations: 0,
--- a/simulator/src/world/net.rs
+++ b/simulator/src/world/net.rs
@@ -110,6 +110,7 @@
         PeerMessage::CommittedRevision { .. } => 24,
         PeerMessage::Drain { name, .. } => 36 + name.len(),
         PeerMessage::Leader { address, .. } => 34 + address.len(),
+        PeerMessage::Controllers { addresses } => 26 + addresses.iter().map(|a| a.len() + 3).sum::<usize>(),
         PeerMessage::RetireInstance { instance }
         | PeerMessage::InstanceDown { instance }
         | PeerMessage::InstanceUp { instance } => 24 + instance.len(),
--- a/simulator/src/world/planned.rs
+++ b/simulator/src/world/planned.rs
@@ -1,7 +1,7 @@
 //! Planned operations: replacement of core machines, seed changes, SIGTERM and reloads.
 
 use super::{Event, Role, World};
-use crate::plan::ReplaceTarget;
+use crate::plan::{FaultKind, ReplaceTarget};
 use crate::processes::ProcessInput;
 use crate::rng::Rng;
 use crate::{MS, SECOND, Time};
@@ -21,9 +21,8 @@
         let recent = self.wiped_at.is_some_and(|at| at + 10 * SECOND > now);
         let all_in_contact = self.cores.iter().all(|at| self.disturbances.in_contact(*at, now));
         let Some(new) = self.spares.pop().filter(|_| !recent && all_in_contact) else { return };
-        let leader = |at: &&usize| self.machines[**at].controller.as_ref().is_some_and(|h| h.is_leader());
         let old = match whom {
-            ReplaceTarget::Leader => self.cores.iter().find(leader).copied(),
+            ReplaceTarget::Leader => self.cores.iter().copied().find(|at| self.leads(*at)),
             ReplaceTarget::Seed => {
                 self.cores.iter().find(|at| self.seeds.contains(&self.address(**at))).copied()
             }
@@ -31,9 +30,7 @@
         };
         let old = old.unwrap_or_else(|| self.random_core(target_rng));
         self.wiped_at = Some(now);
-        self.cores.iter_mut().filter(|at| **at == old).for_each(|at| *at = new);
-        self.machines[new].zone = self.machines[old].zone;
-        self.trace_line(|| format!("machine {new} takes the place of machine {old}"));
+        self.take_place(new, old);
         if whom == ReplaceTarget::Planned {
             // Start the new machine, send SIGTERM to the old one, and remove it once it has shut down.
             self.machines[old].retires = true;
@@ -46,6 +43,35 @@
         self.record_disturbance(new, now + after);
     }
 
+    /// Replaces one of the core machines that the day began with, the leader last, and schedules the next
+    /// replacement. Only processes that start from now on have other seeds.
+    pub(super) fn replace_each(&mut self, every: Time, target_seed: u64) {
+        let now = self.now;
+        let first_spare = self.site.edges.len() + self.site.cores.len();
+        let left: Vec<_> = self.cores.iter().copied().filter(|at| *at < first_spare).collect();
+        let next = left.iter().copied().find(|at| !self.leads(*at)).or(left.first().copied());
+        let Some((old, new)) = next.zip(self.spares.pop()) else { return };
+        self.take_place(new, old);
+        self.seeds = self.cores.iter().take(3).map(|at| self.address(*at)).collect();
+        self.at(now, Event::Start(new));
+        self.at(now + every / 2, Event::Retire(old));
+        self.record_disturbance(new, now + every / 2);
+        if left.len() > 1 {
+            self.schedule_fault(now + every, FaultKind::ReplaceEach { every }, target_seed);
+        }
+    }
+
+    fn leads(&self, at: usize) -> bool {
+        self.machines[at].controller.as_ref().is_some_and(|controller| controller.is_leader())
+    }
+
+    /// The machine `new` becomes a member of the core in the place of `old`.
+    fn take_place(&mut self, new: usize, old: usize) {
+        self.cores.iter_mut().filter(|at| **at == old).for_each(|at| *at = new);
+        self.machines[new].zone = self.machines[old].zone;
+        self.trace_line(|| format!("machine {new} takes the place of machine {old}"));
+    }
+
     /// Removes a machine permanently.
     pub(super) fn retire(&mut self, at: usize) {
         self.kill(at, true, 0);
--- a/simulator/tests/rules.rs
+++ b/simulator/tests/rules.rs
@@ -43,8 +43,7 @@
         Mutation::ConfirmConflicts => {
             (8..20).fold(quiet, |plan, at| plan.with(at * SECOND, FaultKind::ConfigRaceOf { count: 8 }))
         }
-        Mutation::IgnoreLeaving => rolling_restarts(seed, 4.0),
-        Mutation::SilentShutdown => rolling_restarts(seed, 1.0),
+        Mutation::IgnoreLeaving | Mutation::SilentShutdown => rolling_restarts(seed, 4.0),
         Mutation::SpuriousDenial
         | Mutation::OverSlots
         | Mutation::StaleAddress
@@ -125,6 +124,23 @@
     }
 }
 
+/// Guards against edge machines cut off from control: an agent knew only the controllers of its settings file
+/// and the leader, and none of them was left after the core was replaced one machine at a time.
+#[test]
+fn edge_machines_follow_a_core_of_which_each_machine_was_replaced() {
+    for seed in 1..=6 {
+        let plan = Plan { length_factor: 3, ..Plan::quiet(seed, Size::Small) }
+            .with(8 * SECOND, FaultKind::ReplaceEach { every: 9 * SECOND })
+            .with(50 * SECOND, FaultKind::ConfigChange)
+            .with(55 * SECOND, FaultKind::ConfigChange);
+        let day = play(&plan, false, true);
+        let replaced = day.trace.iter().filter(|line| line.contains("takes the place of")).count();
+        assert_eq!((replaced, &*day.breaches), (4, &[][..]), "seed {seed}");
+        assert!(day.propagation.iter().all(|(_, last)| last.is_some()), "seed {seed}: {}", day.to_text());
+        assert!(day.served_ratio() > 0.99, "seed {seed}: {}", day.to_text());
+    }
+}
+
 /// Lost acknowledgements, concurrent submissions, partitions of 20 s, split cores, and crashes right after an
 /// acknowledgement.
 #[test]
