A refusal or 421 that names no try proves nothing (REFUSED)

An answer without X-Attempt-Id counted as proof that the request had not run if it bore X-Not-Executed or was 421, while any other answer without the id counted as none. It names no request: a surplus answer or spoilt bytes of that kind would make the proxy send a request again that runs, or refuse it.

Red before: rejected_without_an_id gives Full, address_reused_without_an_id AddressReused.

--- a/proxy/src/pool.rs
+++ b/proxy/src/pool.rs
@@ -238,12 +238,11 @@
     Some(out)
 }
 
-/// Classifies a complete answer. One that belongs to another request, or is not from an instance, counts as
-/// no answer.
+/// Classifies a complete answer. One that does not name this request, or is not from an instance, counts as
+/// no answer, whatever it says: this request may still be executed.
 fn classify(request: &Request<Bytes>, status: StatusCode, headers: &HeaderMap) -> Outcome {
     let (expected, actual) = (request.headers().get(ATTEMPT), headers.get(ATTEMPT));
-    // A late answer to another request says nothing about this one, which may still be executed.
-    if actual.is_some() && actual != expected {
+    if actual != expected {
         return Outcome::NoAnswer;
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
@@ -252,9 +251,6 @@
     if headers.contains_key(NOT_EXECUTED) {
         return Outcome::Full;
     }
-    if actual != expected {
-        return Outcome::NoAnswer;
-    }
     if status.is_success() {
         let good = headers.contains_key(SEAL) && !headers.contains_key(CONTENT_ENCODING);
         return if good { Outcome::Answered } else { Outcome::NoAnswer };
@@ -300,6 +296,8 @@
         another_was_rejected = { 503, &[("x-attempt-id", "other"), ("x-not-executed", "1")], Outcome::NoAnswer },
         address_reused = { 421, &[("x-attempt-id", "mine")], Outcome::AddressReused },
         another_was_address_reused = { 421, &[("x-attempt-id", "other")], Outcome::NoAnswer },
+        rejected_without_an_id = { 503, &[("x-not-executed", "1")], Outcome::NoAnswer },
+        address_reused_without_an_id = { 421, &[], Outcome::NoAnswer },
         unavailable_without_the_header = { 503, &[("x-attempt-id", "mine")], Outcome::NoAnswer },
     )]
     fn an_answer_counts_only_for_the_request_that_it_names(
