A restarted agent learns the present controllers from its proxy (CONFIG)

The agent now tells its proxy which controllers it knows beside its seeds, the proxy says it back with each heartbeat, and an agent that no controller has informed yet goes by it.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use log::Level;
 use millpost_net::messaging;
 use millpost_protocol::{Fault, MessageBatch, PeerMessage, whole};
@@ -135,6 +135,11 @@
     Exit,
 }
 
+/// The valid ones of these addresses.
+fn parse_addresses(addresses: &[CompactString]) -> impl Iterator<Item = SocketAddr> {
+    addresses.iter().filter_map(|address| address.parse().ok())
+}
+
 /// The agent's state. The crate's documentation describes its use.
 #[derive(Debug)]
 pub struct Agent {
@@ -370,8 +375,9 @@
             return;
         }
         if let PeerMessage::Controllers { addresses } = &message {
-            let addresses = addresses.iter().filter_map(|address| address.parse().ok()).collect();
-            self.feeds.set_controllers(now, from, addresses);
+            if self.feeds.set_controllers(now, from, parse_addresses(addresses).collect()) {
+                self.effects.push(Effect::SendToProxy(self.controllers()));
+            }
             return self.run_feed_actions(now);
         }
         if let PeerMessage::Contact { holds } = &message {
@@ -420,6 +426,15 @@
             self.effects.push(Effect::SendToProxy(PeerMessage::Drain { name: name.clone(), left: left_ms }));
         }
         self.effects.extend(self.latest.snapshot().into_iter().map(Effect::SendToProxy));
+        if !self.feeds.others().is_empty() {
+            self.effects.push(Effect::SendToProxy(self.controllers()));
+        }
+    }
+
+    /// The message by which the proxy keeps the known controllers for the next run of this process.
+    fn controllers(&self) -> PeerMessage {
+        let addresses = self.feeds.others().iter().map(ToCompactString::to_compact_string).collect();
+        PeerMessage::Controllers { addresses }
     }
 
     /// Passes a controller's answer to [`PeerMessage::QueryRevision`] on to the proxy.
@@ -453,6 +468,10 @@
                         self.send_snapshot(now);
                     }
                 }
+                PeerMessage::Controllers { addresses } => {
+                    self.feeds.recall_controllers(now, parse_addresses(&addresses));
+                    self.run_feed_actions(now);
+                }
                 // Any controller that is in contact with a majority can answer.
                 PeerMessage::QueryRevision => self.send_to_control(message, true),
                 message => self.send_to_control(message, false),
--- a/agent/src/feeds.rs
+++ b/agent/src/feeds.rs
@@ -88,6 +88,8 @@
     /// Controllers beside the seeds: those that the followed controllers reported last, and leaders. Kept when
     /// the feeds end. At most [`MAX_CONTROLLERS`].
     others: Vec<SocketAddr>,
+    /// Whether a controller has reported the present ones since the process started.
+    informed: bool,
     /// Fence and address.
     leader: Option<(u64, SocketAddr)>,
     feeds: BTreeMap<SocketAddr, Feed>,
@@ -116,6 +118,7 @@
         FeedSet {
             seeds,
             others: Vec::new(),
+            informed: false,
             leader: None,
             feeds: BTreeMap::new(),
             failed: BTreeMap::new(),
@@ -401,10 +404,12 @@
     }
 
     /// A followed controller has reported the controllers that it knows. What the followed controllers
-    /// reported last replaces what was known beside the seeds, so that removed machines are forgotten.
-    pub fn set_controllers(&mut self, now: Nanos, from: SocketAddr, controllers: Vec<SocketAddr>) {
-        let Some(feed) = self.feeds.get_mut(&from) else { return };
+    /// reported last replaces what was known beside the seeds, so that removed machines are forgotten. Returns
+    /// whether that has changed.
+    pub fn set_controllers(&mut self, now: Nanos, from: SocketAddr, controllers: Vec<SocketAddr>) -> bool {
+        let Some(feed) = self.feeds.get_mut(&from) else { return false };
         feed.reported = controllers;
+        self.informed = true;
         let leader = self.leader.map(|(_, leader)| leader);
         // The newest report first, in case there are more addresses than are kept.
         let newest = self.feeds.get(&from).into_iter();
@@ -416,7 +421,24 @@
                 others.push(address);
             }
         }
+        let changed = others != self.others;
         self.others = others;
         self.maintain(now);
+        changed
+    }
+
+    /// The proxy has returned the controllers that an earlier run of this process knew. They are used until a
+    /// controller reports the present ones.
+    pub fn recall_controllers(&mut self, now: Nanos, controllers: impl Iterator<Item = SocketAddr>) {
+        if self.informed || !self.others.is_empty() {
+            return;
+        }
+        self.others = controllers.take(MAX_CONTROLLERS).collect();
+        self.maintain(now);
+    }
+
+    /// The controllers that are known beside the seeds.
+    pub fn others(&self) -> &[SocketAddr] {
+        &self.others
     }
 }
--- a/agent/tests/round.rs
+++ b/agent/tests/round.rs
@@ -503,6 +503,30 @@
     assert_eq!(live_feeds, 2, "{:?}", harness.followed());
 }
 
+/// Guards against an agent that is cut off by its restart: its settings file is old, and each controller that the file
+/// names is gone. The proxy lives on and has kept what the run before had learned.
+#[test]
+fn a_restarted_agent_follows_the_controllers_that_its_proxy_has_kept() {
+    let mut harness = Harness::new(&[1, 2]);
+    harness.line(1, &[controllers(&[1, 2, 4, 5])]);
+    assert_eq!(harness.to_proxy, [controllers(&[4, 5])]);
+    harness.line(1, &[controllers(&[1, 2, 4, 5])]);
+    assert_eq!(harness.to_proxy.len(), 1, "only changes are passed on");
+    harness.handle(Input::ProxyUp);
+    assert_eq!(harness.to_proxy.last(), Some(&controllers(&[4, 5])), "a restarted proxy is told");
+
+    let mut harness = Harness::new(&[1, 2]);
+    [1, 2].iter().for_each(|n| harness.ended(*n));
+    harness.proxy_sends(&[alive(), controllers(&[4, 5])]);
+    assert_eq!(harness.followed().0, [4, 5].map(at));
+    assert!(harness.to_control.is_empty(), "{:?}", harness.to_control);
+    // Once a controller has reported, the proxy's memory is older.
+    harness.line(4, &[controllers(&[4, 6])]);
+    harness.proxy_sends(&[controllers(&[4, 5])]);
+    let known: Vec<_> = harness.agent.feeds().known().collect();
+    assert_eq!(known, [1, 2, 4, 6].map(at));
+}
+
 /// A controller that was removed is not tried for ever, also if another one does not know of that yet.
 #[test]
 fn reported_controllers_replace_earlier_ones_and_are_bounded() {
--- a/e2e/tests/losses.rs
+++ b/e2e/tests/losses.rs
@@ -4,6 +4,7 @@
 
 use millpost_e2e::{TestCluster, fairly, library, order, until};
 use millpost_standins::cluster::client::Order;
+use millpost_standins::cluster::operator::Operator;
 use millpost_standins::cluster::settings::{Class, Function, Kind, Role, Route};
 use tokio::time::{sleep_until, timeout};
 
@@ -47,6 +48,56 @@
     .await;
 }
 
+/// Guards against edge machines that are cut off from control: each core machine is replaced at a new address, the
+/// leader last, and no settings file of a running process is written again. Then an agent restarts with its old file.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_core_machine_is_replaced_while_settings_files_stay_as_they_are() {
+    fairly(async || {
+        let mut cluster = TestCluster::open_library().await;
+        let leader = cluster.leader(0).await.machine;
+        let mut old = cluster.fleet.deployment.of(Class::Core);
+        old.sort_by_key(|machine| *machine == leader);
+        let seeds = cluster.fleet.deployment.controls();
+        for machine in old {
+            let zone = cluster.fleet.deployment.machines[machine].zone.clone();
+            let new = cluster.fleet.add(Class::Core, &zone).expect("started");
+            until("the new controller is in contact", async || {
+                (cluster.status(new).await?["contact"] == "holds").then_some(())
+            })
+            .await;
+            cluster.fleet.remove(machine);
+            let (gone, here) = [machine, new].map(|n| cluster.fleet.deployment.machines[n].control()).into();
+            until("the new controller votes in the place of the old one", async || {
+                let voters = cluster.status(cluster.leader(0).await.machine).await?["voters"].clone();
+                let votes = |address: std::net::SocketAddr| {
+                    voters.as_array().is_some_and(|all| all.contains(&address.to_string().into()))
+                };
+                (votes(here) && !votes(gone)).then_some(())
+            })
+            .await;
+        }
+        cluster.operator = Operator::new(cluster.fleet.deployment.controls(), cluster.auditor.clone());
+        cluster.put(&library(2)).await;
+        cluster.in_force(2).await;
+
+        let edge = cluster.fleet.deployment.of(Class::Edge)[0];
+        let file = std::fs::read_to_string(cluster.fleet.deployment.file(edge, Role::Agent)).expect("a file");
+        assert!(
+            seeds.iter().all(|seed| file.contains(&seed.to_string())),
+            "the file names the first machines"
+        );
+        cluster.fleet.restart_with_old_settings(edge, Role::Agent).expect("started");
+        cluster.put(&library(3)).await;
+        cluster.in_force(3).await;
+        cluster.is_ready().await;
+        for edge in 0..3 {
+            let outcome = cluster.clients_of(edge).send(1, &order("loans")).await;
+            assert!(outcome.served(), "edge {edge}: {outcome:?}");
+        }
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_steward_is_frozen_and_thawed() {
     fairly(async || {
--- a/protocol/src/peer_message.rs
+++ b/protocol/src/peer_message.rs
@@ -230,8 +230,9 @@
         /// Its fence.
         fence: u64,
     },
-    /// Down, only to the agent: the controllers that the sender knows to exist, itself included. Each report
-    /// replaces the earlier ones of the same controller.
+    /// Down, to the agent: the controllers that the sender knows to exist, itself included. Each report
+    /// replaces the earlier ones of the same controller. From the agent to its proxy: those that the agent knows
+    /// beside its seeds. Up, only to the agent: the same, for an agent that has restarted.
     Controllers {
         /// Their addresses, at most [`MAX_CONTROLLERS`].
         addresses: Vec<CompactString>,
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -94,6 +94,8 @@
     /// The applied and the committed configuration revision.
     pub revisions: ConfigRevisions,
     drain: Drain,
+    /// The controllers that the agent knows beside its seeds, kept for an agent that restarts.
+    controllers: RefCell<Vec<CompactString>>,
     /// Time of an early heartbeat, after the agent did not receive the last one.
     retry_heartbeat: Cell<Option<Instant>>,
     /// Incarnation of this process: its start time in milliseconds since the Unix epoch.
@@ -206,6 +208,7 @@
             counters: Counters::default(),
             revisions: ConfigRevisions::default(),
             drain: Drain::default(),
+            controllers: RefCell::default(),
             retry_heartbeat: Cell::new(None),
             incarnation,
             incarnations: RefCell::default(),
@@ -303,6 +306,10 @@
                     revision: self.revisions.applied(),
                     number: 0,
                 });
+                let controllers = self.controllers.borrow().clone();
+                if !controllers.is_empty() {
+                    self.send_to_agent(&PeerMessage::Controllers { addresses: controllers });
+                }
                 if self.revisions.must_query() {
                     self.send_to_agent(&PeerMessage::QueryRevision);
                 }
@@ -384,6 +391,7 @@
                         | PeerMessage::Instances { .. }
                         | PeerMessage::MinInstances { .. }
                         | PeerMessage::Leader { .. }
+                        | PeerMessage::Controllers { .. }
                         | PeerMessage::Drain { .. }
                         | PeerMessage::CommittedRevision { .. }
                 )
@@ -414,6 +422,7 @@
                     }
                 }
                 PeerMessage::Drain { name, left } => self.set_drain(&name, left),
+                PeerMessage::Controllers { addresses } => *self.controllers.borrow_mut() = addresses,
                 PeerMessage::CommittedRevision { revision } => self.revisions.set_committed(revision),
                 message => self.coordinator.borrow_mut().receive_from_controller(now, message),
             }
--- a/simulator/src/processes/proxy.rs
+++ b/simulator/src/processes/proxy.rs
@@ -130,6 +130,8 @@
     ends_at: Vec<Time>,
     /// Drained by an operator until this time.
     drained_until: Time,
+    /// The controllers that the agent knows beside its seeds.
+    controllers: Vec<CompactString>,
     replying: Option<(CompactString, Vec<PeerMessage>)>,
     /// The incarnation reported to other proxies, by their addresses.
     incarnations: HashMap<CompactString, Incarnation>,
@@ -174,6 +176,7 @@
             leaving: None,
             ends_at: Vec::new(),
             drained_until: 0,
+            controllers: Vec::new(),
             replying: None,
             incarnations: HashMap::new(),
             stale: HashMap::new(),
@@ -297,6 +300,9 @@
                 self.send_to_agent(PeerMessage::Drain { name: self.context.name.clone(), left });
             }
             self.send_to_agent(PeerMessage::ConfigApplied { revision: self.active_revision(), number: 0 });
+            if !self.controllers.is_empty() {
+                self.send_to_agent(PeerMessage::Controllers { addresses: self.controllers.clone() });
+            }
         }
         let probes_due: Vec<_> = self
             .probes
@@ -423,6 +429,7 @@
                 | PeerMessage::Instances { .. }
                 | PeerMessage::MinInstances { .. }
                 | PeerMessage::Leader { .. } => self.coordinator.receive_from_controller(now, message),
+                PeerMessage::Controllers { addresses } => self.controllers = addresses,
                 PeerMessage::Drain { left, .. } => self.drained_until = now + (left * MS as f64) as Time,
                 message => between.push(message),
             }
--- a/standins/src/cluster/fleet.rs
+++ b/standins/src/cluster/fleet.rs
@@ -184,8 +184,13 @@
     }
 
     fn launch(&mut self, process: usize, bootstrap: bool) -> io::Result<()> {
+        let Process { machine, role, .. } = self.processes[process];
+        let file = self.deployment.write(machine, role, bootstrap)?;
+        self.launch_with(process, file)
+    }
+
+    fn launch_with(&mut self, process: usize, file: PathBuf) -> io::Result<()> {
         let process = &mut self.processes[process];
-        let file = self.deployment.write(process.machine, process.role, bootstrap)?;
         let log = OpenOptions::new().create(true).append(true).open(&process.log)?;
         let mut command = Command::new(&process.program);
         command.env("DEWJUNCTION_CONFIG", file).envs(self.environment.iter().map(|(n, v)| (n, v)));
@@ -227,6 +232,14 @@
         self.launch(self.at(machine, role), false)
     }
 
+    /// The same with the settings file as it was written last.
+    ///
+    /// # Errors
+    /// Where that fails.
+    pub fn restart_with_old_settings(&mut self, machine: usize, role: Role) -> io::Result<()> {
+        self.launch_with(self.at(machine, role), self.deployment.file(machine, role))
+    }
+
     /// The same for all processes of a machine.
     ///
     /// # Errors
