Gossip keeps its shortest interval in every state

The time of the last send is kept now.

Red before: messages_are_never_hastened_beyond_their_shortest_interval, over a random history of calls.

--- a/controller/src/gossip.rs
+++ b/controller/src/gossip.rs
@@ -168,6 +168,8 @@
     fetching: Option<Fetching>,
     count: u64,
     next_send: Nanos,
+    /// When the last messages were sent; `None` before the first.
+    last_sent: Option<Nanos>,
 }
 
 /// Returns the digest that identifies a content.
@@ -188,6 +190,7 @@
             fetching: None,
             count: 0,
             next_send: 0,
+            last_sent: None,
         }
     }
 
@@ -263,8 +266,8 @@
 
     /// Makes the next messages due earlier, because a peer may have become reachable.
     pub fn hasten(&mut self, now: Nanos) {
-        let last = self.next_send.saturating_sub(INTERVAL);
-        self.next_send = self.next_send.min((last + MIN_INTERVAL).max(now));
+        let earliest = self.last_sent.map_or(now, |sent| sent + MIN_INTERVAL);
+        self.next_send = self.next_send.min(earliest.max(now));
     }
 
     /// Returns the next message and its recipients.
@@ -276,6 +279,7 @@
         local: LocalState,
     ) -> (Vec<Address>, GossipMessage) {
         self.next_send = now + INTERVAL;
+        self.last_sent = Some(now);
         let mut to = seeds.to_vec();
         to.extend(members.into_iter().flat_map(Members::all_voters));
         to.extend(self.recent_peers(now).cloned());
@@ -392,6 +396,26 @@
         assert_eq!(gossip.on_message(5 * MS + INTERVAL, message(1, 8, "m")), Ok(None));
     }
 
+    /// Guards against messages without pause: two calls of `hasten` between two messages made the next one due at
+    /// once, so that controllers without a majority sent thousands a second to each other.
+    #[test]
+    fn messages_are_never_hastened_beyond_their_shortest_interval() {
+        let mut gossip = Gossip::new("10.1.0.0:1".into());
+        let local = LocalState { voting: true, leaving: false };
+        let (mut now, mut random, mut sent) = (0, 1_u64, Vec::new());
+        while now < 10_000 * MS {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            now += (random >> 33) % (20 * MS);
+            (0..(random >> 20) % 4).for_each(|_| gossip.hasten(now));
+            if now >= gossip.next_send() {
+                gossip.prepare(now, &[], None, local);
+                sent.push(now);
+            }
+        }
+        assert!(sent.windows(2).all(|pair| pair[1] - pair[0] >= MIN_INTERVAL), "{sent:?}");
+        assert!(sent.len() > 100, "hastened at all: {}", sent.len());
+    }
+
     #[test]
     fn the_local_configuration_is_used_only_if_its_content_matches() {
         let mut gossip = Gossip::new("10.1.0.0:1".into());
