--- a/controller/src/core.rs
+++ b/controller/src/core.rs
@@ -36,6 +36,7 @@
     LeaderOutput, Leadership, LeadershipStep, PlatformCall, PlatformReply, RegisterRead,
 };
 use crate::pending_puts::PendingPuts;
+use crate::placement::{Location, LossTolerance};
 use crate::platform_stats::PlatformStats;
 use crate::rounds::{self, RoundPurpose, Rounds};
 use crate::voters::{VoterAction, VoterView, Voters};
@@ -61,8 +62,10 @@
     pub life: u64,
     /// Addresses of the seed nodes.
     pub seeds: Vec<Address>,
-    /// Number of machines that may fail at the same time.
-    pub tolerated_losses: u32,
+    /// What may be lost at the same time.
+    pub tolerance: LossTolerance,
+    /// Where this controller is.
+    pub location: Location,
     /// `contact_ms`: a machine that was silent for this long counts as unreachable.
     pub contact_timeout: Nanos,
     /// `config_apply_ms`: time from the acknowledgement of a configuration until it is in force everywhere.
@@ -96,7 +99,8 @@
             me: address.to_compact_string(),
             life,
             seeds: seeds(settings),
-            tolerated_losses: settings.tolerance.machine_losses,
+            tolerance: settings.tolerance.into(),
+            location: Location { zone: settings.zone.clone(), region: settings.region.clone() },
             contact_timeout: settings.bounds.contact_ms * MS,
             config_apply_time: settings.bounds.config_apply_ms * MS,
             shutdown_grace: (settings.bounds.grace_s * 1e9) as Nanos,
@@ -183,7 +187,10 @@
 pub struct Core {
     me: Address,
     seeds: Vec<Address>,
-    tolerated_losses: u32,
+    tolerance: LossTolerance,
+    location: Location,
+    /// Whether the present voters were last seen to bear the tolerated losses of zones and regions.
+    bears_tolerance: Option<bool>,
     platform: Option<PlatformLimits>,
     sink: Option<Box<dyn Fn() -> Sink>>,
     voting: bool,
@@ -228,7 +235,8 @@
             me,
             life,
             seeds,
-            tolerated_losses,
+            tolerance,
+            location,
             contact_timeout: contact,
             config_apply_time: apply,
             shutdown_grace: grace,
@@ -238,7 +246,9 @@
         let seed = life ^ xxhash_rust::xxh3::xxh3_64(me.as_bytes());
         Core {
             seeds,
-            tolerated_losses,
+            tolerance,
+            location,
+            bears_tolerance: None,
             platform,
             sink,
             voting: false,
@@ -641,7 +651,11 @@
 
     /// Sends the local state to the other controllers.
     fn send_gossip(&mut self, now: Nanos) {
-        let state = gossip::LocalState { voting: self.voting, leaving: self.shutdown.is_some() };
+        let state = gossip::LocalState {
+            voting: self.voting,
+            leaving: self.shutdown.is_some(),
+            location: self.tolerance.has_zones().then(|| self.location.clone()),
+        };
         let (to, message) = self.gossip.prepare(now, &self.seeds, self.rounds.members(), state);
         let mut message = message.to_json();
         let drains = self.drain_state.drains().to_gossip(now);
@@ -697,9 +711,22 @@
         if self.rounds.is_running(RoundPurpose::ChangeVoters) {
             return;
         }
-        let Some(members) = self.rounds.members() else { return };
-        let (me, peers, tolerated_losses) = (self.me.as_str(), self.gossip.peers(), self.tolerated_losses);
-        let action = self.voters.next_action(now, VoterView { me, members, peers, tolerated_losses });
+        let Some(view) = self.voter_view() else { return };
+        let bears_tolerance = view.bears_tolerance();
+        if bears_tolerance != self.bears_tolerance {
+            match bears_tolerance {
+                Some(false) => log::warn!(
+                    "a loss of zones or regions that is to be tolerated would take a majority of the voters \
+                     {:?}",
+                    view.members.voters
+                ),
+                Some(true) => log::info!("the voters bear each loss that is to be tolerated"),
+                None => {}
+            }
+        }
+        let mut voters = std::mem::take(&mut self.voters);
+        let action = self.voter_view().and_then(|view| voters.next_action(now, view));
+        (self.voters, self.bears_tolerance) = (voters, bears_tolerance);
         let out = match action {
             Some(VoterAction::FinishChange) => self.rounds.start_change(now, None),
             Some(VoterAction::StartChange(change)) => self.rounds.start_change(now, Some(change)),
@@ -708,6 +735,17 @@
         self.apply_round_output(now, out);
     }
 
+    /// The state on which decisions about the voters are based; `None` while the members are unknown.
+    fn voter_view(&self) -> Option<VoterView<'_>> {
+        Some(VoterView {
+            me: self.me.as_str(),
+            my_location: &self.location,
+            members: self.rounds.members()?,
+            peers: self.gossip.peers(),
+            tolerance: self.tolerance,
+        })
+    }
+
     fn known_leader(&self) -> (u64, CompactString) {
         self.gossip.leader().clone()
     }
--- a/controller/src/core/api.rs
+++ b/controller/src/core/api.rs
@@ -263,6 +263,12 @@
             ("epoch", number(members.map_or(0, |m| m.epoch))),
             ("voters", voters),
             ("next_voters", next),
+            (
+                "voters_bear_tolerance",
+                self.voter_view()
+                    .and_then(|view| view.bears_tolerance())
+                    .map_or(JsonValue::Null, JsonValue::Boolean),
+            ),
             ("steward", text(address)),
             ("fence", number(*fence)),
             ("is_steward", JsonValue::Boolean(leader.is_some())),
--- a/controller/src/gossip.rs
+++ b/controller/src/gossip.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::errors::CallError;
+use crate::placement::Location;
 use crate::{MS, Nanos};
 
 /// Interval between messages to all peers.
@@ -29,7 +30,7 @@
 const FORGET_AFTER: Nanos = 60_000 * MS;
 
 /// The state of another controller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerState {
     /// When it was last heard.
     pub last_heard: Nanos,
@@ -37,15 +38,19 @@
     pub voting: bool,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Where it is, if it has said so.
+    pub location: Option<Location>,
 }
 
 /// The state of this controller.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct LocalState {
     /// Whether it votes.
     pub voting: bool,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Where it is, if others need to know.
+    pub location: Option<Location>,
 }
 
 /// A gossip message.
@@ -65,6 +70,8 @@
     pub voting: bool,
     /// Whether the sender is shutting down.
     pub leaving: bool,
+    /// Where the sender is, if zones or regions may be lost.
+    pub location: Option<Location>,
     /// The epoch of the members that the sender knows, if any.
     pub epoch: Option<u64>,
     /// The change from the previous configuration; only in the first message after the change.
@@ -95,6 +102,10 @@
             fence: number("fence")?,
             voting: parts.get("voting") == Some(&JsonValue::Boolean(true)),
             leaving: parts.get("leaving") == Some(&JsonValue::Boolean(true)),
+            location: match parts.contains_key("zone") {
+                true => Some(Location { zone: field("zone")?, region: field("region")? }),
+                false => None,
+            },
             epoch: parts.contains_key("epoch").then(|| number("epoch")).transpose()?,
             change: match (parts.get("change"), parts.get("base")) {
                 (Some(JsonValue::String(packed)), Some(JsonValue::String(base))) => {
@@ -119,6 +130,8 @@
             ("fence", JsonValue::Number(self.fence as f64)),
             ("voting", JsonValue::Boolean(self.voting)),
             ("leaving", if self.leaving { JsonValue::Boolean(true) } else { JsonValue::Null }),
+            ("zone", self.location.as_ref().map_or(JsonValue::Null, |location| text(&location.zone))),
+            ("region", self.location.as_ref().map_or(JsonValue::Null, |location| text(&location.region))),
             ("epoch", self.epoch.map_or(JsonValue::Null, |epoch| JsonValue::Number(epoch as f64))),
             ("base", self.change.as_ref().map_or(JsonValue::Null, |c| text(&c.base))),
             ("change", self.change.as_ref().map_or(JsonValue::Null, |c| text(&c.packed))),
@@ -294,6 +307,7 @@
             fence: self.leader.0,
             voting: local.voting,
             leaving: local.leaving,
+            location: local.location,
             epoch: members.map(|members| members.epoch),
             change: self.change.take(),
         };
@@ -306,9 +320,8 @@
         if self.peers.len() >= MAX_PEERS && !self.peers.contains_key(&message.from) {
             return Err(CallError::Invalid("from".to_owned()));
         }
-        let seen = PeerState { last_heard: now, voting: message.voting, leaving: message.leaving };
-        self.peers.insert(message.from.clone(), seen);
-        let GossipMessage { from, revision, digest, change, .. } = message;
+        let GossipMessage { from, revision, digest, change, voting, leaving, location, .. } = message;
+        self.peers.insert(from.clone(), PeerState { last_heard: now, voting, leaving, location });
         let in_flight = self.fetching.as_ref().is_some_and(|f| f.revision >= revision && now < f.until);
         if revision <= self.revision() || in_flight {
             return Ok(None);
@@ -368,6 +381,7 @@
             fence: 0,
             voting: true,
             leaving: false,
+            location: None,
             epoch: Some(1),
             change: None,
         }
@@ -401,14 +415,14 @@
     #[test]
     fn messages_are_never_hastened_beyond_their_shortest_interval() {
         let mut gossip = Gossip::new("10.1.0.0:1".into());
-        let local = LocalState { voting: true, leaving: false };
+        let local = LocalState { voting: true, leaving: false, location: None };
         let (mut now, mut random, mut sent) = (0, 1_u64, Vec::new());
         while now < 10_000 * MS {
             random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
             now += (random >> 33) % (20 * MS);
             (0..(random >> 20) % 4).for_each(|_| gossip.hasten(now));
             if now >= gossip.next_send() {
-                gossip.prepare(now, &[], None, local);
+                gossip.prepare(now, &[], None, local.clone());
                 sent.push(now);
             }
         }
@@ -450,6 +464,9 @@
         assert_eq!(GossipMessage::read(&sent.to_json()), Ok(sent.clone()));
         let change = ConfigChange { base: "l".into(), packed: "eJ".to_owned() };
         let sent = GossipMessage { change: Some(change), leaving: true, ..sent };
+        assert_eq!(GossipMessage::read(&sent.to_json()), Ok(sent.clone()));
+        let location = Some(Location { zone: "z".into(), region: "r".into() });
+        let sent = GossipMessage { location, ..sent };
         assert_eq!(GossipMessage::read(&sent.to_json()), Ok(sent));
         let nowhere = GossipMessage { from: "nobody".into(), ..message(1, 7, "m") };
         assert_eq!(GossipMessage::read(&nowhere.to_json()), Err(CallError::Invalid("from".to_owned())));
--- a/controller/src/lib.rs
+++ b/controller/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! - [`core`]: combines the state machines below; inputs in, effects out.
 //! - [`rounds`]: rounds of the register. [`leadership`]: the lease and the leader's duties. [`leader`]: the
-//!   leader's state. [`gossip`]: messages between controllers. [`voters`]: the choice of voters. [`pages`]:
+//!   leader's state. [`gossip`]: messages between controllers. [`voters`]: the choice of voters, and [`placement`] where they are. [`pages`]:
 //!   reading the platform's list. [`feed`]: the feed to agents. [`contact`]: contact with a majority of the
 //!   voters.
 //! - `pending_puts`: replies to operators who put a configuration. `drains`: drains of proxies and workers.
@@ -25,6 +25,7 @@
 pub mod leadership;
 pub mod pages;
 mod pending_puts;
+pub mod placement;
 mod platform;
 mod platform_stats;
 pub mod rounds;
--- a/controller/src/voters.rs
+++ b/controller/src/voters.rs
@@ -1,5 +1,6 @@
 //! Decides which controllers vote: as many as the tolerated losses require, with a spare in the place of a
-//! voter that is silent or shutting down.
+//! voter that is silent or shutting down. If zones or regions may be lost, voters are spread over them, as
+//! evenly as the available controllers allow.
 //!
 //! Invariant: a change starts only if available voters with a state form a majority of the voters before the
 //! change and, together with the new voter, a majority of those after it.
@@ -9,6 +10,7 @@
 use millpost_quorum::{Address, Members, VoterChange};
 
 use crate::gossip::PeerState;
+use crate::placement::{Location, LossTolerance};
 use crate::{MS, Nanos};
 
 /// A controller that was heard within this time counts as available.
@@ -34,15 +36,54 @@
 pub struct VoterView<'a> {
     /// This controller, which votes.
     pub me: &'a str,
+    /// Where this controller is.
+    pub my_location: &'a Location,
     /// The current members.
     pub members: &'a Members,
     /// The other known controllers.
     pub peers: &'a BTreeMap<Address, PeerState>,
-    /// Number of machines that may fail at the same time.
-    pub tolerated_losses: u32,
+    /// What may be lost at the same time.
+    pub tolerance: LossTolerance,
 }
 
 impl VoterView<'_> {
+    fn location(&self, voter: &Address) -> Option<&Location> {
+        if voter == self.me {
+            return Some(self.my_location);
+        }
+        self.peers.get(voter).and_then(|seen| seen.location.as_ref())
+    }
+
+    /// Returns whether a majority of the present voters survives each loss that is to be tolerated; `None` if
+    /// the place of a voter is unknown, or none matters.
+    pub fn bears_tolerance(&self) -> Option<bool> {
+        let voters: Vec<_> = self.members.voters.iter().map(|voter| self.location(voter)).collect();
+        let known = self.tolerance.has_zones() && voters.iter().all(Option::is_some);
+        known.then(|| self.tolerance.is_borne_by(&voters))
+    }
+
+    /// Returns how well the voters after this change are spread; the lowest value is the best.
+    fn spread_after(&self, change: &VoterChange) -> (usize, usize) {
+        let after = change.apply(&self.members.voters).unwrap_or_default();
+        let voters: Vec<_> = after.iter().map(|voter| self.location(voter)).collect();
+        self.tolerance.spread(&voters)
+    }
+
+    /// Returns the change that spreads the voters better, if the present ones do not bear the tolerated losses.
+    fn spreading_change(&self, now: Nanos) -> Option<VoterChange> {
+        if self.bears_tolerance()? {
+            return None;
+        }
+        let voters: Vec<_> = self.members.voters.iter().map(|voter| self.location(voter)).collect();
+        let replace = |old: &Address| {
+            let old = old.clone();
+            newcomers(now, *self).map(move |new| VoterChange::Replace { old: old.clone(), new })
+        };
+        let others = self.members.voters.iter().filter(|voter| **voter != *self.me);
+        let best = others.flat_map(replace).min_by_key(|change| self.spread_after(change))?;
+        (self.spread_after(&best) < self.tolerance.spread(&voters)).then_some(best)
+    }
+
     /// Returns whether a voter is available and has a state.
     fn has_state(&self, now: Nanos, voter: &Address) -> bool {
         let fresh = |seen: &PeerState| seen.voting && seen.last_heard + FRESH > now;
@@ -89,13 +130,17 @@
         if view.members.next.is_some() {
             return Some(VoterAction::FinishChange);
         }
-        let new = newcomer(now, view)?;
-        let change = if view.members.voters.len() < 2 * view.tolerated_losses as usize + 1 {
-            VoterChange::Add(new.clone())
+        let change = if view.members.voters.len() < view.tolerance.voters() {
+            newcomers(now, view).map(VoterChange::Add).min_by_key(|change| view.spread_after(change))?
+        } else if let Some(old) = view.voter_to_replace(now) {
+            newcomers(now, view)
+                .map(|new| VoterChange::Replace { old: old.clone(), new })
+                .min_by_key(|change| view.spread_after(change))?
         } else {
-            VoterChange::Replace { old: view.voter_to_replace(now)?.clone(), new: new.clone() }
+            view.spreading_change(now)?
         };
-        if !view.has_majorities(now, &change, &new) {
+        let (VoterChange::Add(new) | VoterChange::Replace { new, .. }) = &change else { return None };
+        if !view.has_majorities(now, &change, new) {
             log::debug!("voters unchanged: too few of them are available");
             return None;
         }
@@ -115,18 +160,75 @@
     peers.iter().filter(move |(a, seen)| !members.contains(a) && available(seen))
 }
 
-/// Returns the spare that should vote next. Spares without a state come before those that vote, or voted,
-/// elsewhere.
-fn newcomer(now: Nanos, view: VoterView<'_>) -> Option<Address> {
-    let spares = || spares(now, view.members, view.peers);
-    let empty = spares().find(|(_, seen)| !seen.voting);
-    empty.or_else(|| spares().next()).map(|(a, _)| a.clone())
+/// Returns the spares in the order in which they should vote, if they are equally well placed. Spares without a
+/// state come before those that vote, or voted, elsewhere.
+fn newcomers(now: Nanos, view: VoterView<'_>) -> impl Iterator<Item = Address> {
+    let (empty, others): (Vec<_>, Vec<_>) =
+        spares(now, view.members, view.peers).partition(|(_, seen)| !seen.voting);
+    empty.into_iter().chain(others).map(|(address, _)| address.clone())
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    fn location(zone: char) -> Location {
+        Location { zone: zone.to_string().into(), region: "r".into() }
+    }
+
+    /// Applies changes until there are no more. Controllers are named by their zone and a number; those of
+    /// `peers` are available, this one is the first of `voters`.
+    fn settle(voters: &[&str], peers: &[&str], tolerance: LossTolerance) -> (Vec<String>, Option<bool>) {
+        let now = 10_000 * MS;
+        let seen = |name: &&str| {
+            let location = Some(location(name.chars().next().expect("a zone")));
+            let voting = voters.contains(name);
+            ((*name).into(), PeerState { last_heard: now, voting, leaving: false, location })
+        };
+        let peers: BTreeMap<Address, PeerState> = peers.iter().map(seen).collect();
+        let mut members = Members::initial("u", voters.iter().map(|voter| (*voter).into()));
+        let my_location = &location(voters[0].chars().next().expect("a zone"));
+        for step in 0..20 {
+            let view = VoterView { me: voters[0], my_location, members: &members, peers: &peers, tolerance };
+            match Voters::default().next_action(now, view) {
+                Some(VoterAction::StartChange(change)) => {
+                    members.voters = change.apply(&members.voters).expect("a valid change");
+                }
+                other => {
+                    assert_eq!(other, None);
+                    let zones = members.voters.iter().map(|voter| voter[..1].to_owned()).collect();
+                    return (zones, view.bears_tolerance());
+                }
+            }
+            assert!(step < 19, "the voters do not settle: {:?}", members.voters);
+        }
+        unreachable!()
+    }
+
+    /// Guards against an acknowledged configuration that is gone with a zone that the tolerance allows to lose:
+    /// most of the first voters, which are the seeds, were in it.
+    #[yare::parameterized(
+        seeds_share_a_zone = { &["a1", "a2", "b1"], &["a2", "b1", "b2", "c1", "c2"], [1, 1], "abc", Some(true) },
+        leader_is_alone_in_its_zone = { &["b1", "a1", "a2"], &["a1", "a2", "b2", "c1"], [1, 1], "abc", Some(true) },
+        all_seeds_in_one_zone = { &["a1", "a2", "a3"], &["a2", "a3", "b1", "c1"], [1, 1], "abc", Some(true) },
+        five_voters = { &["a1", "a2", "a3"], &["a2", "a3", "b1", "b2", "c1"], [2, 1], "aabbc", Some(true) },
+        two_zones = { &["a1", "a2", "b1"], &["a2", "b1", "b2"], [1, 1], "aab", Some(false) },
+        already_spread = { &["a1", "b1", "c1"], &["b1", "c1", "a2", "b2"], [1, 1], "abc", Some(true) },
+        machines_only = { &["a1", "a2", "a3"], &["a2", "a3", "b1", "c1"], [1, 0], "aaa", None },
+    )]
+    fn voters_are_spread_over_zones_that_may_be_lost(
+        voters: &[&str],
+        peers: &[&str],
+        lost: [u32; 2],
+        expected: &str,
+        borne: Option<bool>,
+    ) {
+        let (mut settled, bears) =
+            settle(voters, peers, LossTolerance { machines: lost[0], zones: lost[1], regions: 0 });
+        settled.sort();
+        assert_eq!((settled.concat(), bears), (expected.to_owned(), borne));
+    }
+
     /// Controllers by letter, each with the time in ms when it was last heard and whether it has a state. `!`
     /// marks one that is shutting down.
     #[yare::parameterized(
@@ -155,11 +257,13 @@
         let members = Members::initial("u", voters.chars().map(|c| c.to_string().into()));
         let seen = |&(a, ms, voting): &(&str, u64, bool)| {
             let (name, leaving) = (a.trim_end_matches('!').into(), a.ends_with('!'));
-            (name, PeerState { last_heard: ms * MS, voting, leaving })
+            (name, PeerState { last_heard: ms * MS, voting, leaving, location: None })
         };
         let peers = heard.iter().map(seen).collect();
         let mut voters_state = Voters::default();
-        let view = |members| VoterView { me: "a", members, peers: &peers, tolerated_losses: 1 };
+        let tolerance = LossTolerance::of_machines(1);
+        let my_location = &location('z');
+        let view = |members| VoterView { me: "a", my_location, members, peers: &peers, tolerance };
         let action = voters_state.next_action(now * MS, view(&members)).map(|action| match action {
             VoterAction::StartChange(VoterChange::Replace { old: out, new }) => format!("{out} {new}"),
             VoterAction::StartChange(VoterChange::Add(new)) => format!("+{new}"),
--- a/controller/tests/cluster/mod.rs
+++ b/controller/tests/cluster/mod.rs
@@ -11,6 +11,7 @@
 use millpost_controller::contact::GossipReply;
 use millpost_controller::core::{Core, CoreOptions, Effect, Input, PlatformLimits, ReplyTarget};
 use millpost_controller::leadership::{self, PlatformCall, PlatformReply};
+use millpost_controller::placement::{Location, LossTolerance};
 use millpost_net::messaging::{Call, Content, Reply, json};
 use millpost_quorum::{Address, Key, Members, Message, Voter, Write};
 use tinyjson::JsonValue;
@@ -91,7 +92,8 @@
         me: address(n),
         life,
         seeds: seeds.to_vec(),
-        tolerated_losses: seeds.len() as u32 / 2,
+        tolerance: LossTolerance::of_machines(seeds.len() as u32 / 2),
+        location: Location { zone: "z".into(), region: "r".into() },
         contact_timeout: 4_000 * MS,
         config_apply_time: 3_000 * MS,
         shutdown_grace: 6_000 * MS,
--- a/simulator/src/plan.rs
+++ b/simulator/src/plan.rs
@@ -80,6 +80,8 @@
     /// The core machines are replaced one per `every`, the leader last. Each successor starts half of `every`
     /// before its predecessor is removed. The settings of running processes do not change.
     ReplaceEach { every: Time },
+    /// All machines of one zone lose power, and its core machines lose their disks.
+    ZoneLoss { zone: usize, lasts: Time },
     /// Other core machines become the seeds in the settings files.
     SeedTurnover,
     /// The processes of a machine get SIGTERM and are restarted.
@@ -147,6 +149,7 @@
             FaultKind::DiskSlow { .. } => "disk_slow",
             FaultKind::DiskFull { .. } => "disk_full",
             FaultKind::ReplaceCore { .. } | FaultKind::ReplaceEach { .. } => "replace_core",
+            FaultKind::ZoneLoss { .. } => "zone_loss",
             FaultKind::SeedTurnover => "seed_turnover",
             FaultKind::NodeTerm { .. } => "node_term",
             FaultKind::BigConfig { .. } => "big_config",
@@ -218,6 +221,9 @@
     pub homework: Option<f64>,
     /// Maximum number of endpoints that one attempt may be sent to on routes that are not idempotent.
     pub unsafe_tries: u32,
+    /// Number of zones that may be lost at once. If it is not 0, each zone has two core machines, and the first
+    /// voters, which are the seeds, do not have a zone each.
+    pub zone_losses: u32,
 }
 
 /// Which kinds of faults a random day contains.
@@ -300,6 +306,7 @@
             length_factor: 1,
             homework: None,
             unsafe_tries: 1,
+            zone_losses: 0,
         }
     }
 
@@ -384,6 +391,7 @@
             length_factor: 1,
             homework: None,
             unsafe_tries: 1,
+            zone_losses: 0,
         }
     }
 
--- a/simulator/src/processes/controller.rs
+++ b/simulator/src/processes/controller.rs
@@ -11,6 +11,7 @@
 use millpost_controller::core::{Core, CoreOptions, Effect, Input, PlatformLimits, ReplyTarget};
 use millpost_controller::feed::ConnectionId;
 use millpost_controller::leadership::{Call, PlatformCall, PlatformReply};
+use millpost_controller::placement::{Location, LossTolerance};
 use millpost_net::messaging::{self, Content, Reply};
 use millpost_protocol::{object, text};
 use millpost_quorum::{Address, Members, Message};
@@ -55,8 +56,8 @@
     pub duty_per_s: f64,
     /// Maximum staleness of the list, in milliseconds.
     pub max_lag_ms: u64,
-    /// Number of machines that may be lost at once.
-    pub losses: u32,
+    /// What may be lost at once.
+    pub tolerance: LossTolerance,
 }
 
 /// The controller process of one core machine.
@@ -103,7 +104,8 @@
             me: context.address.clone(),
             life: context.incarnation,
             seeds: context.seeds.clone(),
-            tolerated_losses: rates.losses,
+            tolerance: rates.tolerance,
+            location: Location { zone: context.zone.clone(), region: "r".into() },
             contact_timeout: 4_000 * MS,
             config_apply_time: 3_000 * MS,
             shutdown_grace: context.grace,
--- a/simulator/src/site.rs
+++ b/simulator/src/site.rs
@@ -306,6 +306,13 @@
         self
     }
 
+    /// Gives each zone two core machines.
+    #[must_use]
+    pub fn with_core_pairs(mut self) -> Self {
+        self.cores = (0..self.zones).flat_map(|zone| [zone; 2]).collect();
+        self
+    }
+
     /// Multiplies the duration of client traffic.
     #[must_use]
     pub fn lasting(mut self, times: u64) -> Self {
--- a/simulator/src/world/faults.rs
+++ b/simulator/src/world/faults.rs
@@ -195,6 +195,7 @@
                 self.record_disturbance(machine, now + lasts);
             }
             FaultKind::ReplaceCore { whom, after } => self.replace_core(&mut target_rng, whom, after),
+            FaultKind::ZoneLoss { zone, lasts } => self.lose_zone(zone, lasts),
             FaultKind::ReplaceEach { every } => self.replace_each(every, fault.target_seed),
             FaultKind::SeedTurnover => self.seed_turnover(&mut target_rng),
             FaultKind::NodeTerm { core } => {
@@ -250,6 +251,26 @@
         }
     }
 
+    /// All machines of a zone lose power, and its core machines their disks, unless other disks were lost
+    /// recently.
+    fn lose_zone(&mut self, zone: usize, lasts: Time) {
+        let now = self.now;
+        if self.wiped_at.is_some_and(|at| at + CATCH_UP + 6 * SECOND > now) {
+            return;
+        }
+        self.wiped_at = Some(now);
+        self.trace_line(|| format!("zone {zone} is lost with its disks"));
+        for at in 0..self.machines.len() {
+            let member = !self.machines[at].core || self.cores.contains(&at);
+            if member && self.machines[at].zone == zone {
+                self.kill(at, true, lasts);
+                if self.machines[at].core {
+                    self.machines[at].disk.wipe();
+                }
+            }
+        }
+    }
+
     fn crash_workers(&mut self, target_rng: &mut Rng, share: f64, reset: bool, lasts: Time) {
         let now = self.now;
         let count = ((self.platform.hosts.len() as f64 * share).round() as usize).max(1);
--- a/simulator/src/world/mod.rs
+++ b/simulator/src/world/mod.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
+use millpost_controller::placement::LossTolerance;
 use millpost_net::idle_connections::IdleConnections;
 
 use crate::auditor::Auditor;
@@ -297,6 +298,7 @@
             None => site,
         };
         let site = Site { unsafe_tries: plan.unsafe_tries, ..site };
+        let site = if plan.zone_losses > 0 { site.with_core_pairs() } else { site };
         let site = site.part(plan.site_divisor).lasting(plan.length_factor);
         let mut rng = Rng::new(plan.seed);
         let edges = site.edges.len();
@@ -561,7 +563,7 @@
                 rate_per_s: site.rates.0,
                 duty_per_s: site.rates.1,
                 max_lag_ms: site.lag_ms,
-                losses: 1,
+                tolerance: LossTolerance { machines: 1, zones: self.plan.zone_losses, regions: 0 },
             };
             let machine = &mut self.machines[at];
             let bootstrap = !restarted && at < site.edges.len() + site.cores.len();
--- a/simulator/tests/rules.rs
+++ b/simulator/tests/rules.rs
@@ -168,6 +168,25 @@
     }
 }
 
+/// Guards against an acknowledged configuration that is gone with a zone that may be lost: two of the three seeds, which
+/// vote first, are in it. Then each other zone is lost, too, one after the other.
+#[test]
+fn each_zone_may_be_lost_with_its_disks() {
+    for seed in 1..=4 {
+        let plan = Plan { length_factor: 3, zone_losses: 1, ..Plan::quiet(seed, Size::Small) };
+        let plan = (0..4).fold(plan, |plan, zone| {
+            let at = 14 * SECOND + zone as u64 * 15 * SECOND;
+            plan.with(at, FaultKind::ConfigChange)
+                .with(at + 100 * MS, FaultKind::ZoneLoss { zone, lasts: SECOND + seed * SECOND })
+        });
+        let day = play(&plan, false, true);
+        let lost = day.trace.iter().filter(|line| line.contains("is lost with its disks")).count();
+        assert_eq!((lost, &*day.breaches), (4, &[][..]), "seed {seed}");
+        assert!(day.propagation.iter().all(|(_, last)| last.is_some()), "seed {seed}: {}", day.to_text());
+        assert!(day.served_ratio() > 0.8, "seed {seed}: {}", day.to_text());
+    }
+}
+
 /// Lost acknowledgements, concurrent submissions, partitions of 20 s, split cores, and crashes right after an
 /// acknowledgement.
 #[test]
