Two flaky tests of the dispatcher: causes, and tests that tell them apart

reset_of_a_reused_connection_loses_no_message: the endpoint of the test closes after the first byte of the second request. On a busy machine it is late, the delayed last byte (2 ms) has been written, and a reset then proves nothing: PROTOCOL says that it may have run. An endpoint that waits 40 ms gets a notice for whole requests each time. The test now has the endpoint tell whether the request had arrived whole, and asks that notices and whole requests are equally many, at once and late; before, it asked for no notices.

endpoint_reachable_by_half_of_the_fleet_is_used_by_that_half: the relay of the tests looked for free ports at 127.0.0.1 and let them go until the dispatchers bind them; its own sockets, opened next, and any other process could be given one, and that dispatcher then never hears. They are at addresses of their own now.

Red before: a_port_that_a_dispatcher_is_to_bind_stays_free_whatever_others_draw.

--- a/dispatcher/tests/serving.rs
+++ b/dispatcher/tests/serving.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use common::*;
@@ -281,18 +283,41 @@
 
 #[test]
 fn reset_of_a_reused_connection_loses_no_message() {
+    reset_reused_connections(Duration::ZERO);
+}
+
+#[test]
+fn late_reset_of_a_reused_connection_is_told_apart() {
+    reset_reused_connections(Duration::from_millis(40));
+}
+
+/// A request whose connection is reset before its last byte was written has not run, and is sent again. Once the last
+/// byte has arrived, it may have run, and an unsafe message gets a notice. On a busy machine the endpoint may be late, so it
+/// tells which of both it was. An endpoint that is always late shows that the second case is told apart.
+fn reset_reused_connections(delay: Duration) {
+    const BODY_BYTES: usize = 20_000;
+    let arrived_whole = Arc::new(AtomicUsize::new(0));
+    let counter = arrived_whole.clone();
     let (discovery, partner) = (Discovery::start(), endpoint("200 OK"));
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            let counter = counter.clone();
             std::thread::spawn(move || {
                 let mut reader = std::io::BufReader::new(stream);
                 read(&mut reader).expect("a request");
                 let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
                 // Closes the connection after the first byte of the next request; the unread rest causes a
                 // reset.
-                let _ = std::io::Read::read(reader.get_mut(), &mut [0]);
+                let mut rest = vec![0; 2 * BODY_BYTES];
+                let came = std::io::Read::read(reader.get_mut(), &mut [0]).is_ok_and(|n| n > 0);
+                std::thread::sleep(delay);
+                let unread = reader.get_mut().peek(&mut rest).unwrap_or(0);
+                drop(reader);
+                if came && ends_with_body(&rest[..unread], BODY_BYTES) {
+                    counter.fetch_add(1, Ordering::SeqCst);
+                }
             });
         }
     });
@@ -300,14 +325,20 @@
         entry("a", &partner, 7, "in_service").replace(&partner.address.to_string(), &address.to_string());
     let node = Node::start(&discovery, &[line], Options::default());
     for n in 0..5 {
-        let answer = node.ask(request("unsafe", &format!("r{n}"), 7, 50.0, &[7; 20_000]));
+        let answer = node.ask(request("unsafe", &format!("r{n}"), 7, 50.0, &[7; BODY_BYTES]));
         assert_eq!(answer.map(|a| a.status()), Some(202));
         node.wait_for(ENDED);
     }
-    assert!(
-        discovery.notices.lock().expect("lock").is_empty(),
-        "the messages were not executed and must be retried"
-    );
+    let (notices, whole) =
+        (discovery.notices.lock().expect("lock").len(), arrived_whole.load(Ordering::SeqCst));
+    assert_eq!(notices, whole, "all messages but those that arrived whole must be retried");
+    assert!(delay.is_zero() || whole > 0, "a late endpoint gets whole requests");
+}
+
+/// Whether these bytes end with a head and a whole body of sevens.
+fn ends_with_body(bytes: &[u8], length: usize) -> bool {
+    let head = bytes.windows(4).position(|window| window == b"\r\n\r\n");
+    head.is_some_and(|at| bytes.len() == at + 4 + length)
 }
 
 #[test]
--- a/standins/src/peers.rs
+++ b/standins/src/peers.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::node::own_address;
 use crate::scripted::lock;
 
 /// The longest datagram that the platform carries, bytes.
@@ -79,8 +80,10 @@
     /// Where no port is free.
     pub fn seeded(dispatchers: usize, seed: u64) -> io::Result<Self> {
         let free = || UdpSocket::bind((Ipv4Addr::LOCALHOST, 0));
-        // Ports that are free now are the dispatchers' to bind.
-        let held = (0..dispatchers).map(|_| free()).collect::<io::Result<Vec<_>>>()?;
+        // Ports that are free now are the dispatchers' to bind. They are at addresses of their own, so that no other
+        // socket, of this relay or of a test beside it, is given one of them meanwhile.
+        let own = || UdpSocket::bind((own_address().ip(), 0));
+        let held = (0..dispatchers).map(|_| own()).collect::<io::Result<Vec<_>>>()?;
         let listens = held.iter().map(UdpSocket::local_addr).collect::<io::Result<Vec<_>>>()?;
         drop(held);
         let doors = (0..dispatchers).map(|_| free()).collect::<io::Result<Vec<_>>>()?;
--- a/standins/tests/addresses.rs
+++ b/standins/tests/addresses.rs
@@ -1,10 +1,11 @@
 //! The addresses that processes are started on, while other threads start children of theirs.
 
-use std::net::TcpStream;
+use std::net::{Ipv4Addr, TcpStream, UdpSocket};
 use std::process::Command;
 use std::thread;
 
 use millpost_standins::node::own_address;
+use millpost_standins::peers::Relay;
 
 /// Who asks a process whether it is ready must not reach a leftover of the address's search instead.
 #[test]
@@ -23,3 +24,13 @@
     });
     assert_eq!(reached, 0);
 }
+
+/// Guards against a dispatcher that never hears the others: until it has started, another socket may be given its port.
+#[test]
+fn a_port_that_a_dispatcher_is_to_bind_stays_free_whatever_others_draw() {
+    let relay = Relay::start(4).expect("ports");
+    for listen in &relay.listens {
+        let _other = UdpSocket::bind((Ipv4Addr::LOCALHOST, listen.port()));
+        assert!(UdpSocket::bind(listen).is_ok(), "{listen} is taken");
+    }
+}
