An agent keeps reported controllers whatever its seeds become (CONFIG)

What controllers had reported was kept without those that were seeds at that moment. After the settings file had named other seeds, the earlier ones were known no more, though they had been reported and lived. The whole report is kept now. Found by reading the change again; red before: the last check of a_restarted_agent_follows_the_controllers_that_its_proxy_has_kept.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -426,14 +426,14 @@
             self.effects.push(Effect::SendToProxy(PeerMessage::Drain { name: name.clone(), left: left_ms }));
         }
         self.effects.extend(self.latest.snapshot().into_iter().map(Effect::SendToProxy));
-        if !self.feeds.others().is_empty() {
+        if !self.feeds.reported().is_empty() {
             self.effects.push(Effect::SendToProxy(self.controllers()));
         }
     }
 
     /// The message by which the proxy keeps the known controllers for the next run of this process.
     fn controllers(&self) -> PeerMessage {
-        let addresses = self.feeds.others().iter().map(ToCompactString::to_compact_string).collect();
+        let addresses = self.feeds.reported().iter().map(ToCompactString::to_compact_string).collect();
         PeerMessage::Controllers { addresses }
     }
 
--- a/agent/src/feeds.rs
+++ b/agent/src/feeds.rs
@@ -85,9 +85,9 @@
 #[derive(Clone, Debug)]
 pub struct FeedSet {
     seeds: Vec<SocketAddr>,
-    /// Controllers beside the seeds: those that the followed controllers reported last, and leaders. Kept when
-    /// the feeds end. At most [`MAX_CONTROLLERS`].
-    others: Vec<SocketAddr>,
+    /// The controllers that the followed ones reported last, and leaders. Kept when the feeds end, and whatever
+    /// the seeds are. At most [`MAX_CONTROLLERS`].
+    reported: Vec<SocketAddr>,
     /// Whether a controller has reported the present ones since the process started.
     informed: bool,
     /// Fence and address.
@@ -117,7 +117,7 @@
     pub fn new(seeds: Vec<SocketAddr>, incarnation: u64) -> Self {
         FeedSet {
             seeds,
-            others: Vec::new(),
+            reported: Vec::new(),
             informed: false,
             leader: None,
             feeds: BTreeMap::new(),
@@ -168,12 +168,13 @@
 
     /// The known controllers' addresses: the seeds, and those that messages have named.
     pub fn known(&self) -> impl Iterator<Item = SocketAddr> {
-        self.seeds.iter().chain(&self.others).copied()
+        let others = self.reported.iter().filter(|address| !self.seeds.contains(address));
+        self.seeds.iter().chain(others).copied()
     }
 
     /// The number of all addresses in memory.
     pub fn tracked_addresses(&self) -> usize {
-        self.seeds.len() + self.others.len() + self.failed.len() + self.feeds.len()
+        self.seeds.len() + self.reported.len() + self.failed.len() + self.feeds.len()
     }
 
     /// The controller's address of a feed; `None` if the feed is closed.
@@ -394,18 +395,18 @@
             return;
         }
         self.leader = Some((fence, address));
-        if !self.seeds.contains(&address) && !self.others.contains(&address) {
-            self.others.push(address);
-            if self.others.len() > MAX_CONTROLLERS {
-                self.others.remove(0);
+        if !self.reported.contains(&address) {
+            self.reported.push(address);
+            if self.reported.len() > MAX_CONTROLLERS {
+                self.reported.remove(0);
             }
         }
         self.maintain(now);
     }
 
     /// A followed controller has reported the controllers that it knows. What the followed controllers
-    /// reported last replaces what was known beside the seeds, so that removed machines are forgotten. Returns
-    /// whether that has changed.
+    /// reported last replaces what was reported before, so that removed machines are forgotten. Returns whether
+    /// that has changed.
     pub fn set_controllers(&mut self, now: Nanos, from: SocketAddr, controllers: Vec<SocketAddr>) -> bool {
         let Some(feed) = self.feeds.get_mut(&from) else { return false };
         feed.reported = controllers;
@@ -414,15 +415,16 @@
         // The newest report first, in case there are more addresses than are kept.
         let newest = self.feeds.get(&from).into_iter();
         let reported = newest.chain(self.feeds.values()).flat_map(|feed| &feed.reported).copied();
-        let mut others = Vec::new();
+        let mut all = Vec::new();
         for address in leader.into_iter().chain(reported) {
-            if others.len() < MAX_CONTROLLERS && !self.seeds.contains(&address) && !others.contains(&address)
-            {
-                others.push(address);
+            if all.len() < MAX_CONTROLLERS && !all.contains(&address) {
+                all.push(address);
             }
         }
-        let changed = others != self.others;
-        self.others = others;
+        // The order depends on who reported last.
+        all.sort();
+        let changed = all != self.reported;
+        self.reported = all;
         self.maintain(now);
         changed
     }
@@ -430,15 +432,15 @@
     /// The proxy has returned the controllers that an earlier run of this process knew. They are used until a
     /// controller reports the present ones.
     pub fn recall_controllers(&mut self, now: Nanos, controllers: impl Iterator<Item = SocketAddr>) {
-        if self.informed || !self.others.is_empty() {
+        if self.informed || !self.reported.is_empty() {
             return;
         }
-        self.others = controllers.take(MAX_CONTROLLERS).collect();
+        self.reported = controllers.take(MAX_CONTROLLERS).collect();
         self.maintain(now);
     }
 
-    /// The controllers that are known beside the seeds.
-    pub fn others(&self) -> &[SocketAddr] {
-        &self.others
+    /// The controllers that the followed ones reported last, and the leader; empty before the first report.
+    pub fn reported(&self) -> &[SocketAddr] {
+        if self.informed { &self.reported } else { &[] }
     }
 }
--- a/agent/tests/round.rs
+++ b/agent/tests/round.rs
@@ -509,11 +509,15 @@
 fn a_restarted_agent_follows_the_controllers_that_its_proxy_has_kept() {
     let mut harness = Harness::new(&[1, 2]);
     harness.line(1, &[controllers(&[1, 2, 4, 5])]);
-    assert_eq!(harness.to_proxy, [controllers(&[4, 5])]);
+    assert_eq!(harness.to_proxy, [controllers(&[1, 2, 4, 5])]);
     harness.line(1, &[controllers(&[1, 2, 4, 5])]);
     assert_eq!(harness.to_proxy.len(), 1, "only changes are passed on");
     harness.handle(Input::ProxyUp);
-    assert_eq!(harness.to_proxy.last(), Some(&controllers(&[4, 5])), "a restarted proxy is told");
+    assert_eq!(harness.to_proxy.last(), Some(&controllers(&[1, 2, 4, 5])), "a restarted proxy is told");
+    // Other seeds, which are gone: those of before are still known, since they were reported.
+    harness.handle(Input::Seeds(vec![at(8), at(9)]));
+    let known: Vec<_> = harness.agent.feeds().known().collect();
+    assert_eq!(known, [8, 9, 1, 2, 4, 5].map(at));
 
     let mut harness = Harness::new(&[1, 2]);
     [1, 2].iter().for_each(|n| harness.ended(*n));
--- a/protocol/src/peer_message.rs
+++ b/protocol/src/peer_message.rs
@@ -231,8 +231,8 @@
         fence: u64,
     },
     /// Down, to the agent: the controllers that the sender knows to exist, itself included. Each report
-    /// replaces the earlier ones of the same controller. From the agent to its proxy: those that the agent knows
-    /// beside its seeds. Up, only to the agent: the same, for an agent that has restarted.
+    /// replaces the earlier ones of the same controller. From the agent to its proxy: those that the agent was
+    /// told of. Up, only to the agent: the same, for an agent that has restarted.
     Controllers {
         /// Their addresses, at most [`MAX_CONTROLLERS`].
         addresses: Vec<CompactString>,
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -94,7 +94,7 @@
     /// The applied and the committed configuration revision.
     pub revisions: ConfigRevisions,
     drain: Drain,
-    /// The controllers that the agent knows beside its seeds, kept for an agent that restarts.
+    /// The controllers that the agent was told of, kept for an agent that restarts.
     controllers: RefCell<Vec<CompactString>>,
     /// Time of an early heartbeat, after the agent did not receive the last one.
     retry_heartbeat: Cell<Option<Instant>>,
--- a/simulator/src/processes/proxy.rs
+++ b/simulator/src/processes/proxy.rs
@@ -130,7 +130,7 @@
     ends_at: Vec<Time>,
     /// Drained by an operator until this time.
     drained_until: Time,
-    /// The controllers that the agent knows beside its seeds.
+    /// The controllers that the agent was told of.
     controllers: Vec<CompactString>,
     replying: Option<(CompactString, Vec<PeerMessage>)>,
     /// The incarnation reported to other proxies, by their addresses.
