--- a/simulator/tests/drops.rs
+++ b/simulator/tests/drops.rs
@@ -14,7 +14,7 @@
 #[derive(Default)]
 struct Rerouted {
     moved: usize,
-    /// Denied after that, for any reason.
+    /// Denied after that and before they were sent, for any reason.
     denied: Vec<String>,
     /// Denied because their function was unknown.
     unknown: Vec<String>,
@@ -47,6 +47,10 @@
                 self.moved += 1;
                 moved.insert(request);
             }
+            // It was sent: from now on a denial is one of a further try, which is asked for again in its turn.
+            ("ended", _) => {
+                moved.remove(&request);
+            }
             ("denied", "moved") => {}
             ("denied", why) => {
                 if why == "unknown" {
