--- a/simulator/tests/rules.rs
+++ b/simulator/tests/rules.rs
@@ -61,7 +61,8 @@
         }
         // All core machines are replaced, one at a time.
         Mutation::IgnoreControllers => replaced_core(seed),
-        Mutation::IgnoreLeaving | Mutation::SilentShutdown => rolling_restarts(seed, 4.0),
+        Mutation::IgnoreLeaving => rolling_restarts(seed, 6.0),
+        Mutation::SilentShutdown => rolling_restarts(seed, 4.0),
         Mutation::SpuriousDenial
         | Mutation::OverSlots
         | Mutation::StaleAddress
