A voter without a state says whom it waits for, and a voter that exits what is not safe

A voter that copies now logs from which voters it has a state, how many it needs, and which are missing, each time that changes. A process that exits logs whether the others hold its state, and if not, why: a change of voters under way, a spare without a vote, or keys that are not handed over. No decision changes.

--- a/controller/src/core/shutdown.rs
+++ b/controller/src/core/shutdown.rs
@@ -4,6 +4,7 @@
 //! in its place or, without a spare, before a majority of the other voters stores all that it holds.
 
 use millpost_quorum::{Key, Operation};
+use snafu::Snafu;
 
 use super::{Core, ReplyTarget};
 use crate::rounds::RoundPurpose;
@@ -38,6 +39,17 @@
     }
 }
 
+/// Why state might be lost if this voter exits now.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+enum UnsafeExit {
+    #[snafu(display("a change of the voters is in progress"))]
+    VotersChange,
+    #[snafu(display("an available spare does not vote yet"))]
+    SpareDoesNotVote,
+    #[snafu(display("a majority of the other voters is known to store {handed_over} of {} keys", Key::ALL.len()))]
+    KeysNotHandedOver { handed_over: usize },
+}
+
 impl Core {
     /// Begins the shutdown: releases the lease, tells the other controllers, and hands over the voter's
     /// state.
@@ -61,12 +73,30 @@
 
     /// Returns whether no state is lost without this controller.
     fn state_is_safe(&self, now: Nanos) -> bool {
-        let Some(members) = self.rounds.members().filter(|_| self.is_voter()) else { return true };
-        let keys_handed_over =
-            self.shutdown.is_some_and(|shutdown| shutdown.keys_handed_over >= Key::ALL.len());
-        let changes = members.next.is_some();
-        let spare = voters::spares(now, members, self.gossip.peers()).next().is_some();
-        keys_handed_over && !changes && !spare
+        self.unsafe_exit(now).is_none()
+    }
+
+    /// Returns why state might be lost without this controller.
+    fn unsafe_exit(&self, now: Nanos) -> Option<UnsafeExit> {
+        let members = self.rounds.members().filter(|_| self.is_voter())?;
+        let keys_handed_over = self.shutdown.map_or(0, |shutdown| shutdown.keys_handed_over);
+        if members.next.is_some() {
+            Some(UnsafeExit::VotersChange)
+        } else if voters::spares(now, members, self.gossip.peers()).next().is_some() {
+            Some(UnsafeExit::SpareDoesNotVote)
+        } else if keys_handed_over < Key::ALL.len() {
+            Some(UnsafeExit::KeysNotHandedOver { handed_over: keys_handed_over })
+        } else {
+            None
+        }
+    }
+
+    /// Logs that the process exits, and whether its state is known to be safe without it.
+    pub fn log_exit(&self, now: Nanos) {
+        match self.unsafe_exit(now) {
+            None => log::info!("exiting: the others store all state"),
+            Some(reason) => log::warn!("exiting at the end of the shutdown time: {reason}"),
+        }
     }
 
     fn is_voter(&self) -> bool {
--- a/controller/src/runtime.rs
+++ b/controller/src/runtime.rs
@@ -171,6 +171,7 @@
         }
         runtime.tick();
         if runtime.core.can_exit(runtime.now()) {
+            runtime.core.log_exit(runtime.now());
             server.abort();
             return Ok(());
         }
--- a/controller/src/voter_thread.rs
+++ b/controller/src/voter_thread.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 use std::{fs, io, thread};
 
-use millpost_quorum::{Address, Key, Members, Message, State, Value, Voter};
+use millpost_quorum::{Address, Key, Members, Message, RecoveryProgress, State, Value, Voter};
 use snafu::ResultExt;
 use tokio::sync::{mpsc as async_mpsc, oneshot};
 
@@ -165,6 +165,16 @@
     }
 }
 
+fn log_progress(progress: &RecoveryProgress) {
+    let RecoveryProgress { received, missing, needed } = progress;
+    log::info!(
+        "no state yet: copied from {} of {needed} voters [{}], missing [{}]",
+        received.len(),
+        received.join(" "),
+        missing.join(" ")
+    );
+}
+
 fn run(
     options: &VoterOptions,
     requests: &mpsc::Receiver<VoterRequest>,
@@ -173,6 +183,7 @@
 ) {
     let now = || clock.elapsed().as_nanos() as u64;
     let mut reported = None;
+    let mut logged_progress = None;
     loop {
         let Some((disk, mut voter)) = open(options, now()) else {
             thread::sleep(OPEN_RETRY_DELAY);
@@ -220,6 +231,12 @@
                 }
                 Err(mpsc::RecvTimeoutError::Timeout) => {
                     let out = voter.on_tick(now());
+                    if let Some(progress) = voter.recovery_progress()
+                        && logged_progress.as_ref() != Some(&progress)
+                    {
+                        log_progress(&progress);
+                        logged_progress = Some(progress);
+                    }
                     if !out.is_empty() && events.send(VoterEvent::Requests(out)).is_err() {
                         return;
                     }
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -30,7 +30,7 @@
 pub use members::{Members, VoterChange, VoterChangeError};
 pub use membership_change::{MembershipChange, MembershipOutcome};
 pub use record::{FORMAT, OpenError, Record, Write, check_format};
-pub use recovery::{PHASE_TIMEOUT, RECOVERY_MARGIN, Recovery};
+pub use recovery::{PHASE_TIMEOUT, RECOVERY_MARGIN, Recovery, RecoveryProgress};
 pub use round::{FailureReason, Operation, Outcome, Output, Round};
 pub use voter::{State, Step, Voter};
 pub use wire::Message;
--- a/quorum/src/members.rs
+++ b/quorum/src/members.rs
@@ -137,9 +137,13 @@
     /// Of `n` voters, a majority of `m` has `m - 1` members among the `n - 1` others, so any `n - m + 1`
     /// others intersect it. The next voters are not counted: see the module documentation of `recovery`.
     pub fn covers_majorities(&self, me: &str, included: impl Fn(&Address) -> bool) -> bool {
+        self.voters.iter().filter(|voter| *voter != me && included(voter)).count() >= self.states_to_copy()
+    }
+
+    /// Returns the number of other voters from which an empty voter copies its state.
+    pub(crate) fn states_to_copy(&self) -> usize {
         let majority = self.voters.len() / 2 + 1;
-        self.voters.iter().filter(|voter| *voter != me && included(voter)).count()
-            > self.voters.len() - majority
+        self.voters.len() - majority + 1
     }
 
     /// Returns the joint record between this one and `voters`.
--- a/quorum/src/recovery.rs
+++ b/quorum/src/recovery.rs
@@ -60,6 +60,17 @@
     replies: BTreeMap<Address, (Members, Vec<(Key, Slot)>)>,
 }
 
+/// How far a recovery has come under the newest members that are known to be chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecoveryProgress {
+    /// The voters whose state was received.
+    pub received: Vec<Address>,
+    /// The voters whose state was not received.
+    pub missing: Vec<Address>,
+    /// The number of other voters whose state is needed.
+    pub needed: usize,
+}
+
 /// The state that was merged from the other voters.
 #[derive(Debug)]
 pub(crate) struct Recovered {
@@ -112,6 +123,14 @@
         self.members().is_some_and(|members| members.contains(&self.me))
     }
 
+    /// Returns how far the recovery has come; `None` while no members are known.
+    pub(crate) fn progress(&self) -> Option<RecoveryProgress> {
+        let members = self.members()?;
+        let others = members.voters.iter().filter(|voter| **voter != self.me).cloned();
+        let (received, missing) = others.partition(|voter| self.replies.contains_key(voter));
+        Some(RecoveryProgress { received, missing, needed: members.states_to_copy() })
+    }
+
     /// Records members that the sender of a request knows to be chosen.
     pub(crate) fn on_members(&mut self, members: &Members) {
         if self.reported_members.as_ref().is_none_or(|known| known.epoch < members.epoch) {
--- a/quorum/src/voter.rs
+++ b/quorum/src/voter.rs
@@ -17,7 +17,7 @@
 use crate::lease::LeaseGrantor;
 use crate::members::Members;
 use crate::record::{self, OpenError, Write};
-use crate::recovery::Recovery;
+use crate::recovery::{Recovery, RecoveryProgress};
 use crate::wire::Message;
 
 /// The state of a voter.
@@ -170,6 +170,11 @@
         self.members.is_none().then(|| self.recovery.next_wake())
     }
 
+    /// Returns how far the recovery has come, while the voter is one of the members and has no state.
+    pub fn recovery_progress(&self) -> Option<RecoveryProgress> {
+        if self.state() == State::Recovering { self.recovery.progress() } else { None }
+    }
+
     /// Returns the requests to other voters at this time, while the voter has no state.
     pub fn on_tick(&mut self, now: u64) -> Vec<(Address, Message)> {
         if self.members.is_some() { Vec::new() } else { self.recovery.on_tick(now) }
