Voters that all shut down at once are replaced without a leader (CONFIG)

Cause: only the leader changes voters, and a leader gives up its lease when it is told to end. With all voters ending nobody may lead. The invariant that failed: a voter with a spare does not end before the spare votes; it hung on another controller, and ended at half of the grace time.

Change: without a leader that stays, the first of the voters that shut down changes the voters, itself last. A voter that waits for a spare, or for the end of a change, waits until 0.5 s before its grace time is over; without a spare, half of it, as before.

--- a/controller/src/core.rs
+++ b/controller/src/core.rs
@@ -375,6 +375,7 @@
         self.tick_lease(now);
         self.tick_drains(now);
         self.tick_leader(now);
+        self.tick_voters_in_shutdown(now);
         self.tick_migrations(now);
         self.hand_over(now);
         if now >= self.gossip.next_send() {
@@ -749,6 +750,7 @@
             me: self.me.as_str(),
             my_location: &self.location,
             added: self.added,
+            leaving: self.shutdown.is_some(),
             members: self.rounds.members()?,
             peers: self.gossip.peers(),
             tolerance: self.tolerance,
--- a/controller/src/core/shutdown.rs
+++ b/controller/src/core/shutdown.rs
@@ -1,7 +1,9 @@
 //! Graceful shutdown.
 //!
-//! Invariant: within the first half of its grace time a voter does not exit before an available spare votes
-//! in its place or, without a spare, before a majority of the other voters stores all that it holds.
+//! Invariant: a voter does not exit before an available spare votes in its place, until shortly before the end
+//! of its grace time; without a spare, it does not exit within the first half of its grace time before a
+//! majority of the other voters stores all that it holds. This does not depend on a leader: where it shuts down
+//! as well, one of the voters that do changes the voters.
 
 use millpost_quorum::{Key, Operation};
 use snafu::Snafu;
@@ -13,12 +15,17 @@
 /// Time for the replies to calls that are in progress when the shutdown begins.
 const REPLY_TIME: Nanos = 300 * MS;
 
+/// Time between the latest exit of a voter that waits for a spare and the end of its grace time.
+const EXIT_TIME: Nanos = 500 * MS;
+
 /// Progress of a shutdown.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ShutdownProgress {
     /// The process does not exit before this time.
     earliest: Nanos,
-    /// The process exits at this time, even if other voters lack state that it holds.
+    /// The process waits for other voters to store what it holds until this time, if there is no spare.
+    hand_over_until: Nanos,
+    /// The process exits at this time, even if a spare is about to vote in its place.
     latest: Nanos,
     /// Number of keys, in the order of [`Key::ALL`], that a majority of the other voters is known to store.
     keys_handed_over: usize,
@@ -28,14 +35,16 @@
     fn new(now: Nanos, grace: Nanos) -> Self {
         ShutdownProgress {
             earliest: now + REPLY_TIME,
-            latest: now + REPLY_TIME.max(grace / 2),
+            hand_over_until: now + REPLY_TIME.max(grace / 2),
+            latest: now + REPLY_TIME.max(grace / 2).max(grace.saturating_sub(EXIT_TIME)),
             keys_handed_over: 0,
         }
     }
 
     /// Returns when the progress must be checked next.
     pub(super) fn due(&self, now: Nanos) -> Nanos {
-        if now < self.earliest { self.earliest } else { self.latest }
+        let times = [self.earliest, self.hand_over_until, self.latest];
+        times.into_iter().find(|due| now < *due).unwrap_or(self.latest)
     }
 }
 
@@ -68,12 +77,20 @@
     /// Returns whether the process may exit.
     pub fn can_exit(&self, now: Nanos) -> bool {
         let Some(shutdown) = &self.shutdown else { return false };
-        now >= shutdown.latest || now >= shutdown.earliest && self.state_is_safe(now)
+        let until = match self.unsafe_exit(now) {
+            None => shutdown.earliest,
+            Some(UnsafeExit::KeysNotHandedOver { .. }) => shutdown.hand_over_until,
+            Some(UnsafeExit::VotersChange | UnsafeExit::SpareDoesNotVote) => shutdown.latest,
+        };
+        now >= until
     }
 
-    /// Returns whether no state is lost without this controller.
-    fn state_is_safe(&self, now: Nanos) -> bool {
-        self.unsafe_exit(now).is_none()
+    /// Changes the voters while this controller shuts down and there is no leader that does.
+    pub(super) fn tick_voters_in_shutdown(&mut self, now: Nanos) {
+        let leader = &self.gossip.leader().1;
+        if self.is_voter() && self.voter_view().is_some_and(|view| view.stands_in_for_leader(now, leader)) {
+            self.tick_voters(now);
+        }
     }
 
     /// Returns why state might be lost without this controller.
--- a/controller/src/voters.rs
+++ b/controller/src/voters.rs
@@ -41,6 +41,8 @@
     pub my_location: &'a Location,
     /// Whether this controller was added to the running system.
     pub added: bool,
+    /// Whether this controller is shutting down.
+    pub leaving: bool,
     /// The current members.
     pub members: &'a Members,
     /// The other known controllers.
@@ -124,15 +126,28 @@
             .min_by_key(|change| (self.spread_after(change), zone(old) != zone(&change.joining()[0])))
     }
 
-    /// Returns a voter that is shutting down, or else one that is silent.
+    /// Returns a voter that is shutting down, this one last, or else one that is silent.
     fn voter_to_replace(&self, now: Nanos) -> Option<&Address> {
-        let voters = || self.members.voters.iter().filter(|voter| **voter != *self.me);
+        let others = || self.members.voters.iter().filter(|voter| **voter != *self.me);
         let leaving = |voter: &&Address| self.peers.get(*voter).is_some_and(|seen| seen.leaving);
+        let me = || self.members.voters.iter().find(|voter| self.leaving && **voter == *self.me);
         let silent = |voter: &&Address| {
             now > 2 * SILENCE_TIMEOUT
                 && self.peers.get(*voter).is_none_or(|seen| seen.last_heard + SILENCE_TIMEOUT < now)
         };
-        voters().find(leaving).or_else(|| voters().find(silent))
+        others().find(leaving).or_else(me).or_else(|| others().find(silent))
+    }
+
+    /// Returns whether this controller changes the voters although it is not the leader: it is shutting down, so
+    /// is the leader or there is none, and of the voters that shut down it is the first.
+    pub fn stands_in_for_leader(&self, now: Nanos, leader: &str) -> bool {
+        let seen = |address: &str| self.peers.get(address).filter(|seen| seen.last_heard + FRESH > now);
+        let leader_stays = seen(leader).is_some_and(|seen| !seen.leaving);
+        let leaves = |voter: &Address| {
+            *voter == *self.me || seen(voter).is_some_and(|seen| seen.leaving && seen.voting)
+        };
+        let first = self.members.voters.iter().filter(|voter| leaves(voter)).min();
+        self.leaving && !leader_stays && first.is_some_and(|first| *first == *self.me)
     }
 }
 
@@ -217,6 +232,7 @@
                 me: voters[0],
                 my_location,
                 added: false,
+                leaving: false,
                 members: &members,
                 peers: &peers,
                 tolerance,
@@ -294,8 +310,15 @@
         let mut voters_state = Voters::default();
         let tolerance = LossTolerance::of_machines(1);
         let my_location = &location('z');
-        let view =
-            |members| VoterView { me: "a", my_location, added: false, members, peers: &peers, tolerance };
+        let view = |members| VoterView {
+            me: "a",
+            my_location,
+            added: false,
+            leaving: false,
+            members,
+            peers: &peers,
+            tolerance,
+        };
         let action = voters_state.next_action(now * MS, view(&members)).map(|action| match action {
             VoterAction::StartChange(VoterChange::Replace { old: out, new }) => format!("{out} {new}"),
             VoterAction::StartChange(VoterChange::Add(new)) => format!("+{new}"),
--- a/controller/tests/succession.rs
+++ b/controller/tests/succession.rs
@@ -123,3 +123,43 @@
         }
     }
 }
+
+/// All voters are told to end at the same moment, for good, while there are spares. With `late` the spares are
+/// started only 100 ms before.
+///
+/// Guards against a configuration that is lost by planned work alone: the leader was among those that ended, and
+/// nobody else exchanged voters, so all waited for their spares, and then ended without them.
+#[yare::parameterized(
+    three_voters = { 3, 3, false },
+    three_voters_late = { 3, 3, true },
+    three_voters_two_spares = { 3, 2, false },
+    five_voters = { 5, 3, false },
+    five_voters_late = { 5, 5, true },
+)]
+fn voters_that_all_end_at_once_leave_their_state_to_the_spares(voters: usize, spares: usize, late: bool) {
+    let zones = ["a", "b", "c", "d", "e"];
+    let mut cluster = if late {
+        cluster_in_zones(voters, &zones[..voters])
+    } else {
+        cluster_in_zones(voters, &[&zones[..voters], &zones[..spares]].concat())
+    };
+    put(&mut cluster, 0, 2);
+    if late {
+        zones[..spares].iter().for_each(|zone| assert!(cluster.add(zone) >= voters));
+        cluster.run(cluster.now + 100 * MS);
+    }
+    let told = cluster.now;
+    (0..voters).for_each(|n| cluster.input(n, Input::Shutdown));
+    let mut open: Vec<_> = (0..voters).collect();
+    while !open.is_empty() {
+        cluster.run(cluster.now + 10 * MS);
+        let (ended, left): (Vec<_>, _) =
+            open.into_iter().partition(|n| cluster.core(*n).can_exit(cluster.now));
+        ended.iter().for_each(|n| cluster.down(*n));
+        open = left;
+        assert!(cluster.now < told + GRACE, "{open:?} are killed");
+    }
+    let left: Vec<_> = (voters..voters + spares).collect();
+    assert_kept(&mut cluster, &left, 2, &format!("{voters} voters, {spares} spares"));
+    put(&mut cluster, voters, 3);
+}
