--- a/simulator/src/main.rs
+++ b/simulator/src/main.rs
@@ -59,6 +59,10 @@
     /// their answers
     #[argh(switch)]
     turnover: bool,
+    /// longer days on which core machines are removed as soon as their successors have caught up, and others are lost
+    /// right after that
+    #[argh(switch)]
+    succession: bool,
     /// check the LIMIT rule also while the core is disturbed
     #[argh(switch)]
     strict: bool,
@@ -121,6 +125,10 @@
     /// their answers
     #[argh(switch)]
     turnover: bool,
+    /// longer days on which core machines are removed as soon as their successors have caught up, and others are lost
+    /// right after that
+    #[argh(switch)]
+    succession: bool,
     /// check the LIMIT rule also while the core is disturbed
     #[argh(switch)]
     strict: bool,
@@ -159,6 +167,10 @@
     /// their answers
     #[argh(switch)]
     turnover: bool,
+    /// longer days on which core machines are removed as soon as their successors have caught up, and others are lost
+    /// right after that
+    #[argh(switch)]
+    succession: bool,
     /// check the LIMIT rule also while the core is disturbed
     #[argh(switch)]
     strict: bool,
@@ -189,7 +201,7 @@
 fn hunt(options: &Hunt) -> ExitCode {
     let begun = Instant::now();
     let Hunt { days, seed, size, mutation, strict, strained, speeds, .. } = *options;
-    let kind = kind(options.control, options.planned, options.turnover);
+    let kind = kind(options.control, options.planned, options.turnover, options.succession);
     let hunted = search::search(
         &SearchOptions { days, seed, size, mutation, strict, charge_request_cpu: strained, speeds, kind },
         |report| {
@@ -224,8 +236,9 @@
 }
 
 /// Selects the kind of days from the switches.
-fn kind(control: bool, planned: bool, turnover: bool) -> PlanKind {
+fn kind(control: bool, planned: bool, turnover: bool, succession: bool) -> PlanKind {
     match () {
+        () if succession => PlanKind::Succession,
         () if turnover => PlanKind::Turnover,
         () if planned => PlanKind::Planned,
         () if control => PlanKind::Control,
@@ -237,7 +250,7 @@
     let mut plan = if options.quiet {
         Plan::quiet(options.seed, options.size)
     } else {
-        kind(options.control, options.planned, options.turnover).draw(
+        kind(options.control, options.planned, options.turnover, options.succession).draw(
             options.seed,
             options.size,
             options.mutation,
@@ -290,7 +303,7 @@
         strict: options.strict,
         charge_request_cpu: options.strained,
         speeds: options.speeds,
-        ..kind(options.control, options.planned, options.turnover).draw(
+        ..kind(options.control, options.planned, options.turnover, options.succession).draw(
             options.seed,
             options.size,
             options.mutation,
--- a/simulator/src/mutation.rs
+++ b/simulator/src/mutation.rs
@@ -48,10 +48,12 @@
     SharedConnections,
     /// Agents ignore which controllers they are told of.
     IgnoreControllers,
+    /// Controllers that are added stay spares until a voter is gone.
+    NoSuccession,
 }
 
 /// All mutations with their names on the command line.
-pub const ALL: [(&str, Mutation); 20] = [
+pub const ALL: [(&str, Mutation); 21] = [
     ("repeated", Mutation::RetryUnsafe),
     ("promised", Mutation::FalseRefusal),
     ("crowded", Mutation::OverSlots),
@@ -72,6 +74,7 @@
     ("forsaken", Mutation::IgnoreLeaving),
     ("shared", Mutation::SharedConnections),
     ("unled", Mutation::IgnoreControllers),
+    ("heirless", Mutation::NoSuccession),
 ];
 
 /// The name matches no mutation.
--- a/simulator/src/plan.rs
+++ b/simulator/src/plan.rs
@@ -80,6 +80,15 @@
     /// The core machines are replaced one per `every`, the leader last. Each successor starts half of `every`
     /// before its predecessor is removed. The settings of running processes do not change.
     ReplaceEach { every: Time },
+    /// `count` core machines get successors at the same time. The catch-up time later, when a removed machine no
+    /// longer counts as lost, they are removed permanently at the same moment; with `term` they get SIGTERM first.
+    SucceedCore { count: usize, term: bool },
+    /// The second step of [`FaultKind::SucceedCore`].
+    RemoveSucceeded { term: bool },
+    /// A core machine loses power and its disk.
+    DiskLoss { lasts: Time },
+    /// All processes of the core are killed at the same moment, those of machines that are being removed too.
+    CoreKill { lasts: Time },
     /// All machines of one zone lose power, and its core machines lose their disks.
     ZoneLoss { zone: usize, lasts: Time },
     /// Other core machines become the seeds in the settings files.
@@ -148,7 +157,12 @@
             FaultKind::DiskStall { .. } => "disk_stall",
             FaultKind::DiskSlow { .. } => "disk_slow",
             FaultKind::DiskFull { .. } => "disk_full",
-            FaultKind::ReplaceCore { .. } | FaultKind::ReplaceEach { .. } => "replace_core",
+            FaultKind::ReplaceCore { .. }
+            | FaultKind::ReplaceEach { .. }
+            | FaultKind::SucceedCore { .. }
+            | FaultKind::RemoveSucceeded { .. } => "replace_core",
+            FaultKind::DiskLoss { .. } => "disk_loss",
+            FaultKind::CoreKill { .. } => "herd_kill",
             FaultKind::ZoneLoss { .. } => "zone_loss",
             FaultKind::SeedTurnover => "seed_turnover",
             FaultKind::NodeTerm { .. } => "node_term",
@@ -239,6 +253,9 @@
     /// Longer days on which every core machine is replaced, while endpoints refuse requests and send copies of
     /// their answers.
     Turnover,
+    /// Longer days on which core machines are removed as soon as their successors have caught up, and others are
+    /// lost, cut off or killed right after that.
+    Succession,
 }
 
 impl PlanKind {
@@ -249,12 +266,15 @@
             PlanKind::Control => Plan::draw_control(seed, size, mutation),
             PlanKind::Planned => Plan::draw_planned(seed, size, mutation),
             PlanKind::Turnover => Plan::draw_turnover(seed, size, mutation),
+            PlanKind::Succession => Plan::draw_succession(seed, size, mutation),
         }
     }
 }
 
 /// Length of a day of planned operations, or of a turnover, relative to other days.
 const LONG_DAY_FACTOR: u64 = 3;
+/// `catch_up_s`: a machine that is new, or back, counts as lost for so long.
+pub const CATCH_UP: Time = 4 * SECOND;
 /// From the end of one replacement of a core machine to the beginning of the next: the site's catch-up time and
 /// contact time, so that the losses stay within the tolerance.
 const BETWEEN_REPLACEMENTS: Time = 8 * SECOND;
@@ -376,6 +396,39 @@
         plan
     }
 
+    /// Draws a long day on which core machines, one or several at once, are removed as soon as their successors have
+    /// caught up, right after a configuration was submitted; then another one is lost with its disk or cut off, or
+    /// all are killed.
+    pub fn draw_succession(seed: u64, size: Size, mutation: Option<Mutation>) -> Self {
+        let site = Site::new(size);
+        let mut rng = Rng::new(seed ^ 0x5cce_5510);
+        let mut plan = Plan { mutation, length_factor: LONG_DAY_FACTOR, ..Self::quiet(seed, size) };
+        let end = site.lead + site.length * LONG_DAY_FACTOR;
+        let mut at = site.lead + rng.between(0, 4 * SECOND);
+        while at < end - 2 * BETWEEN_REPLACEMENTS {
+            let (count, term) = ([1, 1, 2, site.cores.len()][rng.below(4)], rng.chance(0.4));
+            let removal = at + CATCH_UP;
+            let (gap, lasts) = (rng.between(0, 4 * SECOND), rng.between(500 * MS, 5 * SECOND));
+            let loss = match rng.below(6) {
+                0..=2 => FaultKind::DiskLoss { lasts },
+                3 => FaultKind::CoreKill { lasts: rng.between(200 * MS, SECOND) },
+                4 => FaultKind::CoreCut { count: 1, from: CutScope::All, lasts },
+                _ => FaultKind::NodeKill { core: true, power: rng.chance(0.5), lasts },
+            };
+            let faults = [
+                (at, FaultKind::SucceedCore { count, term }),
+                (removal - rng.between(10 * MS, 2 * SECOND), FaultKind::ConfigChange),
+                (removal + gap, loss),
+                (removal + gap + rng.between(0, lasts), FaultKind::ConfigChange),
+            ];
+            let inject = |(at, kind)| InjectedFault { at, kind, target_seed: rng.seed() };
+            plan.faults.extend(faults.map(inject));
+            at = removal + gap + lasts + BETWEEN_REPLACEMENTS + rng.between(0, 3 * SECOND);
+        }
+        plan.faults.sort_by_key(|fault| fault.at);
+        plan
+    }
+
     /// A day without faults.
     pub fn quiet(seed: u64, size: Size) -> Self {
         Plan {
--- a/simulator/src/processes/controller.rs
+++ b/simulator/src/processes/controller.rs
@@ -99,7 +99,7 @@
         let uid = format!("{:016x}", xxh3_64(seeds.join(" ").as_bytes()));
         let empty_disk_votes = context.mutation == Some(Mutation::EmptyDiskVotes);
         let first = (bootstrap || empty_disk_votes).then(|| Members::initial(&uid, seeds));
-        let added = disk.was_added(bootstrap);
+        let added = disk.was_added(bootstrap) && context.mutation != Some(Mutation::NoSuccession);
         let voter = VoterProcess::open(now, &context, disk, first);
         let start = CoreOptions {
             me: context.address.clone(),
--- a/simulator/src/world/faults.rs
+++ b/simulator/src/world/faults.rs
@@ -3,12 +3,11 @@
 
 use super::planned::RESTART;
 use super::{Event, World};
-use crate::plan::{CutScope, FaultKind, FinalFault, InjectedFault};
+use crate::plan::{CATCH_UP, CutScope, FaultKind, FinalFault, InjectedFault};
 use crate::rng::Rng;
 use crate::{MS, SECOND, Time};
 
 /// Time for which a machine still counts as lost after it came back.
-const CATCH_UP: Time = 4 * SECOND;
 /// Duration for which a partitioned machine misses changes.
 const BEHIND: Time = 2 * SECOND;
 
@@ -195,6 +194,24 @@
                 self.record_disturbance(machine, now + lasts);
             }
             FaultKind::ReplaceCore { whom, after } => self.replace_core(&mut target_rng, whom, after),
+            FaultKind::SucceedCore { count, term } => {
+                self.succeed_core(&mut target_rng, count, term, fault.target_seed)
+            }
+            FaultKind::RemoveSucceeded { term } => self.remove_succeeded(term),
+            FaultKind::DiskLoss { lasts } => {
+                if self.wiped_at.is_none_or(|at| at + CATCH_UP <= now) {
+                    self.wiped_at = Some(now + lasts);
+                    let machine = one(&mut target_rng, true);
+                    self.trace_line(|| format!("machine {machine} loses its disk"));
+                    self.kill(machine, true, lasts);
+                    self.machines[machine].disk.wipe();
+                }
+            }
+            FaultKind::CoreKill { lasts } => {
+                let running = |at: &usize| self.machines[*at].core && self.machines[*at].incarnation != 0;
+                let all: Vec<_> = (0..self.machines.len()).filter(running).collect();
+                all.into_iter().for_each(|at| self.kill(at, false, lasts));
+            }
             FaultKind::ZoneLoss { zone, lasts } => self.lose_zone(zone, lasts),
             FaultKind::ReplaceEach { every } => self.replace_each(every, fault.target_seed),
             FaultKind::SeedTurnover => self.seed_turnover(&mut target_rng),
--- a/simulator/src/world/mod.rs
+++ b/simulator/src/world/mod.rs
@@ -279,6 +279,8 @@
     /// The newest configuration whose acknowledgement reached an operator.
     last_acked: Option<millpost_config::Config>,
     wiped_at: Option<Time>,
+    /// Core machines with successors that are to be removed.
+    succeeded: Vec<usize>,
     closed: Option<(Time, Time)>,
     disturbances: Disturbances,
     /// The rule checks.
@@ -406,6 +408,7 @@
             lost_acks: (0.0, 0),
             last_acked: None,
             wiped_at: None,
+            succeeded: Vec::new(),
             closed: None,
             trace: trace.then(Vec::new),
             records: None,
--- a/simulator/src/world/planned.rs
+++ b/simulator/src/world/planned.rs
@@ -1,7 +1,7 @@
 //! Planned operations: replacement of core machines, seed changes, SIGTERM and reloads.
 
 use super::{Event, Role, World};
-use crate::plan::{FaultKind, ReplaceTarget};
+use crate::plan::{CATCH_UP, FaultKind, ReplaceTarget};
 use crate::processes::ProcessInput;
 use crate::rng::Rng;
 use crate::{MS, SECOND, Time};
@@ -61,6 +61,41 @@
         }
     }
 
+    /// Starts successors of some core machines, which are removed once these have caught up.
+    pub(super) fn succeed_core(&mut self, target_rng: &mut Rng, count: usize, term: bool, target_seed: u64) {
+        let now = self.now;
+        let recent = self.wiped_at.is_some_and(|at| at + CATCH_UP > now);
+        let all_in_contact = self.cores.iter().all(|at| self.disturbances.in_contact(*at, now));
+        if recent || !all_in_contact || self.spares.len() < count {
+            return;
+        }
+        let mut left = self.cores.clone();
+        for _ in 0..count {
+            let old = left.swap_remove(target_rng.below(left.len()));
+            let Some(new) = self.spares.pop() else { return };
+            self.take_place(new, old);
+            self.succeeded.push(old);
+            self.at(now, Event::Start(new));
+            self.record_disturbance(new, now);
+        }
+        self.wiped_at = Some(now);
+        self.schedule_fault(now + CATCH_UP, FaultKind::RemoveSucceeded { term }, target_seed);
+    }
+
+    /// Removes the machines whose successors have caught up. Processes that start from now on have other seeds.
+    pub(super) fn remove_succeeded(&mut self, term: bool) {
+        self.seeds = self.cores.iter().take(3).map(|at| self.address(*at)).collect();
+        for old in std::mem::take(&mut self.succeeded) {
+            self.trace_line(|| format!("machine {old} is removed behind its successor"));
+            if term {
+                self.machines[old].retires = true;
+                self.term_for_good(old);
+            } else {
+                self.retire(old);
+            }
+        }
+    }
+
     fn leads(&self, at: usize) -> bool {
         self.machines[at].controller.as_ref().is_some_and(|controller| controller.is_leader())
     }
--- a/simulator/tests/rules.rs
+++ b/simulator/tests/rules.rs
@@ -2,7 +2,7 @@
 
 use millpost_simulator::day::play;
 use millpost_simulator::mutation::Mutation;
-use millpost_simulator::plan::{FaultKind, FinalFault, Plan, ReplaceTarget};
+use millpost_simulator::plan::{CATCH_UP, FaultKind, FinalFault, Plan, ReplaceTarget};
 use millpost_simulator::site::Size;
 use millpost_simulator::{MS, SECOND};
 
@@ -21,6 +21,20 @@
         .with(55 * SECOND, FaultKind::ConfigChange)
 }
 
+/// Core machines are removed at the same moment, once their successors have caught up and right after a change; `gap`
+/// later another one loses its disk.
+fn succeeded_and_lost(seed: u64, count: usize, term: bool, gap: u64) -> Plan {
+    let removal = 8 * SECOND + CATCH_UP;
+    let mut plan = Plan { length_factor: 2, ..Plan::quiet(seed, Size::Small) }
+        .with(8 * SECOND, FaultKind::SucceedCore { count, term })
+        .with(removal - 50 * MS, FaultKind::ConfigChange)
+        .with(removal + gap, FaultKind::DiskLoss { lasts: SECOND })
+        .with(removal + 15 * SECOND, FaultKind::ConfigChange);
+    // With one seed for all, the successor would be the machine that loses its disk.
+    (0..).zip(&mut plan.faults).for_each(|(n, fault)| fault.target_seed = seed + 1_000 * n);
+    plan
+}
+
 /// A day on which the disabled safeguard matters.
 fn day(seed: u64, mutation: Mutation) -> Plan {
     let quiet = Plan::quiet(seed, Size::Small);
@@ -61,6 +75,8 @@
         }
         // All core machines are replaced, one at a time.
         Mutation::IgnoreControllers => replaced_core(seed),
+        // A machine is removed behind its successor, and another one loses its disk.
+        Mutation::NoSuccession => succeeded_and_lost(seed, 1, false, SECOND),
         Mutation::IgnoreLeaving => rolling_restarts(seed, 6.0),
         Mutation::SilentShutdown => rolling_restarts(seed, 4.0),
         Mutation::SpuriousDenial
@@ -89,6 +105,7 @@
     conflicting_contents = { Mutation::ConfirmConflicts, "CONFIG" },
     slots_granted_twice = { Mutation::IgnoreLeaving, "LIMIT" },
     refused_by_a_late_copy = { Mutation::SharedConnections, "REFUSED" },
+    lost_behind_a_spare = { Mutation::NoSuccession, "CONFIG" },
     cut_off_by_a_replaced_core = { Mutation::IgnoreControllers, "CONFIG" },
     lost_at_shutdown = { Mutation::SilentShutdown, "LOST" },
 )]
@@ -158,6 +175,31 @@
     }
 }
 
+/// Guards against a configuration that is gone with a machine that no longer counts as lost, since its successor has
+/// caught up, and with the next one to be lost. All machines of the core may be removed like that at the same moment.
+#[test]
+fn a_core_machine_may_be_lost_right_after_others_were_removed_behind_their_successors() {
+    for seed in 1..=3 {
+        for (count, term) in [(1, false), (1, true), (2, false), (4, false), (4, true)] {
+            let day = play(&succeeded_and_lost(seed, count, term, seed * 700 * MS), false, true);
+            let traced = |what: &str| day.trace.iter().filter(|line| line.contains(what)).count();
+            let what = format!("seed {seed}: {count} removed, {term}");
+            assert_eq!((traced("is removed behind"), traced("loses its disk")), (count, 1), "{what}");
+            assert_eq!(day.breaches, [], "{what}");
+            assert!(day.propagation.iter().all(|(_, last)| last.is_some()), "{what}: {}", day.to_text());
+        }
+    }
+}
+
+/// Core machines are removed behind their successors, and others are lost, cut off or killed.
+#[test]
+fn succession_days_violate_no_rule() {
+    for seed in 1..=3 {
+        let report = play(&Plan::draw_succession(seed, Size::Small, None), false, false);
+        assert_eq!(report.breaches, [], "seed {seed}");
+    }
+}
+
 /// Core machines are replaced while endpoints refuse requests and send copies of their answers.
 #[test]
 fn turnover_days_violate_no_rule() {
