Succession: one additional voter at the most, and none before all zones are known

An even number of voters means one that is additional; succession waits until the zone of each voter is known.

--- a/controller/src/placement.rs
+++ b/controller/src/placement.rs
@@ -50,7 +50,13 @@
     /// The number of voters of which a majority survives each loss, if no two of them are in one zone or region
     /// that may be lost.
     pub fn voters(&self) -> usize {
-        2 * self.machines.max(self.zones).max(self.regions) as usize + 1
+        2 * self.losses() + 1
+    }
+
+    /// The number of voters that may be lost at the same time, if no two of them are in one zone or region that may
+    /// be lost.
+    pub fn losses(&self) -> usize {
+        self.machines.max(self.zones).max(self.regions) as usize
     }
 
     /// The most of these voters that one loss takes. A voter whose location is unknown counts as one that shares
--- a/controller/src/succession.rs
+++ b/controller/src/succession.rs
@@ -18,7 +18,7 @@
 use millpost_quorum::{Address, VoterChange};
 
 use crate::Nanos;
-use crate::voters::{VoterView, spares};
+use crate::voters::{SILENCE_TIMEOUT, VoterView, spares};
 
 /// A zone with controllers that were added and do not vote yet.
 struct Zone {
@@ -41,10 +41,14 @@
 
 /// Returns the next change by which controllers that were added vote, if there is one.
 pub(crate) fn change(now: Nanos, view: VoterView<'_>) -> Option<VoterChange> {
+    if !view.members.voters.iter().all(|voter| view.location(voter).is_some()) {
+        return None;
+    }
     let zones = zones(now, view);
-    let limit = view.tolerance.voters().div_ceil(2).saturating_sub(1).max(1);
+    let limit = view.tolerance.losses().max(1);
     let (old, new): (Vec<_>, Vec<_>) = zones.iter().flat_map(Zone::pairs).take(limit).unzip();
-    VoterChange::exchange(&old, &new).or_else(|| zones.iter().find_map(|zone| uncertain_change(view, zone)))
+    let uncertain = || zones.iter().find_map(|zone| uncertain_change(now, view, zone));
+    VoterChange::exchange(&old, &new).or_else(uncertain)
 }
 
 /// Returns whether controllers were added that do not vote yet.
@@ -54,13 +58,15 @@
 
 /// Adds a successor of an unknown controller, or, if there are enough additional voters, replaces the voter that
 /// it succeeds most probably.
-fn uncertain_change(view: VoterView<'_>, zone: &Zone) -> Option<VoterChange> {
-    if zone.voters.is_empty() && zone.has_other {
+fn uncertain_change(now: Nanos, view: VoterView<'_>, zone: &Zone) -> Option<VoterChange> {
+    // Controllers that were not heard since the start of this one may be in the zone.
+    let has_other = zone.has_other || now < SILENCE_TIMEOUT;
+    if zone.voters.is_empty() && has_other {
         return None;
     }
     let new = zone.successors.first()?.clone();
     let addition = VoterChange::Add(new.clone());
-    if view.members.voters.len() <= view.tolerance.voters() && view.bears_tolerance_after(&addition) {
+    if !view.has_additional_voter() && view.bears_tolerance_after(&addition) {
         return Some(addition);
     }
     let old = zone.voters.first()?.clone();
@@ -89,3 +95,89 @@
     };
     successors.into_iter().map(zone).collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use millpost_quorum::Members;
+
+    use super::*;
+    use crate::gossip::PeerState;
+    use crate::placement::{Location, LossTolerance};
+    use crate::{MS, voters::VoterAction, voters::Voters};
+
+    const NOW: Nanos = 10_000 * MS;
+
+    fn location(name: &str) -> Location {
+        Location { zone: name[..1].into(), region: "r".into() }
+    }
+
+    /// Lets the voters change until nothing is due, and returns them with the number of changes. Controllers are named
+    /// by their zone and a number; `+` marks those that were added, `?` those whose zone is not known.
+    fn settle(voters: &[&str], others: &[&str], tolerance: LossTolerance) -> (String, usize) {
+        let address = |name: &&str| -> Address { name.trim_end_matches(['+', '?']).into() };
+        let mut peers: BTreeMap<Address, PeerState> = BTreeMap::new();
+        for name in voters[1..].iter().chain(others) {
+            let location = (!name.ends_with('?')).then(|| location(name));
+            let (added, voting) = (name.ends_with('+'), voters.contains(name));
+            let seen = PeerState { last_heard: NOW, voting, leaving: false, added, location };
+            peers.insert(address(name), seen);
+        }
+        let mut members = Members::initial("u", voters.iter().map(address));
+        let my_location = location(voters[0]);
+        for changes in 0..10 {
+            let view = VoterView {
+                me: voters[0],
+                my_location: &my_location,
+                added: false,
+                leaving: false,
+                members: &members,
+                peers: &peers,
+                tolerance,
+            };
+            let Some(VoterAction::StartChange(change)) = Voters::default().next_action(NOW, view) else {
+                members.voters.sort();
+                return (members.voters.join(" "), changes);
+            };
+            members.voters = change.apply(&members.voters).expect("a valid change");
+            for joined in change.joining() {
+                if let Some(seen) = peers.get_mut(joined) {
+                    seen.voting = true;
+                }
+            }
+        }
+        panic!("the voters do not settle: {:?}", members.voters);
+    }
+
+    #[yare::parameterized(
+        none_added = { 1, &["a1", "b1", "c1"], &["a2", "b2"], "a1 b1 c1", 0 },
+        the_only_voter_of_the_zone = { 1, &["a1", "b1", "c1"], &["b2+"], "a1 b2 c1", 1 },
+        this_controller = { 1, &["a1", "b1", "c1"], &["a2+"], "a2 b1 c1", 1 },
+        all_one_by_one = { 1, &["a1", "b1", "c1"], &["a2+", "b2+", "c2+"], "a2 b2 c2", 3 },
+        two_at_once = { 2, &["a1", "b1", "c1", "d1", "e1"], &["a2+", "b2+", "c2+", "d2+", "e2+"], "a2 b2 c2 d2 e2", 3 },
+        one_of_two_voters_of_the_zone = { 1, &["a1", "b1", "b2"], &["b3+"], "a1 b1 b2 b3", 1 },
+        second_beside_an_additional_voter = { 1, &["b1", "b2", "b3", "b4+"], &["b5+"], "b2 b3 b4 b5", 1 },
+        may_succeed_a_spare = { 1, &["a1", "b1", "c1"], &["d1", "d2+"], "a1 b1 c1", 0 },
+        succeeds_nobody_in_its_zone = { 1, &["a1", "b1", "c1"], &["d1+"], "a1 b1 c1 d1", 1 },
+        of_an_added_voter = { 1, &["a1", "b1+", "c1"], &["b2+"], "a1 b2 c1", 1 },
+        a_voter_of_unknown_zone = { 1, &["a1", "b1?", "c1"], &["c2+"], "a1 b1 c1", 0 },
+        three_voters_bear_no_loss = { 0, &["a1", "a2", "a3"], &["a4+"], "a1 a2 a3 a4", 1 },
+    )]
+    fn an_added_controller_succeeds_a_voter_of_its_zone(
+        machines: u32,
+        voters: &[&str],
+        others: &[&str],
+        expected: &str,
+        changes: usize,
+    ) {
+        let tolerance = LossTolerance::of_machines(machines);
+        assert_eq!(settle(voters, others, tolerance), (expected.to_owned(), changes));
+    }
+
+    /// An additional voter in a zone that may be lost would leave half of the voters in it.
+    #[test]
+    fn zones_that_may_be_lost_get_no_additional_voter() {
+        let tolerance = LossTolerance { machines: 2, zones: 1, regions: 0 };
+        let settled = settle(&["a1", "a2", "b1", "b2", "c1"], &["a3+"], tolerance);
+        assert_eq!(settled, ("a2 a3 b1 b2 c1".to_owned(), 1));
+    }
+}
--- a/controller/src/voters.rs
+++ b/controller/src/voters.rs
@@ -17,7 +17,7 @@
 /// A controller that was heard within this time counts as available.
 const FRESH: Nanos = 1_500 * MS;
 /// A voter that was silent for this long is replaced by a spare.
-const SILENCE_TIMEOUT: Nanos = 3_000 * MS;
+pub(crate) const SILENCE_TIMEOUT: Nanos = 3_000 * MS;
 /// Interval between checks of the voters.
 const CHECK_INTERVAL: Nanos = 500 * MS;
 /// Interval between checks while a voter waits to shut down, or a successor to vote.
@@ -114,10 +114,16 @@
             && majority(&after, holders(&staying) + joining.len())
     }
 
-    /// Returns the change without this voter, in whose place a spare votes if there would be too few voters. A
+    /// Returns whether there is one voter more than needed: an even number is as good as the next lower one against
+    /// losses, but not against a removal beside them.
+    pub(crate) fn has_additional_voter(&self) -> bool {
+        self.members.voters.len().is_multiple_of(2) && self.members.voters.len() > self.tolerance.voters()
+    }
+
+    /// Returns the change without this voter, in whose place a spare votes unless there is an additional voter. A
     /// spare in the zone of the voter comes before others, if both are equally well placed.
     fn replacement(&self, now: Nanos, old: &Address) -> Option<VoterChange> {
-        if self.members.voters.len() > self.tolerance.voters() {
+        if self.has_additional_voter() {
             return Some(VoterChange::Remove(old.clone()));
         }
         let zone = |voter: &Address| self.location(voter).map(|location| &location.zone);
--- a/controller/tests/migrations.rs
+++ b/controller/tests/migrations.rs
@@ -1,6 +1,5 @@
 //! Migrations with real owners: controllers and the schedulers of proxies in memory.
 
-#[allow(dead_code)] // Some helpers are used by other tests only.
 mod cluster;
 mod deployment;
 
--- a/explore/src/register/cases.rs
+++ b/explore/src/register/cases.rs
@@ -26,6 +26,8 @@
     First,
     /// The spare comes for the third.
     Third,
+    /// The spare votes beside the three.
+    Beside,
 }
 
 impl Turn {
@@ -33,6 +35,7 @@
         let out = match self {
             Turn::First => "a",
             Turn::Third => "c",
+            Turn::Beside => return VoterChange::Add("z".into()),
         };
         VoterChange::Replace { old: out.into(), new: "z".into() }
     }
@@ -148,6 +151,26 @@
             bounds: Bounds { wakes: 4, late: 1, ..CALM },
             ..PLAIN
         },
+        Case {
+            name: "register: a voter is exchanged, then a disk is emptied",
+            jobs: &[&[X], &[Job::Move(Turn::First), Job::Read]],
+            spare: true,
+            quanta: 2,
+            answered: true,
+            deviations: Some(2),
+            bounds: Bounds { wakes: 4, wipes: 1, ..CALM },
+            ..PLAIN
+        },
+        Case {
+            name: "register: the spare votes beside the three, then a disk is emptied",
+            jobs: &[&[X], &[Job::Move(Turn::Beside), Job::Read]],
+            spare: true,
+            quanta: 2,
+            answered: true,
+            deviations: Some(2),
+            bounds: Bounds { wakes: 4, wipes: 1, ..CALM },
+            ..PLAIN
+        },
     ]
 }
 
@@ -164,7 +187,7 @@
 }
 
 /// Faults that must be found here, each with a word of the case that finds it.
-pub const FAULTS: [(Fault, &str); 8] = [
+pub const FAULTS: [(Fault, &str); 9] = [
     (Fault::NoPrepare, "a try again"),
     (Fault::AnswersFirst, "of one version, a restart"),
     (Fault::VotesAtOnce, "once it is answered"),
@@ -173,4 +196,5 @@
     (Fault::LateCounts, "is emptied, an answer is late"),
     (Fault::OneMajority, "comes back"),
     (Fault::NoJoint, "comes back"),
+    (Fault::VotesAtOnce, "is exchanged, then a disk"),
 ];
