--- a/controller/tests/succession.rs
+++ b/controller/tests/succession.rs
@@ -71,8 +71,8 @@
                     assert_eq!(successor, zones.len());
                     cluster.run(cluster.now + CATCH_UP);
                     // The machines that are lost are two of those that have the latest copies.
-                    let slow = (0..=successor).filter(|n| *n != removed && *n != lost);
-                    let behind = slow.last().expect("a machine that stays");
+                    let mut slow = (0..=successor).filter(|n| *n != removed && *n != lost);
+                    let behind = slow.next_back().expect("a machine that stays");
                     cluster.cut(behind, 1);
                     put(&mut cluster, lost, 2);
                     cluster.cut(behind, 0);
