--- a/controller/src/platform.rs
+++ b/controller/src/platform.rs
@@ -10,6 +10,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use millpost_autoscaler::platform::{self, StartFault, StopFault, Worker};
 use millpost_net::link::{Client, Options};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
 use crate::leadership::{Call, Page, PlatformReply};
 
@@ -18,6 +19,17 @@
 /// Timeout of a start or stop, whose outcome is unknown after it.
 const DUTY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Characters of a query value that are encoded: all but letters, digits and those that no query gives a meaning.
+const QUERY_VALUE: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
+/// Returns the path and query of a page of the list. A token is opaque: any text that the platform has given.
+fn list_path(token: Option<&str>) -> String {
+    match token {
+        Some(token) => format!("/endpoints?page_token={}", utf8_percent_encode(token, QUERY_VALUE)),
+        None => "/endpoints".to_owned(),
+    }
+}
+
 /// The platform's client for the holder of a fence.
 pub struct Platform {
     client: Client,
@@ -75,8 +87,7 @@
 
     /// Reads a page of the list.
     async fn list(&self, token: Option<&str>) -> Option<Page> {
-        let path = token.map_or("/endpoints".to_owned(), |t| format!("/endpoints?page_token={t}"));
-        match self.call(Method::GET, &path, String::new(), LIST_TIMEOUT).await? {
+        match self.call(Method::GET, &list_path(token), String::new(), LIST_TIMEOUT).await? {
             (200, text) => {
                 platform::read_endpoints(&text).map_err(|e| log::warn!("invalid list of endpoints: {e}")).ok()
             }
@@ -116,3 +127,28 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use percent_encoding::percent_decode_str;
+
+    use super::*;
+
+    /// Guards against a list of which only the first page is ever read: a token with characters that have a meaning in
+    /// a query arrived as another one, and a leader without a whole list starts nothing.
+    #[yare::parameterized(
+        plain = { "p-50", "p-50" },
+        base64 = { "++++ZnJvbSA4/w==", "%2B%2B%2B%2BZnJvbSA4%2Fw%3D%3D" },
+        another_parameter = { "a&zone=b", "a%26zone%3Db" },
+        encoded_before = { "a%2Fb", "a%252Fb" },
+        fragment_and_spaces = { "a b#c?\r\n", "a%20b%23c%3F%0D%0A" },
+        not_ascii = { "s\u{e9}", "s%C3%A9" },
+    )]
+    fn a_page_token_arrives_as_the_platform_gave_it(token: &str, encoded: &str) {
+        let path = list_path(Some(token));
+        assert_eq!(path, format!("/endpoints?page_token={encoded}"));
+        assert!(path.parse::<hyper::Uri>().is_ok());
+        assert_eq!(percent_decode_str(encoded).decode_utf8().as_deref(), Ok(token));
+        assert_eq!(list_path(None), "/endpoints");
+    }
+}
--- a/e2e/src/lib.rs
+++ b/e2e/src/lib.rs
@@ -118,7 +118,8 @@
         let auditor = Auditor::new(bounds.clone());
         let mut shape =
             settings::Shape { bounds, edges, ..settings::Shape::small(([127, 0, 0, 1], 1).into()) };
-        let workers = platform::Shape::small(&shape.zones, 2);
+        // Small pages, so that the list has several.
+        let workers = platform::Shape { page: 4, ..platform::Shape::small(&shape.zones, 2) };
         let platform = Platform::start(workers, &library(0), auditor.clone()).await.expect("a platform");
         shape.platform = platform.address;
         let deployment = Deployment::new(shape).expect("addresses");
--- a/standins/src/cluster/platform.rs
+++ b/standins/src/cluster/platform.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use percent_encoding::percent_decode_str;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
@@ -431,7 +432,7 @@
         };
         let (status, answer) = match path {
             _ if !fits => (429, json!({"error": "over the rate"})),
-            "GET /endpoints" => (200, self.list(&mut state, now, query)),
+            "GET /endpoints" => self.list(&mut state, now, query),
             "GET /workers" => (200, json!({"workers": state.seen(now).workers})),
             "POST /start" => self.begin(&mut state, now, &asked),
             "POST /stop" => self.stop(&mut state, &asked),
@@ -447,10 +448,13 @@
         (status, answer)
     }
 
-    fn list(&self, state: &mut State, now: Duration, query: &str) -> Value {
+    /// A page of the list. Tokens are opaque, and hold characters that have a meaning in a query; one that was not given
+    /// is refused.
+    fn list(&self, state: &mut State, now: Duration, query: &str) -> (u16, Value) {
         let field = |name: &str| {
             let found = query.split('&').filter_map(|f| f.split_once('=')).find(|(n, _)| *n == name);
-            found.map(|(_, value)| value).filter(|value| !value.is_empty())
+            let value = found.map(|(_, value)| value.replace('+', " ")).filter(|value| !value.is_empty())?;
+            percent_decode_str(&value).decode_utf8().ok().map(|text| text.into_owned())
         };
         // What lingers goes without anyone's doing.
         let last = state.pictures.back().map_or(Duration::ZERO, |p| p.at);
@@ -458,19 +462,23 @@
         if state.starts.iter().any(gone) {
             state.draw(now, self.shape.lingers);
         }
-        let token = field("page_token").and_then(|t| {
-            let (picture, from) = t.strip_prefix("p-")?.split_once('-')?;
+        let read = |token: String| {
+            let (picture, from) = token.strip_prefix("+p/")?.strip_suffix("==")?.split_once('&')?;
             Some((picture.parse::<u64>().ok()?, from.parse::<usize>().ok()?))
-        });
+        };
+        let token = match field("page_token").map(read) {
+            Some(None) => return (400, json!({"error": "no such page token"})),
+            token => token.flatten(),
+        };
         let known = token.and_then(|(number, _)| state.pictures.iter().find(|p| p.number == number).cloned());
         let picture = known.unwrap_or_else(|| state.seen(now));
         let zone = field("zone");
         let shown: Vec<&Value> =
-            picture.endpoints.iter().filter(|e| zone.is_none_or(|z| e["zone"] == z)).collect();
+            picture.endpoints.iter().filter(|e| zone.as_deref().is_none_or(|z| e["zone"] == z)).collect();
         let from = token.map_or(0, |(_, from)| from).min(shown.len());
         let until = (from + self.shape.page.max(1)).min(shown.len());
-        let next = (until < shown.len()).then(|| format!("p-{}-{until}", picture.number));
-        json!({"endpoints": shown[from..until], "next_token": next})
+        let next = (until < shown.len()).then(|| format!("+p/{}&{until}==", picture.number));
+        (200, json!({"endpoints": shown[from..until], "next_token": next}))
     }
 
     fn begin(self: &Arc<Self>, state: &mut State, now: Duration, asked: &Value) -> (u16, Value) {
--- a/standins/tests/cluster.rs
+++ b/standins/tests/cluster.rs
@@ -19,6 +19,7 @@
 use millpost_standins::link::LinkConditions;
 use millpost_standins::scripted::{Reply, Server, TIMEOUT, answer};
 use millpost_standins::wire::Message;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
@@ -111,7 +112,10 @@
     sleep(SECOND).await;
     let (_, first) = call(p.address, "GET", "/endpoints", Value::Null).await;
     let token = first["next_token"].as_str().expect("a next page").to_owned();
-    let (_, second) = call(p.address, "GET", &format!("/endpoints?page_token={token}"), Value::Null).await;
+    let unencoded = call(p.address, "GET", &format!("/endpoints?page_token={token}"), Value::Null).await;
+    assert_eq!(unencoded.0, 400);
+    let encoded = utf8_percent_encode(&token, NON_ALPHANUMERIC);
+    let (_, second) = call(p.address, "GET", &format!("/endpoints?page_token={encoded}"), Value::Null).await;
     let ids = |page: &Value| page["endpoints"].as_array().map_or(0, Vec::len);
     assert_eq!((ids(&first), ids(&second), &second["next_token"]), (2, 2, &Value::Null));
     for _ in 0..4 {
