Simulator: traces name the instance of a request and the requests that it runs for nobody

Which of several causes a refusal as full had could not be told from a trace: neither the instance stood there nor how many of its requests had been given up.

--- a/simulator/src/world/endpoint.rs
+++ b/simulator/src/world/endpoint.rs
@@ -195,8 +195,13 @@
             self.at(now + one_way_delay, Event::ExchangeDone(number, done));
         }
         if over || refused {
+            let instance = self.endpoints[at].id.clone();
+            let (runs, unobserved) = self.runs_at(at);
             self.trace_line(|| {
-                format!("request {attempt} is turned away at {service}, on machine {machine}'s word")
+                format!(
+                    "request {attempt} is turned away at {service} {instance}, which runs {runs}, {unobserved} of \
+                     them given up, on machine {machine}'s word"
+                )
             });
             return self.at(now + one_way_delay, Event::ExchangeDone(number, ended(Outcome::Full, true)));
         }
@@ -216,8 +221,11 @@
         }
         let of = Run { endpoint: at, exchange: number, attempt, deadline: until, work, calls, failed: false };
         self.runs.insert(run, of);
+        let instance = self.endpoints[at].id.clone();
         self.trace_line(|| {
-            format!("run {run} of request {attempt} {path} at {service} on machine {machine}'s word")
+            format!(
+                "run {run} of request {attempt} {path} at {service} {instance} on machine {machine}'s word"
+            )
         });
         if calls {
             let zone = self.platform.hosts[worker].zone;
@@ -228,6 +236,14 @@
         }
     }
 
+    /// Returns the number of runs at an endpoint, and how many of them no proxy waits for any more.
+    fn runs_at(&self, endpoint: usize) -> (usize, usize) {
+        let runs = &self.endpoints[endpoint].runs;
+        let exchange = |run: &u64| self.runs.get(run).map(|run| run.exchange);
+        let observed = runs.iter().filter_map(exchange).filter(|number| self.exchanges.contains_key(number));
+        (runs.len(), runs.len() - observed.count())
+    }
+
     /// The nested call of a run has ended.
     pub(super) fn nested_call_done(&mut self, run: u64, good: bool) {
         let now = self.now;
@@ -303,6 +319,9 @@
     pub(super) fn drop_exchange(&mut self, number: u64) {
         let Some(exchange) = self.exchanges.remove(&number) else { return };
         let drops = self.rng.chance(0.8);
+        if let Some(run) = exchange.run {
+            self.trace_line(|| format!("run {run} is given up; the endpoint stops it: {drops}"));
+        }
         if let Some(run) = exchange.run.filter(|_| drops) {
             let soon = self.now + self.site.near;
             // The run ends as if completed, without a recipient for the response.
