--- a/scheduler/src/function/ownership.rs
+++ b/scheduler/src/function/ownership.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 
 use super::{PERMIT_GRACE, Permit, Scheduler};
+use crate::instance::{InstanceState, UNACCOUNTED_HOLDER};
 use crate::owners::{Owners, OwnershipChange, Peer};
 use crate::service::FunctionState;
 use crate::{MS, Nanos, SECOND};
@@ -54,6 +55,18 @@
     pub until: Nanos,
 }
 
+fn unaccounted_permits(now: Nanos, state: &mut InstanceState, slots: usize) -> Vec<OutstandingPermit> {
+    let unaccounted = state.take_unaccounted(now, slots);
+    let permit = |(request_id, until)| OutstandingPermit {
+        who: UNACCOUNTED_HOLDER.into(),
+        request_id,
+        zone: state.info.zone.clone(),
+        instance: state.info.id.clone(),
+        until,
+    };
+    unaccounted.into_iter().map(permit).collect()
+}
+
 impl Scheduler {
     /// Recomputes which of the functions affected by `change` this proxy owns. `before` returns what moves
     /// for a function whose instances are in the given zones. For functions owned elsewhere, nothing is
@@ -245,10 +258,23 @@
                 until: permit.expires_at,
             });
         }
+        permits.extend(self.take_unaccounted(now, index));
         self.functions[index].record_permits(now);
         permits
     }
 
+    /// Returns permits for the requests that run at instances no longer owned here, though nobody holds a permit
+    /// for them. The new owner would send as many others there, only to find the instances full.
+    fn take_unaccounted(&mut self, now: Nanos, index: usize) -> Vec<OutstandingPermit> {
+        let service = &mut self.functions[index];
+        let Some(function) = &service.function else { return Vec::new() };
+        let slots = function.spec.concurrency.max(1) as usize;
+        service.update_all(|instances| {
+            let released = instances.iter_mut().filter(|state| !state.owned);
+            released.flat_map(|state| unaccounted_permits(now, state, slots)).collect()
+        })
+    }
+
     /// Configured functions, with whether each is owned here and whether it is split.
     #[cfg(test)]
     pub(crate) fn ownership_state(&self) -> Vec<(CompactString, bool, bool)> {
--- a/scheduler/src/instance.rs
+++ b/scheduler/src/instance.rs
@@ -9,12 +9,18 @@
 
 use crate::{MS, Nanos, Outcome, SECOND};
 use slot_limit::SlotLimit;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Weight of a new sample in the averages (w_q in the paper).
 const WEIGHT: f64 = 0.2;
 /// The baseline is the lowest average of the current and the previous span of this length.
 const BASELINE_SPAN: Nanos = 5 * SECOND;
 
+/// Holder of the permits by which a new owner learns of requests that run without a permit. Not a valid proxy name.
+pub(crate) const UNACCOUNTED_HOLDER: &str = "?";
+/// Request ids are sent as JSON numbers, which are exact up to 2^53.
+const UNACCOUNTED_ID_SHIFT: u32 = 12;
+
 /// Number of recent callers remembered per instance.
 const MAX_RECENT_CALLERS: usize = 32;
 
@@ -141,6 +147,15 @@
         self.slot_limit.usable(now, all)
     }
 
+    /// Returns the slots out of `all` that it uses without a permit known here, as permits for its next owner: the
+    /// request id, which is the same at each owner, and when the slot is to be used again. The limit on its
+    /// slots ends here.
+    pub fn take_unaccounted(&mut self, now: Nanos, all: usize) -> Vec<(u64, Nanos)> {
+        let limit = std::mem::take(&mut self.slot_limit);
+        let first_id = xxh3_64(self.info.id.as_bytes()) >> UNACCOUNTED_ID_SHIFT;
+        limit.unusable_until(now, all).zip(first_id..).map(|(until, id)| (id, until)).collect()
+    }
+
     /// Whether it can receive requests.
     pub fn is_available(&self) -> bool {
         self.info.stage == Stage::Ready && !self.draining && !self.retired
--- a/scheduler/src/instance/slot_limit.rs
+++ b/scheduler/src/instance/slot_limit.rs
@@ -44,8 +44,17 @@
         if self.pause == 0 {
             return all;
         }
-        let passed = if now < self.pause_until { 0 } else { 1 + (now - self.pause_until) / self.pause };
-        all.min(self.slots.saturating_add(passed as usize))
+        all.min(self.slots.saturating_add(self.pauses_passed(now) as usize))
+    }
+
+    /// Returns, for each slot out of `all` that is not usable now, when it will be.
+    pub fn unusable_until(&self, now: Nanos, all: usize) -> impl Iterator<Item = Nanos> {
+        let first = self.pause_until + self.pauses_passed(now) * self.pause;
+        (0..(all - self.usable(now, all)) as u64).map(move |n| first + n * self.pause)
+    }
+
+    fn pauses_passed(&self, now: Nanos) -> u64 {
+        if self.pause == 0 || now < self.pause_until { 0 } else { 1 + (now - self.pause_until) / self.pause }
     }
 }
 
@@ -90,6 +99,11 @@
         // Slots are added one at a time, since the unknown requests may all still be running.
         assert_eq!(limit.usable(MS + PAUSE, 8), 6);
         assert_eq!(limit.usable(MS + 2 * PAUSE, 8), 7);
+        let until = |now| limit.unusable_until(now, 8).map(|at| (at - MS) / PAUSE).collect::<Vec<_>>();
+        assert_eq!(
+            [until(2 * MS), until(MS + PAUSE), until(MS + 3 * PAUSE)],
+            [vec![1, 2, 3], vec![2, 3], vec![]]
+        );
         assert_eq!(limit.usable(MS + 10 * PAUSE, 8), 8);
     }
 }
--- a/scheduler/tests/handover.rs
+++ b/scheduler/tests/handover.rs
@@ -407,6 +407,51 @@
     [(one, first), (two, next), (ALL.to_vec(), last)]
 }
 
+/// Requests whose clients had gone ran on at an instance. Each new owner of the function sent as many others there,
+/// which were rejected as full, though the owner before it knew of the first ones.
+#[test]
+fn new_owners_learn_of_slots_that_are_taken_without_a_permit() {
+    let views = three_owners();
+    let mut cluster = Cluster::new(&ALL);
+    let change_view = |cluster: &mut Cluster, now: Nanos, n: usize| {
+        for name in ALL.iter().map(|n| format!("edge-{n}")) {
+            let view = full_view(2 + n as u64, &views[n].0, false);
+            cluster.with(now, &name, |coordinator| coordinator.receive_from_controller(now, view));
+        }
+        cluster.deliver(now, &[]);
+    };
+    change_view(&mut cluster, T, 0);
+    let first = views[0].1.clone();
+    (0..16).for_each(|_| cluster.request(T + 400 * MS, &first));
+    cluster.deliver(T + 400 * MS, &[]);
+    assert_eq!(cluster.granted.len(), 16, "all slots");
+    let rejected = T + 410 * MS;
+    let mut left = BTreeMap::<String, usize>::new();
+    for (name, id, instance) in std::mem::take(&mut cluster.granted) {
+        let count = left.entry(instance.clone()).or_default();
+        *count += 1;
+        let outcome = if *count <= 2 { Outcome::Full } else { Outcome::Answered };
+        cluster.with(rejected, &name, |coordinator| coordinator.finish(rejected, id, outcome, 2 * MS));
+    }
+    cluster.deliver(rejected, &[]);
+    // Two further owners, one after the other.
+    (0..16).for_each(|_| cluster.request(rejected, &first));
+    for n in [1, 2] {
+        let now = rejected + n as u64 * 100 * MS;
+        change_view(&mut cluster, now, n);
+        let owner = views[n].1.clone();
+        cluster.with(now + 10 * MS, &owner, |coordinator| coordinator.tick(now + 10 * MS));
+        cluster.deliver(now + 10 * MS, &[]);
+        assert!(cluster.out().values().all(|count| *count == 2), "owner {n}: {:?}", cluster.out());
+    }
+    assert_eq!(cluster.granted.len(), 8);
+    // Later the slots are tried again.
+    let (now, last) = (rejected + 3 * SECOND, views[2].1.clone());
+    cluster.with(now, &last, |coordinator| coordinator.tick(now));
+    cluster.deliver(now, &[]);
+    assert!(cluster.out().values().all(|count| *count == 4), "{:?}", cluster.out());
+}
+
 /// Ownership changes twice while the first owner's transfer is in transit: it arrives at a proxy that no
 /// longer owns the function. That proxy kept it, and the current owner granted the slots a second time.
 #[test]
