--- a/controller/src/disk.rs
+++ b/controller/src/disk.rs
@@ -1,6 +1,6 @@
 //! The voter's records on disk.
 
-pub use millpost_quorum_store::{RecordStore, read};
+pub use millpost_quorum_store::{RecordStore, exists, read};
 
 /// Reads a folder that was just closed, whose lock the threads of the store may hold for a moment longer.
 #[cfg(test)]
--- a/controller/src/origin.rs
+++ b/controller/src/origin.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 use std::{fs, io};
 
-use crate::voter_thread;
+use crate::{disk, voter_thread};
 
 /// The file whose presence says that this controller was added.
 const MARKER: &str = "added";
@@ -18,7 +18,7 @@
     if marker.exists() {
         return true;
     }
-    if bootstrap || voter_thread::folder(data_dir).exists() {
+    if bootstrap || disk::exists(&voter_thread::folder(data_dir)) {
         return false;
     }
     log::info!("added to the running system");
--- a/controller/src/voter_thread.rs
+++ b/controller/src/voter_thread.rs
@@ -165,6 +165,20 @@
     }
 }
 
+/// Opens the records. A store that takes much more than they need, as versions before format 3 left it, is replaced by
+/// a new one first.
+fn open_and_shrink(options: &VoterOptions, now: u64) -> Option<(RecordStore, Voter)> {
+    let (disk, voter) = open(options, now)?;
+    let Some(records) = voter.records().filter(|records| disk.is_oversized(records)) else {
+        return Some((disk, voter));
+    };
+    log::info!("replacing the voter's store, which takes much more than its records need");
+    if let Err(e) = disk.rewrite(&records) {
+        log::error!("cannot replace the voter's store: {e}");
+    }
+    open(options, now)
+}
+
 fn log_progress(progress: &RecoveryProgress) {
     let RecoveryProgress { received, missing, needed } = progress;
     log::info!(
@@ -185,7 +199,7 @@
     let mut reported = None;
     let mut logged_progress = None;
     loop {
-        let Some((disk, mut voter)) = open(options, now()) else {
+        let Some((disk, mut voter)) = open_and_shrink(options, now()) else {
             thread::sleep(OPEN_RETRY_DELAY);
             // Requests that arrived meanwhile get no reply.
             while requests.try_recv().is_ok() {}
@@ -286,6 +300,47 @@
         assert_eq!(fs::read_dir(data.path()).expect("listed").count(), 2);
     }
 
+    /// Guards against a store that is replaced by one in parts, whose records still name a format that earlier versions
+    /// read: these would take the parts for damage, and the disk for lost.
+    #[test]
+    fn replaced_store_has_the_format_of_its_records() {
+        let data = tempfile::tempdir().expect("a folder");
+        let options = options_in(folder(data.path()));
+        let (disk, mut voter) = open(&options, 0).expect("opened");
+        let members = options.first.clone().expect("the first");
+        voter.bootstrap(members.clone()).commit(|batch| disk.put(batch)).expect("put");
+        let format = |disk: &RecordStore| {
+            let (_, voter) = disk.records().expect("read").pop().expect("the record of the voter");
+            (1..4).find(|n| voter.contains(&format!(r#""format":"{n}""#)))
+        };
+        assert_eq!(format(&disk), Some(1));
+        let (key, ballot) = (Key::Config, millpost_quorum::Ballots::new("127.0.0.1:1", 2).next(0));
+        let value = Value { version: 1, content: "x".repeat(20_000).into() };
+        let write = Message::Write { key, ballot, value, members: members.clone() };
+        // Written by a version that knew no parts.
+        let mut records = Vec::new();
+        let step = voter.handle(0, "127.0.0.1:1", write);
+        step.commit(|batch| Ok::<_, ()>(records.extend_from_slice(batch))).expect("committed");
+        let config = records.into_iter().find(|record| record.key == "key/config").expect("a record");
+        drop(disk);
+        let db = sled::open(&options.folder).expect("opened");
+        db.insert(config.key.as_bytes(), config.text.as_bytes()).expect("inserted");
+        db.flush().expect("flushed");
+        drop(db);
+        fs::create_dir_all(options.folder.join("blobs")).expect("there");
+        fs::write(options.folder.join("blobs").join("1"), "of an earlier write").expect("written");
+        let (disk, mut voter) = open_and_shrink(&options, 0).expect("opened");
+        assert!(!options.folder.join("blobs").join("1").exists());
+        assert_eq!(format(&disk), Some(3));
+        assert_eq!(voter.slot(key).and_then(|slot| slot.accepted.as_ref()).map(|a| a.value.version), Some(1));
+        // It stays so when the members change.
+        let (key, ballot) = (Key::Members, millpost_quorum::Ballots::new("127.0.0.1:1", 3).next(0));
+        let next = members.joint(vec!["127.0.0.1:1".into(), "127.0.0.1:2".into()]);
+        let prepare = Message::Prepare { key, ballot, members: next };
+        voter.handle(0, "127.0.0.1:1", prepare).commit(|batch| disk.put(batch)).expect("put");
+        assert_eq!(format(&disk), Some(3));
+    }
+
     #[test]
     fn large_records_are_not_kept_aside() {
         let data = tempfile::tempdir().expect("a folder");
--- a/ctl/tests/store.rs
+++ b/ctl/tests/store.rs
@@ -131,7 +131,7 @@
 }
 
 #[parameterized(
-    newer = { &[("voter", r#"{"format":"3"}"#)], 3, 3, "records of format 3, from a newer version" },
+    newer = { &[("voter", r#"{"format":"4"}"#)], 3, 3, "records of format 4, from a newer version" },
     torn = { &[("key/steward", r#"{"key":"stew"#)], 1, 0, "key/steward: not read: not JSON" },
     foreign = { &[("a\u{1b}[2J", "x")], 1, 0, r"a\u{1b}[2J: not read: is not a record of a voter" },
     no_configuration = { &[("key/config", r#"{"key":"config","promised":null,"accepted":null}"#)], 0, 1, "no configuration" },
--- a/quorum-store/src/damage_tests.rs
+++ b/quorum-store/src/damage_tests.rs
@@ -39,8 +39,19 @@
     Write { key: format!("k{}", n % 3), text: format!("text {n} {}", "x".repeat(n as usize * 37 % 3_000)) }
 }
 
+/// A write of one of three records, of which two are long most of the time.
+fn long_write(n: u32) -> Write {
+    let length = if n.is_multiple_of(3) { 100 } else { (n as usize * 7_919) % 60_000 };
+    let letter = |at: usize| char::from(b'a' + ((at + n as usize) * 31 % 26) as u8);
+    Write { key: format!("k{}", n % 3), text: (0..length).map(letter).collect() }
+}
+
 /// Returns an image of the store's files after each of `puts` writes, as a killed process would leave them.
 fn images(puts: u32) -> Vec<Image> {
+    images_of(puts, write)
+}
+
+fn images_of(puts: u32, write: fn(u32) -> Write) -> Vec<Image> {
     let folder = tempfile::tempdir().expect("a folder");
     let disk = RecordStore::open(folder.path()).expect("opened");
     let put = |n| {
@@ -52,6 +63,10 @@
 
 /// Returns the last record of each key after `puts` writes.
 fn state(puts: u32) -> BTreeMap<String, String> {
+    state_of(puts, write)
+}
+
+fn state_of(puts: u32, write: fn(u32) -> Write) -> BTreeMap<String, String> {
     (0..puts).map(write).map(|w| (w.key, w.text)).collect()
 }
 
@@ -63,10 +78,13 @@
 
 /// After a power loss, each block written since the last sync is present, missing or torn, independently for
 /// each file.
-#[test]
-fn acknowledged_records_survive_a_power_loss() {
-    let images = images(12);
-    let (mut random, mut cases) = (7u64, 0);
+#[yare::parameterized(
+    short = { write, 12 },
+    in_parts = { long_write, 24 },
+)]
+fn acknowledged_records_survive_a_power_loss(write: fn(u32) -> Write, puts: u32) {
+    let images = images_of(puts, write);
+    let (mut random, mut cases) = (7u64, 0_u32);
     for (before, pair) in images.windows(2).enumerate() {
         for _ in 0..12 {
             let mut mixed = pair[1].clone();
@@ -84,12 +102,13 @@
                 }
             }
             let found = opened(&mixed).expect("the store opens");
-            let (before_put, after_put) = (state(before as u32 + 1), state(before as u32 + 2));
+            let (before_put, after_put) =
+                (state_of(before as u32 + 1, write), state_of(before as u32 + 2, write));
             assert!(found == before_put || found == after_put, "after put {before}: {:?}", found.keys());
             cases += 1;
         }
     }
-    assert_eq!(cases, 132);
+    assert_eq!(cases, (puts - 1) * 12);
 }
 
 /// Returns the offsets at which a file is truncated or corrupted: `count` offsets spread evenly. The
--- a/quorum-store/src/lib.rs
+++ b/quorum-store/src/lib.rs
@@ -2,18 +2,32 @@
 //! survives a power loss. The flush of `sled` alone did not ensure that in bench tests, so each file in
 //! the folder and the folder itself are synced through separate file handles after it.
 //!
+//! Long records are stored in parts, so that what a write costs depends on what it writes and not on what was written
+//! before. A folder that earlier versions have filled with files is replaced by a new one, see
+//! [`RecordStore::rewrite`].
+//!
 //! [`read_copy`] reads a folder that may be in use: it opens a copy, and writes nothing to the folder.
 
+mod parts;
 mod read_copy;
+mod rewrite;
 
 pub use read_copy::read_copy;
+pub use rewrite::exists;
 
 use std::fs::File;
 use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use millpost_quorum::Write;
+use parts::{ItemChange, LayoutError};
 use snafu::{ResultExt, Snafu};
 
+/// How long the threads of a store may hold its lock after it was closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+const CLOSE_RETRY_DELAY: Duration = Duration::from_millis(2);
+
 /// Why a store could not be opened, read or written.
 #[derive(Debug, Snafu)]
 pub enum StoreError {
@@ -31,6 +45,14 @@
         /// The folder of the store.
         folder: PathBuf,
     },
+    /// A record was not stored whole, or a part of it is lost.
+    #[snafu(display("store in {}: corrupted: {reason}", folder.display()))]
+    Incomplete {
+        /// The folder of the store.
+        folder: PathBuf,
+        /// The record and what is wrong with it.
+        reason: String,
+    },
     /// There is no store in the folder, and none is created.
     #[snafu(display("{}: no store: {reason}", folder.display()))]
     NoStore {
@@ -62,11 +84,21 @@
     pub fn is_corrupted(&self) -> bool {
         matches!(
             self,
-            StoreError::Corrupted { .. } | StoreError::Store { source: sled::Error::Corruption { .. }, .. }
+            StoreError::Corrupted { .. }
+                | StoreError::Incomplete { .. }
+                | StoreError::Store { source: sled::Error::Corruption { .. }, .. }
         )
     }
 }
 
+impl StoreError {
+    /// Whether another process, or a thread of a store that was just closed, holds the lock.
+    fn is_locked(&self) -> bool {
+        matches!(self, StoreError::Store { source: sled::Error::Io(e), .. }
+            if e.kind() == std::io::ErrorKind::WouldBlock || e.to_string().contains("lock"))
+    }
+}
+
 /// A store of records in a folder.
 pub struct RecordStore {
     folder: PathBuf,
@@ -74,8 +106,22 @@
 }
 
 impl RecordStore {
-    /// Opens the store in the folder, and creates it if there is none.
+    /// Opens the store in the folder, and creates it if there is none. Finishes or undoes an interrupted
+    /// [`RecordStore::rewrite`].
     pub fn open(folder: &Path) -> Result<Self, StoreError> {
+        rewrite::recover(folder)?;
+        let begun = Instant::now();
+        loop {
+            match Self::open_folder(folder) {
+                Err(e) if e.is_locked() && begun.elapsed() < CLOSE_TIMEOUT => {
+                    thread::sleep(CLOSE_RETRY_DELAY)
+                }
+                result => return result,
+            }
+        }
+    }
+
+    fn open_folder(folder: &Path) -> Result<Self, StoreError> {
         let config = sled::Config::new()
             .path(folder)
             .cache_capacity(1 << 20)
@@ -87,27 +133,38 @@
 
     /// Returns all records.
     pub fn records(&self) -> Result<Vec<(String, String)>, StoreError> {
-        let mut all = Vec::new();
+        let mut items = Vec::new();
         for row in self.db.iter() {
-            let (key, text) = row.context(StoreSnafu { folder: &self.folder })?;
-            all.push((
-                String::from_utf8_lossy(&key).into_owned(),
-                String::from_utf8_lossy(&text).into_owned(),
-            ));
+            let (key, bytes) = row.context(StoreSnafu { folder: &self.folder })?;
+            items.push((String::from_utf8_lossy(&key).into_owned(), bytes.to_vec()));
         }
-        Ok(all)
+        let incomplete =
+            |e: LayoutError| IncompleteSnafu { folder: &self.folder, reason: e.to_string() }.build();
+        parts::join(items).map_err(incomplete)
     }
 
     /// Writes a batch. Once this returns without an error, the batch survives a power loss.
     pub fn put(&self, batch: &[Write]) -> Result<(), StoreError> {
-        let mut records = sled::Batch::default();
+        let mut items = sled::Batch::default();
         for write in batch {
-            records.insert(write.key.as_bytes(), write.text.as_bytes());
+            for change in parts::replace(&write.key, &write.text, self.part_count(&write.key)?) {
+                match change {
+                    ItemChange::Insert(key, bytes) => items.insert(key.as_bytes(), bytes),
+                    ItemChange::InsertLength(key, length) => items.insert(key.as_bytes(), length.as_bytes()),
+                    ItemChange::Remove(key) => items.remove(key.as_bytes()),
+                }
+            }
         }
-        self.db.apply_batch(records).context(StoreSnafu { folder: &self.folder })?;
+        self.db.apply_batch(items).context(StoreSnafu { folder: &self.folder })?;
         self.db.flush().context(StoreSnafu { folder: &self.folder })?;
         sync(&self.folder)
     }
+
+    /// Returns the number of parts in which a record is stored; 0 if it is stored whole, or not at all.
+    fn part_count(&self, key: &str) -> Result<usize, StoreError> {
+        let length = self.db.get(parts::length_key(key)).context(StoreSnafu { folder: &self.folder })?;
+        Ok(parts::part_count(length.as_deref()))
+    }
 }
 
 /// Syncs every file below a folder, then the folder.
@@ -142,6 +199,8 @@
 
 #[cfg(test)]
 mod damage_tests;
+#[cfg(test)]
+mod size_tests;
 
 #[cfg(test)]
 mod tests {
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -29,7 +29,7 @@
 pub use lease::{LEASE_DURATION, LEASE_MARGIN, LeaseGrantor, LeaseHolder};
 pub use members::{Members, VoterChange, VoterChangeError};
 pub use membership_change::{MembershipChange, MembershipOutcome};
-pub use record::{FORMAT, OpenError, Record, Write, check_format};
+pub use record::{FORMAT, MAX_WHOLE_RECORD, OpenError, Record, Write, check_format};
 pub use recovery::{PHASE_TIMEOUT, RECOVERY_MARGIN, Recovery, RecoveryProgress};
 pub use round::{FailureReason, Operation, Outcome, Output, Round};
 pub use voter::{State, Step, Voter};
--- a/quorum/src/record.rs
+++ b/quorum/src/record.rs
@@ -17,10 +17,14 @@
 
 /// The key of the record of the voter itself.
 const VOTER: &str = "voter";
-/// The newest format that can be read. It is written once there is a record of migrations; until then format
-/// 1 is written, which older versions can read. Records without a format have format 1.
-pub const FORMAT: u64 = 2;
+/// The newest format that can be read. It is written once a record is longer than [`MAX_WHOLE_RECORD`]; until then
+/// an older format is written, which older versions can read. Records without a format have format 1.
+pub const FORMAT: u64 = 3;
+/// The format since which there may be a record of migrations.
+const MIGRATIONS_FORMAT: u64 = 2;
 const FIRST_FORMAT: u64 = 1;
+/// Length in bytes up to which a record is stored whole. Since format 3, a longer one is stored in parts.
+pub const MAX_WHOLE_RECORD: usize = 16 << 10;
 
 /// One record to write to disk.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,9 +67,16 @@
     Write { key: format!("key/{}", key.as_str()), text: json::print(&slot.to_json(key)) }
 }
 
-/// Returns the format of a disk with records for these keys.
-pub(crate) fn format_of(mut keys: impl Iterator<Item = Key>) -> u64 {
-    if keys.any(|key| key == Key::Migrations) { FORMAT } else { FIRST_FORMAT }
+/// Returns the lowest format that allows these records.
+pub(crate) fn format_of(records: &[Write]) -> u64 {
+    let migrations = format!("key/{}", Key::Migrations.as_str());
+    if records.iter().any(|record| record.text.len() > MAX_WHOLE_RECORD) {
+        FORMAT
+    } else if records.iter().any(|record| record.key == migrations) {
+        MIGRATIONS_FORMAT
+    } else {
+        FIRST_FORMAT
+    }
 }
 
 pub(crate) fn of_voter(members: &Members, format: u64) -> Write {
--- a/quorum/src/voter.rs
+++ b/quorum/src/voter.rs
@@ -67,12 +67,11 @@
         mut sync: impl FnMut(&[Write]) -> Result<(), E>,
     ) -> Result<Option<Message>, E> {
         let adopt = self.adopt.take();
-        // The first record of migrations raises the format, which is written before that record.
-        let format =
-            record::format_of(self.voter.slots.keys().chain(self.slots.iter().map(|(key, _)| key)).copied());
+        let keys: Vec<_> = self.slots.iter().map(|(key, slot)| record::of_slot(*key, slot)).collect();
+        // A record of a kind that older versions do not know raises the format, which is written before that record.
+        let format = record::format_of(&keys).max(self.voter.format);
         let newer = if format > self.voter.format { &self.voter.members } else { &None };
         let own: Vec<_> = adopt.iter().chain(newer).take(1).map(|of| record::of_voter(of, format)).collect();
-        let keys: Vec<_> = self.slots.iter().map(|(key, slot)| record::of_slot(*key, slot)).collect();
         let own_is_empty = own.is_empty();
         // A recovered state is valid only with the voter's own record, which is therefore written last. Newer
         // members are written before the records that depend on them.
@@ -165,6 +164,15 @@
         self.slots.get(&key)
     }
 
+    /// Returns all records of the voter, if it has a state: what a new disk needs to hold to replace the present one.
+    pub fn records(&self) -> Option<Vec<Write>> {
+        let members = self.members.as_ref()?;
+        let mut all: Vec<_> = self.slots.iter().map(|(key, slot)| record::of_slot(*key, slot)).collect();
+        let format = record::format_of(&all).max(self.format);
+        all.push(record::of_voter(members, format));
+        Some(all)
+    }
+
     /// Returns the time of the next call to [`Voter::on_tick`].
     pub fn next_wake(&self) -> Option<u64> {
         self.members.is_none().then(|| self.recovery.next_wake())
--- a/quorum/tests/records.rs
+++ b/quorum/tests/records.rs
@@ -66,8 +66,9 @@
 #[parameterized(
     missing_means_first = { "", None },
     first = { r#","format":"1""#, None },
-    current = { r#","format":"2""#, None },
-    newer = { r#","format":"3""#, Some(3) },
+    previous = { r#","format":"2""#, None },
+    current = { r#","format":"3""#, None },
+    newer = { r#","format":"4""#, Some(4) },
     newest = { r#","format":"18446744073709551615""#, Some(u64::MAX) },
 )]
 fn newer_format_is_rejected_whatever_the_other_records_hold(format: &str, newer: Option<u64>) {
@@ -122,7 +123,34 @@
         ("key/moves", None),
     ];
     assert_eq!(formats, expected.map(|(key, format)| (key.to_owned(), format)));
-    assert!(sample_disk()["voter"].contains(&format!(r#""format":"{FORMAT}""#)));
+    assert!(sample_disk()["voter"].contains(r#""format":"2""#));
+}
+
+/// Earlier versions do not know of records in parts, and would take them for damage. They must refuse the disk from
+/// the moment that there is one, also after the record has become short again.
+#[test]
+fn newer_format_is_written_right_before_the_first_long_record() {
+    let members = Members::initial("lab", ["a"].map(Address::from));
+    let mut batches = Vec::new();
+    let mut store = |writes: &[Write]| {
+        batches.push(writes.to_vec());
+        Ok::<_, ()>(())
+    };
+    let mut voter = Voter::open("a".into(), [], vec![], 1, 0).unwrap();
+    voter.bootstrap(members.clone()).commit(&mut store).unwrap();
+    for (n, length) in [(1, 10), (2, MAX_WHOLE_RECORD), (3, MAX_WHOLE_RECORD), (4, 10)] {
+        let (key, ballot) = (Key::Config, Ballots::new("p", 1).next(n));
+        let value = Value { version: n, content: "x".repeat(length).into() };
+        let write = Message::Write { key, ballot, value, members: members.clone() };
+        voter.handle(0, "p", write).commit(&mut store).unwrap();
+    }
+    let keys: Vec<_> = batches.iter().flatten().map(|write| write.key.as_str()).collect();
+    assert_eq!(keys, ["voter", "key/config", "voter", "key/config", "key/config", "key/config"]);
+    assert!(batches[2][0].text.contains(&format!(r#""format":"{FORMAT}""#)));
+    let parse = |write: Write| (write.key, write.text.parse::<tinyjson::JsonValue>().unwrap());
+    let disk: BTreeMap<_, _> = batches.into_iter().flatten().map(parse).collect();
+    let all: BTreeMap<_, _> = voter.records().unwrap().into_iter().map(parse).collect();
+    assert_eq!(all, disk);
 }
 
 #[test]
