Tests: each moment of a removal behind a successor bears a loss, a cut and a kill of all

Machines are removed right after an acknowledgement, the leader alone or all at once, switched off or told to end (with a grace time of 1 s where all go), in cores of 3, 4, 5 and 8. A machine that lost its disk comes back as one that was added in these tests, as it does in service.

--- a/controller/tests/cluster/mod.rs
+++ b/controller/tests/cluster/mod.rs
@@ -239,9 +239,10 @@
         (self.machines[n].wake, self.machines[n].reported) = (self.now, None);
     }
 
-    /// Ends a machine's process and starts another one on an empty disk.
+    /// Ends a machine's process and starts another one on an empty disk. Nothing tells it from one that was added.
     pub fn wipe(&mut self, n: usize) {
         self.machines[n].disk.clear();
+        self.machines[n].place.added = true;
         self.restart(n);
     }
 
--- a/controller/tests/succession.rs
+++ b/controller/tests/succession.rs
@@ -278,3 +278,150 @@
         }
     }
 }
+
+/// How machines are removed for good.
+#[derive(Clone, Copy, Debug)]
+enum Removal {
+    /// They are switched off.
+    Off,
+    /// They are told to end, and switched off once they have ended or their grace time is over.
+    Told,
+}
+
+/// Removes machines behind their successors, right after a configuration was acknowledged.
+struct RemovalPlay {
+    cluster: Cluster,
+    /// The machines that are left in the end.
+    left: Vec<usize>,
+    removed: Vec<usize>,
+    grace: u64,
+    /// The machines that were told to end and have not ended.
+    told: Vec<usize>,
+}
+
+impl RemovalPlay {
+    fn new(voters: usize, zones: &[&str], removed: &[usize], grace: u64) -> Self {
+        let mut cluster = cluster_with_grace(voters, zones, grace);
+        let successors: Vec<_> = removed.iter().map(|n| cluster.add(zones[*n])).collect();
+        cluster.run(cluster.now + CATCH_UP);
+        put(&mut cluster, 0, 2);
+        let left = (0..zones.len()).filter(|n| !removed.contains(n)).chain(successors).collect();
+        RemovalPlay { cluster, left, removed: removed.to_vec(), grace, told: Vec::new() }
+    }
+
+    /// Advances the clock. Machines that were told to end and may do so are switched off.
+    fn run(&mut self, until: u64) {
+        while self.cluster.now < until {
+            self.cluster.run((self.cluster.now + 20 * MS).min(until));
+            let cluster = &mut self.cluster;
+            let (ended, told) = self.told.iter().partition(|n| cluster.core(**n).can_exit(cluster.now));
+            self.told = told;
+            Vec::into_iter(ended).for_each(|n| cluster.down(n));
+        }
+    }
+
+    fn remove(&mut self, removal: Removal) {
+        for n in self.removed.clone() {
+            match removal {
+                Removal::Off => self.cluster.down(n),
+                Removal::Told => self.cluster.input(n, Input::Shutdown),
+            }
+        }
+        if matches!(removal, Removal::Told) {
+            self.told = self.removed.clone();
+        }
+    }
+
+    fn strike(&mut self, trouble: Trouble) {
+        let now = self.cluster.now;
+        match trouble {
+            Trouble::DiskLost(n) => {
+                self.cluster.wipe(n);
+                self.cluster.freeze(n, now + 900 * MS);
+            }
+            Trouble::AllKilled => {
+                for n in self.told.drain(..) {
+                    self.cluster.down(n);
+                }
+                for n in self.left.iter().chain(&self.removed).copied() {
+                    self.cluster.restart(n);
+                    self.cluster.freeze(n, now + 500 * MS);
+                }
+            }
+            Trouble::CutOff(n) => self.cluster.cut(n, 1),
+        }
+    }
+
+    fn end(mut self, trouble: Trouble, what: &str) {
+        let grace_end = self.cluster.now + self.grace;
+        let cut_end = self.cluster.now + 3_000 * MS;
+        self.run(grace_end.min(cut_end));
+        if let Trouble::CutOff(n) = trouble {
+            self.run(cut_end);
+            self.cluster.cut(n, 0);
+        }
+        self.run(grace_end);
+        self.removed.iter().for_each(|n| self.cluster.down(*n));
+        assert_kept(&mut self.cluster, &self.left, 2, what);
+        put(&mut self.cluster, self.left[0], 3);
+    }
+}
+
+/// A loss, a kill of all or a cut link right before, at or after the removal of machines whose successors have caught up,
+/// `offset` ms after it.
+fn play_removal(
+    voters: usize,
+    zones: &[&str],
+    removed: &[usize],
+    removal: Removal,
+    trouble: Trouble,
+    offset: i64,
+) {
+    let grace = if removed.len() > 1 { 1_000 * MS } else { GRACE };
+    let mut play = RemovalPlay::new(voters, zones, removed, grace);
+    let at = play.cluster.now + 600 * MS;
+    let struck_at = at.saturating_add_signed(offset * MS as i64);
+    play.run(at.min(struck_at));
+    if struck_at < at {
+        play.strike(trouble);
+        play.run(at);
+        play.remove(removal);
+    } else {
+        play.remove(removal);
+        play.run(struck_at);
+        play.strike(trouble);
+    }
+    play.end(
+        trouble,
+        &format!("{zones:?}, {removed:?} removed ({removal:?}), {trouble:?} {offset} ms after it"),
+    );
+}
+
+/// Guards against a configuration that is lost as machines are removed, all at once or the leader alone, switched off or
+/// told to end, while another machine is lost or cut off, or all are killed.
+#[yare::parameterized(
+    three_machines = { 3, &["a", "b", "c"] },
+    four_machines = { 3, &["a", "b", "c", "a"] },
+    five_voters = { 5, &["a", "b", "c", "a", "b"] },
+    eight_machines = { 5, &["a", "b", "c", "d", "a", "b", "c", "d"] },
+)]
+fn each_moment_of_a_removal_bears_each_loss(voters: usize, zones: &[&str]) {
+    let offsets: &[i64] = if std::env::var_os("ALL_STEPS").is_some() {
+        &[-600, -300, -100, 0, 50, 100, 200, 400, 700, 1_000, 2_000, 3_000, 4_000]
+    } else {
+        &[-300, 0, 100, 1_000]
+    };
+    let leader = cluster_in_zones(voters, zones).leader().expect("a leader");
+    let all: Vec<_> = (0..zones.len()).collect();
+    for removed in [vec![leader], all.clone()] {
+        let successors = all.len()..all.len() + removed.len();
+        let left: Vec<_> = all.iter().copied().filter(|n| !removed.contains(n)).chain(successors).collect();
+        let losses = left.iter().flat_map(|n| [Trouble::DiskLost(*n), Trouble::CutOff(*n)]);
+        for trouble in losses.chain([Trouble::AllKilled]) {
+            for (removal, offset) in offsets.iter().flat_map(|at| [(Removal::Off, *at), (Removal::Told, *at)])
+            {
+                play_removal(voters, zones, &removed, removal, trouble, offset);
+            }
+        }
+    }
+}
