--- a/explore/src/register.rs
+++ b/explore/src/register.rs
@@ -599,6 +599,13 @@
         }
     }
 
+    /// Whether all voters that have a state know that four vote, and at most one of the four has none.
+    fn four_vote(&self) -> bool {
+        let with_state = self.voters.iter().filter(|seat| seat.voter.state() == Stage::Voting);
+        let members: Vec<_> = with_state.filter_map(|seat| seat.voter.members()).collect();
+        members.len() > 2 && members.iter().all(|members| members.voters.len() == 4 && members.next.is_none())
+    }
+
     fn all(&self) -> Vec<Step> {
         let mut all = Vec::new();
         for (place, sent) in self.pool.iter().enumerate() {
@@ -640,8 +647,10 @@
             if self.left.restarts > 0 {
                 all.push(Step::Restart(at as u8, false));
             }
-            // One may lose its disk while all others have theirs.
-            if self.left.wipes > 0 && (0..3).all(voting) && (!self.case.answered || self.newest() > 0) {
+            // One may lose its disk while all others have theirs, and another one where four vote.
+            let may_be_wiped =
+                if self.case.two_wipes { voting(at) && self.four_vote() } else { (0..3).all(voting) };
+            if self.left.wipes > 0 && may_be_wiped && (!self.case.answered || self.newest() > 0) {
                 all.push(Step::Restart(at as u8, true));
             }
         }
--- a/explore/src/register/cases.rs
+++ b/explore/src/register/cases.rs
@@ -69,6 +69,8 @@
     pub quanta: u8,
     /// Disks are emptied only once something was answered.
     pub answered: bool,
+    /// Two disks may be empty at the same time, and none before four vote.
+    pub two_wipes: bool,
     /// Steps off a calm day on any one way; all, where there is no bound.
     pub deviations: Option<u8>,
     /// How often.
@@ -86,6 +88,7 @@
     timed: false,
     quanta: 0,
     answered: false,
+    two_wipes: false,
     deviations: None,
     bounds: CALM,
 };
@@ -171,6 +174,28 @@
             bounds: Bounds { wakes: 4, wipes: 1, ..CALM },
             ..PLAIN
         },
+        Case {
+            name: "register: the spare votes beside the three, then two disks are emptied",
+            jobs: &[&[X], &[Job::Move(Turn::Beside), Job::Read]],
+            spare: true,
+            quanta: 3,
+            answered: true,
+            two_wipes: true,
+            deviations: Some(3),
+            bounds: Bounds { wakes: 4, wipes: 2, ..CALM },
+            ..PLAIN
+        },
+        Case {
+            name: "register: a voter that had left votes beside the three, then a disk is emptied",
+            jobs: &[&[X], &[Job::Move(Turn::Beside), Job::Read]],
+            spare: true,
+            had: true,
+            quanta: 2,
+            answered: true,
+            deviations: Some(3),
+            bounds: Bounds { wakes: 4, late: 1, wipes: 1, ..CALM },
+            ..PLAIN
+        },
     ]
 }
 
@@ -187,7 +212,7 @@
 }
 
 /// Faults that must be found here, each with a word of the case that finds it.
-pub const FAULTS: [(Fault, &str); 9] = [
+pub const FAULTS: [(Fault, &str); 10] = [
     (Fault::NoPrepare, "a try again"),
     (Fault::AnswersFirst, "of one version, a restart"),
     (Fault::VotesAtOnce, "once it is answered"),
@@ -197,4 +222,5 @@
     (Fault::OneMajority, "comes back"),
     (Fault::NoJoint, "comes back"),
     (Fault::VotesAtOnce, "is exchanged, then a disk"),
+    (Fault::OneMajority, "had left votes beside"),
 ];
