--- a/controller/src/voter_thread.rs
+++ b/controller/src/voter_thread.rs
@@ -320,7 +320,11 @@
         // Written by a version that knew no parts.
         let mut records = Vec::new();
         let step = voter.handle(0, "127.0.0.1:1", write);
-        step.commit(|batch| Ok::<_, ()>(records.extend_from_slice(batch))).expect("committed");
+        let keep = |batch: &[Write]| {
+            records.extend_from_slice(batch);
+            Ok::<_, ()>(())
+        };
+        step.commit(keep).expect("committed");
         let config = records.into_iter().find(|record| record.key == "key/config").expect("a record");
         drop(disk);
         let db = sled::open(&options.folder).expect("opened");
