A voter that can't open its store says so, and gives way to a spare

The voter's thread now reports that it does not vote when an opening fails, and the leader replaces a voter that is heard without a state for 3 s. With a majority that has one, an emptied voter copies in a shorter time; without, no change starts.

Red before: voter_that_cannot_open_its_store_does_not_say_that_it_votes, a_spare_replaces_a_voter_that_has_no_state_for_long (3 of 3 cases).

--- a/controller/src/voter_thread.rs
+++ b/controller/src/voter_thread.rs
@@ -196,10 +196,17 @@
     clock: Instant,
 ) {
     let now = || clock.elapsed().as_nanos() as u64;
-    let mut reported = None;
+    let mut reported: Option<(bool, Option<Members>)> = None;
     let mut logged_progress = None;
     loop {
         let Some((disk, mut voter)) = open_and_shrink(options, now()) else {
+            if let Some((voting @ true, members)) = &mut reported {
+                *voting = false;
+                let status = VoterEvent::Status { voting: false, members: members.clone() };
+                if events.send(status).is_err() {
+                    return;
+                }
+            }
             thread::sleep(OPEN_RETRY_DELAY);
             // Requests that arrived meanwhile get no reply.
             while requests.try_recv().is_ok() {}
@@ -345,6 +352,38 @@
         assert_eq!(format(&disk), Some(3));
     }
 
+    /// Guards against a voter that goes on to say that it votes while it can't open its store.
+    #[test]
+    fn voter_that_cannot_open_its_store_does_not_say_that_it_votes() {
+        let data = tempfile::tempdir().expect("a folder");
+        let options = options_in(folder(data.path()));
+        let (folder, members) = (options.folder.clone(), options.first.clone().expect("the first"));
+        let (events, mut received) = async_mpsc::unbounded_channel();
+        let voter = VoterThread::start(options, events, Instant::now()).expect("a thread");
+        let mut votes = || {
+            let begun = Instant::now();
+            while begun.elapsed() < Duration::from_secs(20) {
+                if let Ok(VoterEvent::Status { voting, members }) = received.try_recv() {
+                    return Some((voting, members.is_some()));
+                }
+                thread::sleep(Duration::from_millis(5));
+            }
+            None
+        };
+        assert_eq!(votes(), Some((true, true)));
+        // The next write fails, and so does each opening after it.
+        fs::rename(&folder, data.path().join("elsewhere")).expect("moved");
+        fs::write(&folder, "not a folder").expect("written");
+        let ballot = millpost_quorum::Ballots::new("127.0.0.1:1", 2).next(0);
+        let prepare = Message::Prepare { key: Key::Config, ballot, members };
+        assert!(voter.send("127.0.0.1:1".into(), prepare).blocking_recv().is_err());
+        assert_eq!(votes(), Some((false, true)));
+        fs::remove_file(&folder)
+            .and_then(|()| fs::rename(data.path().join("elsewhere"), &folder))
+            .expect("back");
+        assert_eq!(votes(), Some((true, true)));
+    }
+
     #[test]
     fn large_records_are_not_kept_aside() {
         let data = tempfile::tempdir().expect("a folder");
--- a/controller/src/voters.rs
+++ b/controller/src/voters.rs
@@ -1,5 +1,5 @@
 //! Decides which controllers vote: as many as the tolerated losses require, with a spare in the place of a
-//! voter that is silent or shutting down. A controller that is added to the running system votes before the one
+//! voter that is silent, shutting down or unable to open its store. A controller that is added to the running system votes before the one
 //! that it succeeds is removed (see [`succession`](crate::succession)). If zones or regions may be lost, voters
 //! are spread over them, as evenly as the available controllers allow.
 //!
@@ -161,9 +161,32 @@
 #[derive(Debug, Default)]
 pub struct Voters {
     checked_at: Nanos,
+    /// Available voters that have no state, and since when.
+    without_state: BTreeMap<Address, Nanos>,
 }
 
 impl Voters {
+    /// Records which voters have no state.
+    fn observe(&mut self, now: Nanos, view: VoterView<'_>) {
+        let lacks_state = |voter: &&Address| {
+            view.members.next.is_none()
+                && **voter != *view.me
+                && view.peers.get(*voter).is_some_and(|seen| !seen.voting)
+        };
+        let lacking: Vec<_> = view.members.voters.iter().filter(lacks_state).collect();
+        self.without_state.retain(|voter, _| lacking.contains(&voter));
+        for voter in lacking {
+            self.without_state.entry(voter.clone()).or_insert(now);
+        }
+    }
+
+    /// Returns a voter that has had no state for so long that it cannot open its store: one that lost its disk copies
+    /// its state in a shorter time while a majority has one, and without a majority no change starts.
+    fn unable_voter(&self, now: Nanos) -> Option<&Address> {
+        let unable = self.without_state.iter().find(|(_, since)| **since + SILENCE_TIMEOUT < now);
+        unable.map(|(voter, _)| voter)
+    }
+
     /// Returns the next step, if there is one. Must not be called while a change is in progress.
     pub fn next_action(&mut self, now: Nanos, view: VoterView<'_>) -> Option<VoterAction> {
         let any_leaving = view.peers.iter().any(|(a, seen)| seen.leaving && view.members.contains(a));
@@ -173,12 +196,13 @@
             return None;
         }
         self.checked_at = now;
+        self.observe(now, view);
         if view.members.next.is_some() {
             return Some(VoterAction::FinishChange);
         }
         let change = if view.members.voters.len() < view.tolerance.voters() {
             newcomers(now, view).map(VoterChange::Add).min_by_key(|change| view.spread_after(change))?
-        } else if let Some(old) = view.voter_to_replace(now) {
+        } else if let Some(old) = view.voter_to_replace(now).or_else(|| self.unable_voter(now)) {
             view.replacement(now, old)?
         } else if let Some(change) = succession::change(now, view) {
             change
@@ -282,6 +306,42 @@
         assert_eq!((settled.concat(), bears), (expected.to_owned(), borne));
     }
 
+    /// Guards against a voter that is never replaced though it can't open its store: it was heard, and said that it voted.
+    /// Its state is lacking from 10 s on; with `back` it has one again for a moment at that time.
+    #[yare::parameterized(
+        lost = { None, Some(13_500) },
+        back_in_time = { Some(12_500), Some(16_500) },
+        back_in_the_end = { Some(13_000), Some(17_000) },
+    )]
+    fn a_spare_replaces_a_voter_that_has_no_state_for_long(back: Option<u64>, replaced: Option<u64>) {
+        let members = Members::initial("u", ["a", "b", "c"].map(Into::into));
+        let mut voters = Voters::default();
+        let my_location = location('z');
+        let change_at = (10_000..20_000).step_by(500).find(|ms| {
+            let seen = |name: &str| {
+                let voting = name == "c" || name == "b" && back == Some(*ms);
+                let state =
+                    PeerState { last_heard: ms * MS, voting, leaving: false, added: false, location: None };
+                (name.into(), state)
+            };
+            let peers = ["b", "c", "d"].map(seen).into();
+            let view = VoterView {
+                me: "a",
+                my_location: &my_location,
+                added: false,
+                leaving: false,
+                members: &members,
+                peers: &peers,
+                tolerance: LossTolerance::of_machines(1),
+            };
+            let replace = VoterChange::Replace { old: "b".into(), new: "d".into() };
+            let action = voters.next_action(ms * MS, view);
+            assert!(action.is_none() || action == Some(VoterAction::StartChange(replace)));
+            action.is_some()
+        });
+        assert_eq!(change_at, replaced);
+    }
+
     /// Controllers by letter, each with the time in ms when it was last heard and whether it has a state. `!`
     /// marks one that is shutting down.
     #[yare::parameterized(
