An agent finds out by itself when its proxy accepts messages again

A proxy that stood still for longer than the 800 ms of a message, or whose connection was reset, missed that message.

The simulator's agent reports lost messages alike.

Test: a_proxy_that_missed_messages_is_sent_something_without_a_further_change; before, nothing was sent and the input did not exist.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -75,6 +75,8 @@
     ProxyMessages(Bytes),
     /// The proxy accepts messages, for the first time or again.
     ProxyUp,
+    /// The proxy did not confirm messages, which it may not have received.
+    ProxyMessagesLost,
     /// The queue to the proxy was full, and a message was dropped.
     ProxyQueueFull,
     /// Messages to a controller could not be delivered.
@@ -154,6 +156,8 @@
     /// When the proxy was last sent the full configuration because it was behind.
     full_config_sent_at: Nanos,
     due: Nanos,
+    /// Messages to the proxy were lost, and nothing was sent since that finds out when it accepts messages again.
+    must_probe_proxy: bool,
     /// When the proxy is sent a snapshot to make up for dropped messages.
     resend_at: Option<Nanos>,
     settings_read_at: Nanos,
@@ -175,6 +179,7 @@
             proxy_revision: 0,
             full_config_sent_at: now,
             due: now,
+            must_probe_proxy: false,
             resend_at: None,
             settings_read_at: now,
             followed_at: now,
@@ -231,6 +236,7 @@
             Input::ProxyMessages(body) => self.proxy_messages(now, &body),
             // A proxy that has restarted has no state.
             Input::ProxyUp => self.send_snapshot(now),
+            Input::ProxyMessagesLost => self.must_probe_proxy = true,
             Input::ProxyQueueFull => {
                 if self.resend_at.is_none() {
                     self.log(Level::Warn, "queue to the proxy is full; message dropped".to_owned());
@@ -277,6 +283,8 @@
         self.run_feed_actions(now);
         if self.resend_at.is_some_and(|at| now >= at) {
             self.send_snapshot(now);
+        } else if std::mem::take(&mut self.must_probe_proxy) {
+            self.probe_proxy(now);
         }
         self.log_if_unfollowed(now);
         if now.saturating_sub(self.settings_read_at) >= READ_SETTINGS_EVERY {
@@ -431,6 +439,16 @@
         }
     }
 
+    /// Sends something, since it is with the next message that the proxy turns out to be up again, and gets the snapshot
+    /// with what it has missed. Without this it would act on old state until something changes.
+    fn probe_proxy(&mut self, now: Nanos) {
+        if self.feeds.reported().is_empty() {
+            self.send_snapshot(now);
+        } else {
+            self.effects.push(Effect::SendToProxy(self.controllers()));
+        }
+    }
+
     /// The message by which the proxy keeps the known controllers for the next run of this process.
     fn controllers(&self) -> PeerMessage {
         let addresses = self.feeds.reported().iter().map(ToCompactString::to_compact_string).collect();
--- a/agent/src/recording.rs
+++ b/agent/src/recording.rs
@@ -121,6 +121,7 @@
         Input::ControlAnswered(_) => "answered",
         Input::ProxyMessages(_) => "letter",
         Input::ProxyUp => "up",
+        Input::ProxyMessagesLost => "unsent",
         Input::ProxyQueueFull => "full",
         Input::MessagesLost { .. } => "lost",
         Input::Seeds(_) => "seeds",
@@ -149,7 +150,8 @@
         Input::Seeds(all) => {
             seeds(line, all);
         }
-        Input::ProxyUp | Input::ProxyQueueFull | Input::Shutdown | Input::Tick => {}
+        Input::ProxyUp | Input::ProxyMessagesLost | Input::ProxyQueueFull | Input::Shutdown | Input::Tick => {
+        }
     }
 }
 
@@ -229,6 +231,7 @@
             "answered" => Input::ControlAnswered(read_body(from)?),
             "letter" => Input::ProxyMessages(read_body(from)?),
             "up" => Input::ProxyUp,
+            "unsent" => Input::ProxyMessagesLost,
             "full" => Input::ProxyQueueFull,
             "lost" => Input::MessagesLost { feed: feed()?, messages: whole(from, "c")? },
             "seeds" => Input::Seeds(read_seeds(from)?),
@@ -269,6 +272,7 @@
             )),
             Input::ProxyMessages(invalid),
             Input::ProxyUp,
+            Input::ProxyMessagesLost,
             Input::ProxyQueueFull,
             Input::MessagesLost { feed: 2, messages: 3 },
             Input::Seeds(seeds),
--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -208,8 +208,10 @@
             }
             Incoming::Call(call, reply) => self.handle(Input::ProxyMessages(call.body), Some(reply)),
             Incoming::Outbox(Event::Up { peer }) if &*peer == PROXY => self.handle(Input::ProxyUp, None),
+            Incoming::Outbox(Event::Undelivered { peer, .. }) if &*peer == PROXY => {
+                self.handle(Input::ProxyMessagesLost, None);
+            }
             Incoming::Outbox(Event::Undelivered { peer, messages: notes }) => {
-                // Messages that the proxy did not get are sent again once it is up.
                 if let Ok(feed) = peer.parse() {
                     self.handle(Input::MessagesLost { feed, messages: notes.len() as u64 }, None);
                 }
--- a/agent/tests/round.rs
+++ b/agent/tests/round.rs
@@ -412,6 +412,36 @@
     assert_eq!(harness.to_proxy[0], packed(3));
 }
 
+/// Guards against a proxy that acts on an old list of instances: it stood still for a second, missed a change, and nothing
+/// was sent to it until the next change.
+#[yare::parameterized(
+    controllers_are_known = { true },
+    controllers_are_not_known = { false },
+)]
+fn a_proxy_that_missed_messages_is_sent_something_without_a_further_change(controllers: bool) {
+    let mut harness = Harness::new(&[1, 2]);
+    let full = if harness.followed().1 == [at(1)] { 1 } else { 2 };
+    if controllers {
+        let addresses = [1, 2].map(|n| at(n).to_string().into()).to_vec();
+        harness.line(full, &[PeerMessage::Controllers { addresses }]);
+    }
+    harness.line(full, &[packed(2), membership((1, 1)), instances((1, 2), true, &["a"], &[])]);
+    for _ in 0..3 {
+        harness.to_proxy.clear();
+        harness.handle(Input::ProxyMessagesLost);
+        harness.handle(Input::ProxyMessagesLost);
+        for _ in 0..4 {
+            harness.advance(100 * MS);
+        }
+        let sent = harness.to_proxy.len();
+        assert_eq!(sent, if controllers { 1 } else { 3 }, "{:?}", harness.to_proxy);
+    }
+    // It accepts messages again.
+    harness.to_proxy.clear();
+    harness.handle(Input::ProxyUp);
+    assert!(harness.to_proxy.contains(&instances((1, 2), true, &["a"], &[])));
+}
+
 #[test]
 fn a_proxy_that_is_behind_gets_the_full_configuration_once_a_second() {
     let mut harness = Harness::new(&[1]);
--- a/simulator/src/processes/agent.rs
+++ b/simulator/src/processes/agent.rs
@@ -138,8 +138,10 @@
 
     fn batch_done(&mut self, now: Time, id: u64, taken: bool) {
         if self.proxy.has(id) {
-            if matches!(self.proxy.batch_done(now, id, taken), BatchOutcome::Up) {
-                self.handle(now, Input::ProxyUp, None);
+            match self.proxy.batch_done(now, id, taken) {
+                BatchOutcome::Up => self.handle(now, Input::ProxyUp, None),
+                BatchOutcome::Lost(_) => self.handle(now, Input::ProxyMessagesLost, None),
+                BatchOutcome::Well => {}
             }
             return;
         }
