An unusually long client timeout is forgotten

One request with a very long X-Deadline-Ms made all other clients of its route count as returned while the proxy lived (seen by the review): they waited where others are told at once when to come back.

The longest timeout of a route is now that of its last 200 to 400 requests, in place of all.

Red before: an_unusually_long_timeout_is_forgotten (1,000 of 1,000 counted as returned).

--- a/scheduler/src/request_flow.rs
+++ b/scheduler/src/request_flow.rs
@@ -15,6 +15,8 @@
 /// A request whose remaining time is below this fraction of the longest seen on its route is taken to be a
 /// client's retry or made by a running request.
 const RETURNING_FRACTION: f64 = 0.97;
+/// A timeout counts as the longest of its route for one to two times this many requests.
+const REQUESTS_PER_PERIOD: u32 = 200;
 /// Suggested retry delay when no better estimate exists.
 const DEFAULT_RETRY_AFTER: Nanos = 200 * MS;
 /// Suggested retry delay on a proxy that has not yet received its state, about the time that takes at
@@ -264,16 +266,39 @@
     }
 }
 
-/// Longest client timeout seen per route, in milliseconds.
+/// Longest client timeout of the last requests of a route, in milliseconds.
 #[derive(Debug, Default)]
-pub struct ClientTimeouts(HashMap<CompactString, f64>);
+struct LongestTimeout {
+    /// Longest among the last `requests` requests, and among the [`REQUESTS_PER_PERIOD`] before them.
+    periods: [f64; 2],
+    requests: u32,
+}
+
+impl LongestTimeout {
+    /// Records a request, and returns the longest timeout.
+    fn record(&mut self, timeout: f64) -> f64 {
+        if self.requests == REQUESTS_PER_PERIOD {
+            (self.periods, self.requests) = ([0.0, self.periods[0]], 0);
+        }
+        self.requests += 1;
+        self.periods[0] = self.periods[0].max(timeout);
+        self.periods[0].max(self.periods[1])
+    }
+}
+
+/// Longest client timeouts by route.
+#[derive(Debug, Default)]
+pub struct ClientTimeouts(HashMap<CompactString, LongestTimeout>);
 
 impl ClientTimeouts {
-    /// Whether a request with this remaining time is a client's retry or was made by a running request.
+    /// Whether a request with this remaining time, in milliseconds, is a client's retry or was made by a running
+    /// request.
     pub fn is_returning(&mut self, route: &CompactString, timeout: f64) -> bool {
-        let longest = self.0.entry(route.clone()).or_insert(timeout);
-        *longest = longest.max(timeout);
-        timeout < *longest * RETURNING_FRACTION
+        let longest = match self.0.get_mut(route) {
+            Some(longest) => longest,
+            None => self.0.entry(route.clone()).or_default(),
+        };
+        timeout < longest.record(timeout) * RETURNING_FRACTION
     }
 
     /// Drops routes that no longer exist.
@@ -370,6 +395,21 @@
         assert_eq!(failed.shutdown(), FlowStep::Respond(Ok(500)));
     }
 
+    /// Guards against a single client with a very long timeout after which all others of its route count as returned.
+    #[test]
+    fn an_unusually_long_timeout_is_forgotten() {
+        let (mut timeouts, route) = (ClientTimeouts::default(), "r".into());
+        assert!(!timeouts.is_returning(&route, 1e9));
+        let returning = (0..1_000).filter(|_| timeouts.is_returning(&route, 4_000.0)).count();
+        assert!(returning <= 2 * REQUESTS_PER_PERIOD as usize, "{returning}");
+        // Retries are recognized as long as first requests come among them.
+        for n in 0..1_000 {
+            let is_first = n % 50 == 0;
+            let timeout = if is_first { 4_000.0 } else { 3_000.0 };
+            assert_eq!(timeouts.is_returning(&route, timeout), !is_first, "{n}");
+        }
+    }
+
     #[test]
     fn without_a_view_only_returning_requests_wait() {
         assert_eq!(new_flow(true).begin(false), FlowStep::Respond(Err(Refusal::NotReady)));
