--- a/controller/src/gossip.rs
+++ b/controller/src/gossip.rs
@@ -16,6 +16,7 @@
 
 use crate::errors::CallError;
 use crate::placement::Location;
+use crate::silent_peers::{SilentPeer, SilentPeers};
 use crate::{MS, Nanos};
 
 /// Interval between messages to all peers.
@@ -24,8 +25,8 @@
 const MIN_INTERVAL: Nanos = 50 * MS;
 /// Maximum number of known peers.
 pub const MAX_PEERS: usize = 256;
-/// A peer that is neither a seed nor a voter receives no messages after it was silent for [`SEND_TIMEOUT`];
-/// any peer is forgotten after [`FORGET_AFTER`].
+/// A peer that is neither a seed nor a voter receives messages less often after it was silent for
+/// [`SEND_TIMEOUT`]; its state is forgotten after [`FORGET_AFTER`].
 const SEND_TIMEOUT: Nanos = 10_000 * MS;
 const FORGET_AFTER: Nanos = 60_000 * MS;
 
@@ -80,6 +81,8 @@
     pub location: Option<Location>,
     /// The epoch of the members that the sender knows, if any.
     pub epoch: Option<u64>,
+    /// Controllers that were heard once and are silent now.
+    pub silent: Vec<SilentPeer>,
     /// The change from the previous configuration; only in the first message after the change.
     pub change: Option<ConfigChange>,
 }
@@ -114,6 +117,7 @@
                 false => None,
             },
             epoch: parts.contains_key("epoch").then(|| number("epoch")).transpose()?,
+            silent: SilentPeer::read_all(parts.get("silent"))?,
             change: match (parts.get("change"), parts.get("base")) {
                 (Some(JsonValue::String(packed)), Some(JsonValue::String(base))) => {
                     Some(ConfigChange { base: base.as_str().into(), packed: packed.clone() })
@@ -141,6 +145,13 @@
             ("zone", self.location.as_ref().map_or(JsonValue::Null, |location| text(&location.zone))),
             ("region", self.location.as_ref().map_or(JsonValue::Null, |location| text(&location.region))),
             ("epoch", self.epoch.map_or(JsonValue::Null, |epoch| JsonValue::Number(epoch as f64))),
+            (
+                "silent",
+                match &self.silent[..] {
+                    [] => JsonValue::Null,
+                    all => JsonValue::Array(all.iter().map(SilentPeer::to_json).collect()),
+                },
+            ),
             ("base", self.change.as_ref().map_or(JsonValue::Null, |c| text(&c.base))),
             ("change", self.change.as_ref().map_or(JsonValue::Null, |c| text(&c.packed))),
         ])
@@ -182,6 +193,7 @@
 pub struct Gossip {
     me: Address,
     peers: BTreeMap<Address, PeerState>,
+    silent: SilentPeers,
     leader: (u64, CompactString),
     chosen: Option<Chosen>,
     /// The change from the previous configuration, until it is sent.
@@ -205,6 +217,7 @@
         Gossip {
             me,
             peers: BTreeMap::new(),
+            silent: SilentPeers::default(),
             leader,
             chosen: None,
             change: None,
@@ -304,6 +317,8 @@
         let mut to = seeds.to_vec();
         to.extend(members.into_iter().flat_map(Members::all_voters));
         to.extend(self.recent_peers(now).cloned());
+        self.silent.observe(now, &self.peers);
+        to.extend(self.silent.take_due(now));
         to.sort();
         to.dedup();
         to.retain(|a| *a != self.me);
@@ -318,6 +333,7 @@
             added: local.added,
             location: local.location,
             epoch: members.map(|members| members.epoch),
+            silent: self.silent.report(now),
             change: self.change.take(),
         };
         (to, message)
@@ -329,6 +345,7 @@
         if self.peers.len() >= MAX_PEERS && !self.peers.contains_key(&message.from) {
             return Err(CallError::Invalid("from".to_owned()));
         }
+        self.silent.learn(now, &self.me, &self.peers, &message.silent);
         let GossipMessage { from, revision, digest, change, voting, leaving, added, location, .. } = message;
         self.peers.insert(from.clone(), PeerState { last_heard: now, voting, leaving, added, location });
         let in_flight = self.fetching.as_ref().is_some_and(|f| f.revision >= revision && now < f.until);
@@ -393,6 +410,7 @@
             added: false,
             location: None,
             epoch: Some(1),
+            silent: Vec::new(),
             change: None,
         }
     }
--- a/controller/src/lib.rs
+++ b/controller/src/lib.rs
@@ -33,6 +33,7 @@
 mod platform_stats;
 pub mod rounds;
 pub mod runtime;
+pub mod silent_peers;
 mod succession;
 mod voter_thread;
 pub mod voters;
--- a/controller/tests/succession.rs
+++ b/controller/tests/succession.rs
@@ -425,3 +425,32 @@
         }
     }
 }
+
+/// Guards against a machine that finds nobody again: it was cut off while each machine that it knew, all seeds among them, was
+/// replaced at another address.
+#[yare::parameterized(
+    spare_for_a_while = { 3, 8_000 },
+    spare_for_long = { 3, 60_000 },
+)]
+fn a_machine_that_was_cut_off_finds_the_core_at_its_new_addresses(cut_off: usize, further_ms: u64) {
+    let zones = ["a", "b", "c", "d"];
+    let mut cluster = cluster_in_zones(3, &zones);
+    cluster.cut(cut_off, 1);
+    for n in 0..3 {
+        let successor = cluster.add(zones[n]);
+        cluster.run(cluster.now + CATCH_UP);
+        cluster.down(n);
+        put(&mut cluster, successor, 2 + n as u64);
+    }
+    cluster.run(cluster.now + further_ms * MS);
+    cluster.cut(cut_off, 0);
+    let end = cluster.now + 20_000 * MS;
+    loop {
+        let read = cluster.read(cut_off);
+        cluster.run(cluster.now + 900 * MS);
+        if cluster.reply_to(read) == Some((200, config(4, "one").as_str())) {
+            break;
+        }
+        assert!(cluster.now < end, "{:?}", cluster.reply_to(read));
+    }
+}
