--- a/controller/tests/succession.rs
+++ b/controller/tests/succession.rs
@@ -436,8 +436,8 @@
     let zones = ["a", "b", "c", "d"];
     let mut cluster = cluster_in_zones(3, &zones);
     cluster.cut(cut_off, 1);
-    for n in 0..3 {
-        let successor = cluster.add(zones[n]);
+    for (n, zone) in zones[..3].iter().enumerate() {
+        let successor = cluster.add(zone);
         cluster.run(cluster.now + CATCH_UP);
         cluster.down(n);
         put(&mut cluster, successor, 2 + n as u64);
