--- a/explore/src/register.rs
+++ b/explore/src/register.rs
@@ -54,20 +54,20 @@
 
 /// One voter and its disk.
 #[derive(Clone, Debug)]
-struct Seat {
+struct VoterNode {
     voter: Voter,
     disk: Arc<BTreeMap<String, String>>,
-    life: u64,
+    incarnation: u64,
     /// Batches that the disk has not got, though it said so.
-    lacks: u8,
+    unsynced: u8,
     /// It has asked the others for a state.
     asked: bool,
 }
 
-impl Hash for Seat {
+impl Hash for VoterNode {
     /// But for lies, the disk is what the voter has in its memory.
     fn hash<H: Hasher>(&self, state: &mut H) {
-        (&self.voter, self.life, self.lacks, self.asked).hash(state);
+        (&self.voter, self.incarnation, self.unsynced, self.asked).hash(state);
     }
 }
 
@@ -121,12 +121,12 @@
     now: u64,
     /// Moments that are left.
     quanta: u8,
-    voters: Vec<Part<Seat>>,
+    voters: Vec<Part<VoterNode>>,
     proposers: Vec<Part<Proposer>>,
     pool: Vec<Part<Sent>>,
     left: Bounds,
     /// What was answered, by version.
-    told: Part<BTreeMap<u64, Arc<str>>>,
+    acknowledged: Part<BTreeMap<u64, Arc<str>>>,
     case: Case,
     fault: Option<Fault>,
     breach: Option<&'static str>,
@@ -165,8 +165,8 @@
     Restart(u8, bool),
 }
 
-fn disk_of(seat: &Seat) -> impl Iterator<Item = (String, String)> {
-    seat.disk.iter().map(|(key, text)| (key.clone(), text.clone()))
+fn disk_of(node: &VoterNode) -> impl Iterator<Item = (String, String)> {
+    node.disk.iter().map(|(key, text)| (key.clone(), text.clone()))
 }
 
 fn store(disk: &mut Arc<BTreeMap<String, String>>, writes: &[Write]) -> Result<(), ()> {
@@ -174,13 +174,13 @@
     Ok(())
 }
 
-impl Seat {
+impl VoterNode {
     /// A process starts from this disk. What is read back is what was written: that is another test's.
     fn open(&mut self, who: u8, now: u64) {
-        self.life += 1;
+        self.incarnation += 1;
         self.asked = false;
         let seeds = NAMES[..3].iter().map(|name| Address::from(*name)).collect();
-        match Voter::open(name_of(who).into(), disk_of(self), seeds, self.life, now) {
+        match Voter::open(name_of(who).into(), disk_of(self), seeds, self.incarnation, now) {
             Ok(voter) => self.voter = voter,
             Err(why) => unreachable!("{why}"),
         }
@@ -202,24 +202,25 @@
     pub fn start(&self, fault: Option<Fault>) -> Register {
         let of = |count: usize| Members::initial("u", NAMES[..count].iter().map(|name| Address::from(*name)));
         // One that has voted before has left since.
-        let first = if self.had { Members { epoch: 2, ..of(3) } } else { of(3) };
-        let seat = |who: u8| {
+        let first = if self.has_old_state { Members { epoch: 2, ..of(3) } } else { of(3) };
+        let node = |who: u8| {
             let empty = Voter::open(name_of(who).into(), [], Vec::new(), 0, 0);
             let Ok(voter) = empty else { unreachable!("an empty disk can be read") };
-            let mut seat = Seat { voter, disk: Arc::default(), life: 0, lacks: 0, asked: false };
-            seat.open(who, 0);
-            if who < 3 || self.had {
-                let (disk, own) = (&mut seat.disk, if who < 3 { first.clone() } else { of(4) });
-                let _ = seat.voter.bootstrap(own.clone()).commit(|writes| store(disk, writes));
+            let mut node =
+                VoterNode { voter, disk: Arc::default(), incarnation: 0, unsynced: 0, asked: false };
+            node.open(who, 0);
+            if who < 3 || self.has_old_state {
+                let (disk, own) = (&mut node.disk, if who < 3 { first.clone() } else { of(4) });
+                let _ = node.voter.bootstrap(own.clone()).commit(|writes| store(disk, writes));
                 // Members that are not the first were written.
                 let (ballot, content) = (Ballots::new("o", 1).next(0), own.to_text().into());
                 let value = Value { version: own.epoch, content };
                 let write = Message::Write { key: Key::Members, ballot, value, members: own.clone() };
                 if own.epoch > 0 {
-                    let _ = seat.voter.handle(0, "o", write).commit(|writes| store(disk, writes));
+                    let _ = node.voter.handle(0, "o", write).commit(|writes| store(disk, writes));
                 }
             }
-            Part::new(seat)
+            Part::new(node)
         };
         let proposer = |at: usize| {
             let ballots = Ballots::new(PROPOSERS[at], 1);
@@ -230,11 +231,11 @@
         let mut register = Register {
             now: FROM,
             quanta: self.quanta,
-            voters: (0..voters).map(seat).collect(),
+            voters: (0..voters).map(node).collect(),
             proposers: (0..self.jobs.len()).map(proposer).collect(),
             pool: Vec::new(),
             left: self.bounds,
-            told: Part::new(BTreeMap::new()),
+            acknowledged: Part::new(BTreeMap::new()),
             case: *self,
             fault,
             breach: None,
@@ -252,7 +253,7 @@
 
 impl Register {
     fn newest(&self) -> u64 {
-        self.told.last_key_value().map_or(0, |(version, _)| *version)
+        self.acknowledged.last_key_value().map_or(0, |(version, _)| *version)
     }
 
     fn begin(&mut self, at: u8) {
@@ -272,13 +273,13 @@
             let mut round = match job {
                 Job::Read => round(Operation::Read, Key::Config),
                 Job::Offer(version, content) => round(offer(version, content, None), Key::Config),
-                Job::Move(change) if fault == Some(Fault::NoJoint) => {
-                    let voters = change.of().apply(&by.voters).unwrap_or_default();
+                Job::ChangeVoters(change) if fault == Some(Fault::NoJoint) => {
+                    let voters = change.change().apply(&by.voters).unwrap_or_default();
                     let after = Members { epoch: by.epoch + 1, voters, ..by.clone() };
                     round(offer(after.epoch, &after.to_text(), Some(by.epoch)), Key::Members)
                 }
-                Job::Move(change) => {
-                    let (each, limit, change) = (u64::MAX, u64::MAX, Some(change.of()));
+                Job::ChangeVoters(change) => {
+                    let (each, limit, change) = (u64::MAX, u64::MAX, Some(change.change()));
                     let mut moving = MembershipChange::new(change, by, &who.ballots, 1, each, limit, who.at);
                     let out = moving.on_tick(who.at);
                     who.work = Work::MembershipChange(Box::new(moving));
@@ -357,8 +358,9 @@
             self.breach = self.breach.or(Some(property::KEPT));
         }
         if let Some(value) = value {
-            let content =
-                self.told.change(|told| told.entry(value.version).or_insert(value.content.clone()).clone());
+            let content = self
+                .acknowledged
+                .change(|known| known.entry(value.version).or_insert(value.content.clone()).clone());
             if content != value.content {
                 self.breach = self.breach.or(Some(property::ONE));
             }
@@ -403,28 +405,28 @@
     /// A voter hears something; what it says in return.
     fn heard(&mut self, to: u8, from: u8, message: Message, torn: bool) -> Option<Message> {
         let (now, lies) = (self.now, self.fault == Some(Fault::AnswersFirst));
-        let seat = &mut self.voters[usize::from(to)];
-        let before = seat.print();
+        let node = &mut self.voters[usize::from(to)];
+        let before = node.print();
         let mut batches = 0;
-        let reply = seat.change(|seat| {
-            let (disk, mut lacks) = (&mut seat.disk, 0);
-            let blank = seat.voter.state() != Stage::Voting;
-            let done = seat.voter.handle(now, name_of(from), message).commit(|writes| {
+        let reply = node.change(|node| {
+            let (disk, mut unsynced) = (&mut node.disk, 0);
+            let blank = node.voter.state() != Stage::Voting;
+            let done = node.voter.handle(now, name_of(from), message).commit(|writes| {
                 batches += 1;
                 match () {
                     () if torn && batches == 2 => return Err(()),
-                    () if lies => lacks += 1,
+                    () if lies => unsynced += 1,
                     () => return store(disk, writes),
                 }
                 Ok(())
             });
-            seat.lacks += lacks;
+            node.unsynced += unsynced;
             if done.is_err() {
-                seat.open(to, now);
+                node.open(to, now);
             }
-            if blank && self.fault == Some(Fault::CopyVotes) && seat.voter.state() == Stage::Voting {
-                fault::as_votes(&mut seat.disk);
-                seat.open(to, now);
+            if blank && self.fault == Some(Fault::CopyVotes) && node.voter.state() == Stage::Voting {
+                fault::as_votes(&mut node.disk);
+                node.open(to, now);
             }
             done.unwrap_or_default()
         });
@@ -476,16 +478,16 @@
         self.left.restarts -= u8::from(!wipe);
         self.left.wipes -= u8::from(wipe);
         let first = self.proposers[0].members.clone();
-        self.voters[usize::from(voter)].change(|seat| {
+        self.voters[usize::from(voter)].change(|node| {
             if wipe {
-                seat.disk = Arc::default();
+                node.disk = Arc::default();
             }
-            seat.lacks = 0;
+            node.unsynced = 0;
             let waited = wipe && fault == Some(Fault::CopiesAtOnce);
-            seat.open(voter, if waited { now - 2 * QUANTUM } else { now });
+            node.open(voter, if waited { now - 2 * QUANTUM } else { now });
             if wipe && fault == Some(Fault::VotesAtOnce) {
-                let disk = &mut seat.disk;
-                let step = seat.voter.bootstrap(first);
+                let disk = &mut node.disk;
+                let step = node.voter.bootstrap(first);
                 let _ = step.commit(|writes| store(disk, writes));
             }
         });
@@ -516,9 +518,9 @@
             }
             Step::Ask(voter) => {
                 let now = self.now;
-                let asks = self.voters[usize::from(voter)].change(|seat| {
-                    seat.asked = true;
-                    seat.voter.on_tick(now)
+                let asks = self.voters[usize::from(voter)].change(|node| {
+                    node.asked = true;
+                    node.voter.on_tick(now)
                 });
                 for (to, message) in asks {
                     if let Some(to) = voter_of(&to).filter(|to| usize::from(*to) < self.voters.len()) {
@@ -538,12 +540,12 @@
     /// Whichever majority was asked now, it would show what was answered last.
     fn look(&mut self) {
         let mut records: Vec<&Members> = self.proposers.iter().map(|who| &who.members).collect();
-        records.extend(self.voters.iter().filter_map(|seat| seat.voter.members()));
+        records.extend(self.voters.iter().filter_map(|node| node.voter.members()));
         let twice = |one: &&Members| records.iter().any(|other| other.epoch == one.epoch && other != one);
         if records.iter().any(twice) {
             self.breach = self.breach.or(Some(property::CHAIN));
         }
-        let Some((version, content)) = self.told.last_key_value() else { return };
+        let Some((version, content)) = self.acknowledged.last_key_value() else { return };
         records.sort_by_key(|members| members.epoch);
         records.dedup();
         let (mut stands, count) = (true, self.voters.len());
@@ -585,7 +587,7 @@
             return false;
         }
         let promised = |key: &Key, ballot: &Ballot| {
-            let slot = self.voters.get(usize::from(sent.to)).and_then(|seat| seat.voter.slot(*key));
+            let slot = self.voters.get(usize::from(sent.to)).and_then(|node| node.voter.slot(*key));
             self.left.wipes == 0 && slot.is_some_and(|slot| slot.promised.as_ref() > Some(ballot))
         };
         match &sent.message {
@@ -601,8 +603,8 @@
 
     /// Whether all voters that have a state know that four vote, and at most one of the four has none.
     fn four_vote(&self) -> bool {
-        let with_state = self.voters.iter().filter(|seat| seat.voter.state() == Stage::Voting);
-        let members: Vec<_> = with_state.filter_map(|seat| seat.voter.members()).collect();
+        let with_state = self.voters.iter().filter(|node| node.voter.state() == Stage::Voting);
+        let members: Vec<_> = with_state.filter_map(|node| node.voter.members()).collect();
         members.len() > 2 && members.iter().all(|members| members.voters.len() == 4 && members.next.is_none())
     }
 
@@ -635,9 +637,9 @@
             all.push(Step::Pass);
         }
         let voting = |at: usize| self.voters[at].voter.state() == Stage::Voting;
-        for (at, seat) in self.voters.iter().enumerate() {
-            let told = self.case.timed || seat.voter.state() == Stage::Recovering;
-            if told && !seat.asked && seat.voter.next_wake().is_some_and(|wake| wake <= self.now) {
+        for (at, node) in self.voters.iter().enumerate() {
+            let may_ask = self.case.timed || node.voter.state() == Stage::Recovering;
+            if may_ask && !node.asked && node.voter.next_wake().is_some_and(|wake| wake <= self.now) {
                 all.push(Step::Ask(at as u8));
             }
             // With no spare they are alike, but for their names.
@@ -711,12 +713,21 @@
         let voters: Vec<u128> = self.voters.iter().map(Part::print).collect();
         let proposers: Vec<u128> = self.proposers.iter().map(Part::print).collect();
         let pool: Vec<u128> = self.pool.iter().map(Part::print).collect();
-        print(&(self.now, self.quanta, voters, proposers, pool, self.left, self.told.print(), self.breach))
+        print(&(
+            self.now,
+            self.quanta,
+            voters,
+            proposers,
+            pool,
+            self.left,
+            self.acknowledged.print(),
+            self.breach,
+        ))
     }
     fn breach(&self) -> Option<&'static str> {
         self.breach
     }
-    /// Whatever is said comes, whoever lacks a state asks for it, and timers run out only when nothing else is left.
+    /// Whatever is said comes, whoever unsynced a state asks for it, and timers run out only when nothing else is left.
     fn calm(&self) -> Option<Step> {
         let all = self.all();
         let ask = all.iter().find(|step| matches!(step, Step::Ask(_)));
--- a/explore/src/register/cases.rs
+++ b/explore/src/register/cases.rs
@@ -1,41 +1,41 @@
-//! The worlds of the register: who does what in them, and how often something goes wrong.
+//! The cases of the register to explore: what each proposer does, and how often each kind of fault occurs.
 
 use millpost_quorum::VoterChange;
 
 use super::Fault;
 
-/// What may happen, and how often.
+/// Upper limits on how often each kind of fault occurs on one path.
 #[derive(Clone, Copy, Debug, Hash)]
 pub struct Bounds {
-    /// Timers of proposers that run out: asking again, and trying again with a higher ballot.
+    /// Timeouts of proposers: a phase is sent again, or a round is started again with a higher ballot.
     pub wakes: u8,
-    /// Messages that come after their sender has gone on, or answers that are not heard at once.
+    /// Messages that arrive after their sender has moved on, and delayed replies.
     pub late: u8,
-    /// Answers that are lost.
+    /// Lost replies.
     pub lost: u8,
-    /// Voters that start again with their disk.
+    /// Restarts of a voter with its disk.
     pub restarts: u8,
-    /// Disks that are emptied.
+    /// Restarts of a voter on an empty disk.
     pub wipes: u8,
 }
 
 /// A change of the voters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turn {
-    /// The spare comes for the first.
+pub enum VotersChange {
+    /// The spare replaces the first voter.
     First,
-    /// The spare comes for the third.
+    /// The spare replaces the third voter.
     Third,
-    /// The spare votes beside the three.
+    /// The spare becomes a fourth voter.
     Beside,
 }
 
-impl Turn {
-    pub(super) fn of(self) -> VoterChange {
+impl VotersChange {
+    pub(super) fn change(self) -> VoterChange {
         let out = match self {
-            Turn::First => "a",
-            Turn::Third => "c",
-            Turn::Beside => return VoterChange::Add("z".into()),
+            VotersChange::First => "a",
+            VotersChange::Third => "c",
+            VotersChange::Beside => return VoterChange::Add("z".into()),
         };
         VoterChange::Replace { old: out.into(), new: "z".into() }
     }
@@ -46,34 +46,34 @@
 pub enum Job {
     /// Reads.
     Read,
-    /// Offers a version with this content.
+    /// Writes this content under a version.
     Offer(u64, &'static str),
     /// Changes the voters.
-    Move(Turn),
+    ChangeVoters(VotersChange),
 }
 
-/// A world to be explored.
+/// One case to explore.
 #[derive(Clone, Copy, Debug)]
 pub struct Case {
-    /// What happens in it.
+    /// Its name, by what happens in it.
     pub name: &'static str,
-    /// Each proposer's jobs, one after the other. First jobs that are no reads have begun.
+    /// The jobs of each proposer, in order. A first job that is not a read is in progress at the start.
     pub jobs: &'static [&'static [Job]],
-    /// There is a spare.
+    /// Whether there is a spare.
     pub spare: bool,
-    /// It has been a voter before, has a state of that time, and copies nothing.
-    pub had: bool,
-    /// Timers go by the clock that all share; else each proposer's runs as it likes, since nothing hangs on it.
+    /// Whether the spare was a voter before: it has a state of that time, and copies nothing.
+    pub has_old_state: bool,
+    /// Whether timers follow the shared clock; otherwise each may expire at any time, since no result depends on it.
     pub timed: bool,
-    /// How long it lasts.
+    /// Its length, in steps of the clock.
     pub quanta: u8,
-    /// Disks are emptied only once something was answered.
+    /// Whether disks are emptied only after a write was acknowledged.
     pub answered: bool,
-    /// Two disks may be empty at the same time, and none before four vote.
+    /// Whether two disks may be empty at the same time, which starts only after the change to four voters.
     pub two_wipes: bool,
-    /// Steps off a calm day on any one way; all, where there is no bound.
+    /// Maximum number of deviations from the fault-free order on one path; `None` explores all orders.
     pub deviations: Option<u8>,
-    /// How often.
+    /// Limits on faults.
     pub bounds: Bounds,
 }
 
@@ -84,7 +84,7 @@
     name: "",
     jobs: &[],
     spare: false,
-    had: false,
+    has_old_state: false,
     timed: false,
     quanta: 0,
     answered: false,
@@ -93,7 +93,7 @@
     bounds: CALM,
 };
 
-/// Every way in which messages and voters may fail together.
+/// The cases that are explored completely in tests.
 pub fn cases() -> Vec<Case> {
     vec![
         Case {
@@ -139,7 +139,7 @@
         },
         Case {
             name: "register: a voter is exchanged while another writes",
-            jobs: &[&[X], &[Job::Move(Turn::Third), Job::Read]],
+            jobs: &[&[X], &[Job::ChangeVoters(VotersChange::Third), Job::Read]],
             spare: true,
             deviations: Some(2),
             bounds: Bounds { wakes: 4, late: 1, ..CALM },
@@ -147,16 +147,16 @@
         },
         Case {
             name: "register: a voter that had left comes back while another writes",
-            jobs: &[&[X], &[Job::Move(Turn::Third), Job::Read]],
+            jobs: &[&[X], &[Job::ChangeVoters(VotersChange::Third), Job::Read]],
             spare: true,
-            had: true,
+            has_old_state: true,
             deviations: Some(2),
             bounds: Bounds { wakes: 4, late: 1, ..CALM },
             ..PLAIN
         },
         Case {
             name: "register: a voter is exchanged, then a disk is emptied",
-            jobs: &[&[X], &[Job::Move(Turn::First), Job::Read]],
+            jobs: &[&[X], &[Job::ChangeVoters(VotersChange::First), Job::Read]],
             spare: true,
             quanta: 2,
             answered: true,
@@ -166,7 +166,7 @@
         },
         Case {
             name: "register: the spare votes beside the three, then a disk is emptied",
-            jobs: &[&[X], &[Job::Move(Turn::Beside), Job::Read]],
+            jobs: &[&[X], &[Job::ChangeVoters(VotersChange::Beside), Job::Read]],
             spare: true,
             quanta: 2,
             answered: true,
@@ -176,7 +176,7 @@
         },
         Case {
             name: "register: the spare votes beside the three, then two disks are emptied",
-            jobs: &[&[X], &[Job::Move(Turn::Beside), Job::Read]],
+            jobs: &[&[X], &[Job::ChangeVoters(VotersChange::Beside), Job::Read]],
             spare: true,
             quanta: 3,
             answered: true,
@@ -187,9 +187,9 @@
         },
         Case {
             name: "register: a voter that had left votes beside the three, then a disk is emptied",
-            jobs: &[&[X], &[Job::Move(Turn::Beside), Job::Read]],
+            jobs: &[&[X], &[Job::ChangeVoters(VotersChange::Beside), Job::Read]],
             spare: true,
-            had: true,
+            has_old_state: true,
             quanta: 2,
             answered: true,
             deviations: Some(3),
@@ -199,7 +199,7 @@
     ]
 }
 
-/// More at once: minutes.
+/// Cases with more faults at once, which take minutes.
 pub fn large() -> Vec<Case> {
     vec![Case {
         name: "register: two contents of one version, a disk is emptied",
@@ -211,7 +211,7 @@
     }]
 }
 
-/// Faults that must be found here, each with a word of the case that finds it.
+/// Faults that must be found, each with a part of the name of the case that finds it.
 pub const FAULTS: [(Fault, &str); 10] = [
     (Fault::NoPrepare, "a try again"),
     (Fault::AnswersFirst, "of one version, a restart"),
--- a/explore/tests/register.rs
+++ b/explore/tests/register.rs
@@ -49,7 +49,7 @@
             day.push(next);
         }
         let last = register::text(&day.pop().into_iter().map(|end| (end, None)).collect());
-        let epoch = if case.had { " e4" } else { " e2" };
+        let epoch = if case.has_old_state { " e4" } else { " e2" };
         assert!(last.contains(epoch), "{}: {last}", case.name);
     }
 }
--- a/quorum/tests/records.rs
+++ b/quorum/tests/records.rs
@@ -86,18 +86,29 @@
     }
 }
 
+/// Returns the only voter of a register, with its members and its first batch.
+fn new_voter() -> (Members, Voter, Vec<Write>) {
+    let members = Members::initial("lab", ["a"].map(Address::from));
+    let mut first = Vec::new();
+    let mut store = |writes: &[Write]| {
+        first.extend_from_slice(writes);
+        Ok::<_, ()>(())
+    };
+    let mut voter = Voter::open("a".into(), [], vec![], 1, 0).unwrap();
+    voter.bootstrap(members.clone()).commit(&mut store).unwrap();
+    (members, voter, first)
+}
+
 /// Earlier versions do not know the key `moves`. They must be able to read the disk until there is a record
 /// for it.
 #[test]
 fn newer_format_is_written_right_before_the_first_record_of_migrations() {
-    let members = Members::initial("lab", ["a"].map(Address::from));
-    let mut batches = Vec::new();
+    let (members, mut voter, first) = new_voter();
+    let mut batches = vec![first];
     let mut store = |writes: &[Write]| {
         batches.push(writes.to_vec());
         Ok::<_, ()>(())
     };
-    let mut voter = Voter::open("a".into(), [], vec![], 1, 0).unwrap();
-    voter.bootstrap(members.clone()).commit(&mut store).unwrap();
     for (n, key) in [Key::Config, Key::Migrations, Key::Migrations].into_iter().enumerate() {
         let ballot = Ballots::new("p", 1).next(n as u64);
         voter
@@ -130,14 +141,12 @@
 /// the moment that there is one, also after the record has become short again.
 #[test]
 fn newer_format_is_written_right_before_the_first_long_record() {
-    let members = Members::initial("lab", ["a"].map(Address::from));
-    let mut batches = Vec::new();
+    let (members, mut voter, first) = new_voter();
+    let mut batches = vec![first];
     let mut store = |writes: &[Write]| {
         batches.push(writes.to_vec());
         Ok::<_, ()>(())
     };
-    let mut voter = Voter::open("a".into(), [], vec![], 1, 0).unwrap();
-    voter.bootstrap(members.clone()).commit(&mut store).unwrap();
     for (n, length) in [(1, 10), (2, MAX_WHOLE_RECORD), (3, MAX_WHOLE_RECORD), (4, 10)] {
         let (key, ballot) = (Key::Config, Ballots::new("p", 1).next(n));
         let value = Value { version: n, content: "x".repeat(length).into() };
