--- a/e2e/examples/changes.rs
+++ b/e2e/examples/changes.rs
@@ -39,14 +39,20 @@
     let text = configuration.text();
     let began = Instant::now();
     loop {
+        let mut answers = Vec::new();
         for control in cluster.fleet.deployment.controls() {
-            let bytes =
-                request("POST", "x", "/Config.Replace", &[("Connection", "close")], text.as_bytes(), false);
-            if exchange(control, &bytes, TIMEOUT).await.is_ok_and(|answer| answer.status() == 200) {
-                return began.elapsed();
+            let fields = [("Connection", "close")];
+            let bytes = request("POST", "x", "/Config.Replace", &fields, text.as_bytes(), false);
+            match exchange(control, &bytes, TIMEOUT).await {
+                Ok(answer) if answer.status() == 200 => return began.elapsed(),
+                Ok(answer) => {
+                    answers.push(format!("{} {}", answer.status(), String::from_utf8_lossy(&answer.body)))
+                }
+                Err(e) => answers.push(e.to_string()),
             }
         }
-        assert!(began.elapsed() < TIMEOUT, "revision {} is not acknowledged", configuration.revision);
+        let revision = configuration.revision;
+        assert!(began.elapsed() < TIMEOUT, "revision {revision} is not acknowledged: {answers:?}");
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
