Gossip goes to the leader as well, which may not vote any more (CONFIG)

The leader's own vote had gone to its successor before. It was neither a voter nor a seed of the machines that were added then, so it never heard them and did not let them vote; voters heard them, but only the leader changes voters.

Each controller now sends gossip to the leader that it knows of.

--- a/controller/src/gossip.rs
+++ b/controller/src/gossip.rs
@@ -317,6 +317,8 @@
         let mut to = seeds.to_vec();
         to.extend(members.into_iter().flat_map(Members::all_voters));
         to.extend(self.recent_peers(now).cloned());
+        // The leader changes the voters, so it must hear each controller, also if it does not vote any more itself.
+        to.extend((!self.leader.1.is_empty()).then(|| self.leader.1.clone()));
         self.silent.observe(now, &self.peers);
         to.extend(self.silent.take_due(now));
         to.sort();
--- a/controller/tests/cluster/mod.rs
+++ b/controller/tests/cluster/mod.rs
@@ -136,6 +136,11 @@
         cluster
     }
 
+    /// Sets the seeds of processes that start from now on.
+    pub fn set_seeds(&mut self, machines: &[usize]) {
+        self.seeds = machines.iter().copied().map(address).collect();
+    }
+
     /// Adds a machine with an empty disk to the running system, and returns its number.
     pub fn add(&mut self, zone: &str) -> usize {
         self.push_machine(zone, true);
--- a/controller/tests/succession.rs
+++ b/controller/tests/succession.rs
@@ -454,3 +454,30 @@
         assert!(cluster.now < end, "{:?}", cluster.reply_to(read));
     }
 }
+
+/// The leader gets a successor, stays, and goes on leading without a vote. Machines that are added then do not name it among
+/// their seeds.
+///
+/// Guards against a configuration that is lost with two machines whose successors had caught up: the leader had never heard
+/// these successors, so they did not vote.
+#[yare::parameterized(
+    one_more = { 1 },
+    two_more = { 2 },
+)]
+fn a_leader_that_does_not_vote_lets_added_controllers_vote(count: usize) {
+    let zones = ["a", "b", "c"];
+    let mut cluster = cluster_in_zones(3, &zones);
+    let leader = cluster.leader().expect("a leader");
+    cluster.add(zones[leader]);
+    cluster.run(cluster.now + CATCH_UP);
+    assert_eq!(cluster.leader(), Some(leader));
+    let others: Vec<_> = (0..3).filter(|n| *n != leader).collect();
+    cluster.set_seeds(&others);
+    let removed = &others[..count];
+    let successors: Vec<_> = removed.iter().map(|n| cluster.add(zones[*n])).collect();
+    cluster.run(cluster.now + CATCH_UP);
+    put(&mut cluster, successors[0], 2);
+    removed.iter().chain([&leader]).for_each(|n| cluster.down(*n));
+    assert_kept(&mut cluster, &successors, 2, &format!("{removed:?} removed"));
+    put(&mut cluster, successors[0], 3);
+}
